build: add the project skeleton, base types and fixed interfaces

Cause: the repository was empty; contributors need the build, the style checks and the interfaces between modules before they can work side by side. Change: CMake presets, scripts/test, formatter and linter settings, strong ids, verdicts, reasons, IP blocks, messages, document model, store and network ports, and the design page.

--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,16 @@
+# Every outside library is found through its own CMake package.
+find_package(absl REQUIRED)
+find_package(TBB REQUIRED)
+find_package(fmt REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(CLI11 REQUIRED)
+find_package(cereal REQUIRED)
+find_package(tomlplusplus REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(Threads REQUIRED)
+find_package(GTest REQUIRED)
+find_package(benchmark REQUIRED)
+
+find_library(HS_XXHASH_LIBRARY xxhash REQUIRED)
--- /dev/null
+++ b/src/document/target.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/ids.h"
+
+namespace heatherspan {
+
+/// A back end of a service.
+struct Target {
+  TargetName name;
+  ZoneName zone;
+  Endpoint endpoint;
+
+  friend auto operator==(const Target&, const Target&) -> bool = default;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/document/zone.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "base/ids.h"
+
+namespace heatherspan {
+
+/// An availability zone.
+struct Zone {
+  ZoneName name;
+  int entry_vms_max = 1;  ///< Most entry VMs that may have a base share at one time.
+
+  friend auto operator==(const Zone&, const Zone&) -> bool = default;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/net/http_result.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "absl/status/status.h"
+#include "net/http_response.h"
+
+namespace heatherspan {
+
+/// How far an exchange came, which decides whether the request may have run.
+enum class SendProgress {
+  kNothingWritten,  ///< No byte of the request left this process.
+  kWritten,         ///< At least one byte was handed to the connection.
+  kCompleted,       ///< The whole response was read.
+};
+
+/// The end of an HTTP exchange.
+struct HttpResult {
+  absl::Status status;  ///< OK exactly if the whole response was read.
+  SendProgress progress = SendProgress::kNothingWritten;
+  HttpResponse response;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "absl/status/statusor.h"
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "net/http_request.h"
+#include "net/http_response.h"
+
+namespace heatherspan {
+
+class WorkerPool;
+
+/// An HTTP/1.1 server that reads whole requests within limits and hands them to one handler.
+/// Requests beyond a limit are answered by the server itself (400, 408, 413, 431, 503) and counted.
+class HttpServer {
+ public:
+  /// Sends the response; may be called once, from any thread.
+  using Responder = std::function<void(HttpResponse)>;
+  using Handler = std::function<void(HttpRequest, Responder)>;
+
+  struct Limits {
+    std::size_t max_header_bytes = 16 * 1024;
+    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_connections = 10'000;
+    Duration request_timeout = std::chrono::seconds(10);  ///< To read one whole request.
+    Duration idle_timeout = std::chrono::seconds(60);     ///< Between two requests.
+    Duration write_timeout = std::chrono::seconds(30);
+  };
+
+  /// Requests that the server answered itself, by cause.
+  struct Counters {
+    std::size_t bad_request = 0;
+    std::size_t header_too_large = 0;
+    std::size_t body_too_large = 0;
+    std::size_t request_timeout = 0;
+    std::size_t too_many_connections = 0;
+  };
+
+  HttpServer(WorkerPool& workers, Limits limits, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  auto operator=(const HttpServer&) -> HttpServer& = delete;
+
+  /// Starts to accept. Port 0 takes a free port; the result names the port taken.
+  auto Listen(const Endpoint& endpoint) -> absl::StatusOr<Endpoint>;
+  /// Answers each further request with "Connection: close" and closes idle connections.
+  auto BeginDrain() -> void;
+  /// Stops to accept and closes every connection.
+  auto Stop() -> void;
+
+  /// Requests handed to the handler and not yet fully answered.
+  auto active_requests() const -> std::size_t;
+  auto counters() const -> Counters;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace heatherspan
