steering, admission: declare the decision classes

Cause: the daemon is written against these classes at the same time. Change: header files with doc comments; the implementations follow. Measured: the headers pass g++ -fsyntax-only with the project's warnings.

--- /dev/null
+++ b/src/admission/pool_service.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+#include "document/target.h"
+
+namespace heatherspan {
+
+/// A service with those of its targets that this node owns.
+struct PoolService {
+  ServiceName service;
+  int slots_per_target = 3;
+  std::vector<Target> targets;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/admission/target_pool_options.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+
+#include "base/time.h"
+
+namespace heatherspan {
+
+/// The constants of TargetPool.
+struct TargetPoolOptions {
+  /// Consecutive failures that eject a target.
+  int failures_to_eject = 3;
+  Duration first_ejection = std::chrono::seconds(5);
+  Duration longest_ejection = std::chrono::seconds(60);
+  /// The time over which a cold target's slot limit grows from one to all of its slots.
+  Duration cold_ramp = std::chrono::seconds(6);
+  /// The same for a target that is new to this node. It is short, since the target may be warm from
+  /// the work of its earlier owner.
+  Duration takeover_ramp = std::chrono::milliseconds(1500);
+  /// Reports older than this are unknown.
+  Duration report_lifetime = std::chrono::seconds(5);
+  Duration probe_interval = std::chrono::seconds(5);
+  /// How long a target's own "draining" answer outranks reports that say otherwise.
+  Duration draining_answer_hold = std::chrono::seconds(10);
+  /// The pause after a shed answer; it doubles with each further one, up to the longest.
+  Duration first_shed_pause = std::chrono::milliseconds(10);
+  Duration longest_shed_pause = std::chrono::milliseconds(160);
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/admission/target_report.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "base/ids.h"
+
+namespace heatherspan {
+
+/// A target's own answer to GET /-/load. It may be late or wrong.
+struct TargetReport {
+  enum class State { kCold, kReady, kDraining };
+
+  TargetName target;
+  int slots = 0;
+  int busy = 0;
+  State state = State::kReady;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/steering/client_match.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace heatherspan {
+
+/// The client block that an address belongs to.
+struct ClientMatch {
+  const ZoneName* zone = nullptr;  ///< Owned by the client map.
+  std::size_t zone_number = 0;     ///< Index in ClientMap::zones().
+  std::uint64_t block_hash = 0;    ///< The same on every node.
+  Duration one_way{};
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/steering/rank_zones.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "steering/steering_view.h"
+#include "steering/zone_choice.h"
+#include "steering/zone_loads.h"
+
+namespace heatherspan {
+
+/// The zones that can serve a request that arrived in zone `home`, best first. The home zone comes
+/// first unless it is known to be saturated or failing; the others follow by score. Drained zones,
+/// zones without a usable target, and zones whose cap shares are used up are left out. The shift
+/// limit and the link budget are taken per request, by ShiftLimiter::Admit and LinkBudget::TryUse
+/// on the choice.
+auto RankZones(const SteeringView& view, const ZoneLoads& loads, const ServiceName& service,
+               const ZoneName& home, MonotonicTime now) -> std::vector<ZoneChoice>;
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/steering/service_table.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "document/service.h"
+#include "document/target.h"
+
+namespace heatherspan {
+
+/// A service in a steering view.
+struct ServiceTable {
+  const Service* service = nullptr;
+  /// The targets by zone index, without those that the document drains.
+  std::vector<std::vector<const Target*>> targets;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/steering/shift_history.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "base/time.h"
+
+namespace heatherspan {
+
+/// Counts the requests of one service and home region, and where they were sent, over the last
+/// interval and the one before it. Time advances in steps of 1/64 of the interval.
+class ShiftHistory {
+ public:
+  static constexpr std::size_t kBins = 64;  ///< Per interval.
+
+  ShiftHistory(std::size_t regions, std::size_t home, Duration interval, MonotonicTime now);
+
+  /// Moves on to `now`.
+  auto Advance(MonotonicTime now) -> void;
+  auto AddRequest() -> void;
+  auto AddSent(std::size_t region) -> void;
+
+  /// Counts keep their bins, so that the fractions hold over a change of the interval.
+  auto SetInterval(Duration interval) -> void;
+  auto GrowRegions(std::size_t regions) -> void;
+
+  auto requests() const -> std::uint32_t { return current_.requests; }
+  auto sent(std::size_t region) const -> std::uint32_t { return current_.sent[region]; }
+
+  /// The fraction sent to the region in the interval before the current one. Without requests in
+  /// that interval, everything counts as sent home.
+  auto PreviousFraction(std::size_t region) const -> double;
+
+ private:
+  struct Counts {
+    std::uint32_t requests = 0;
+    std::vector<std::uint32_t> sent;  ///< By region.
+  };
+
+  auto Step() -> void;
+  auto Bin(std::size_t back) -> Counts&;
+  static auto Add(Counts& to, const Counts& counts) -> void;
+  static auto Subtract(Counts& from, const Counts& counts) -> void;
+  static auto Clear(Counts& counts) -> void;
+
+  std::size_t home_;
+  Duration bin_length_;
+  MonotonicTime bin_start_;
+  std::size_t head_ = 0;
+  std::vector<Counts> bins_;
+  Counts current_;
+  Counts previous_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/steering/steering_view.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "document/document.h"
+#include "steering/client_map.h"
+#include "steering/live_node.h"
+#include "steering/region_table.h"
+#include "steering/service_table.h"
+#include "steering/zone_table.h"
+
+namespace heatherspan {
+
+/// A document and the live entry VMs, indexed for decisions. Immutable and thread-safe; a new view
+/// is built for each change and published as a whole.
+class SteeringView {
+ public:
+  /// The client map is built from the same document; it is shared between the views of a document,
+  /// since only a new document changes it. Dead nodes and nodes in zones that the document doesn't
+  /// name are left out; nodes that the document drains count as leaving.
+  static auto Build(std::shared_ptr<const Document> document,
+                    std::shared_ptr<const ClientMap> clients, std::vector<LiveNode> nodes)
+      -> std::shared_ptr<const SteeringView>;
+
+  auto document() const -> const Document& { return *document_; }
+  auto clients() const -> const ClientMap& { return *clients_; }
+  auto nodes() const -> const std::vector<LiveNode>& { return nodes_; }
+  auto zones() const -> const std::vector<ZoneTable>& { return zones_; }
+  auto regions() const -> const std::vector<RegionTable>& { return regions_; }
+  auto services() const -> const std::vector<ServiceTable>& { return services_; }
+
+  auto FindService(std::string_view name) const -> const ServiceTable*;
+  auto FindZone(const ZoneName& name) const -> std::optional<std::size_t>;
+  auto FindRegion(const RegionName& name) const -> std::optional<std::size_t>;
+  auto FindNode(InstanceId instance) const -> const LiveNode*;
+
+  /// The region of a zone; nullptr when the document doesn't name the zone.
+  auto RegionOf(const ZoneName& zone) const -> const RegionName*;
+
+  /// The zone index of a client zone, by its number in the client map.
+  auto ClientZone(std::size_t number) const -> std::optional<std::size_t>;
+
+  /// One way between two zones.
+  auto OneWay(std::size_t from_zone, std::size_t to_zone) const -> Duration;
+
+  /// The longest time between two regions; the scale for scores.
+  auto LongestOneWay() const -> Duration { return longest_one_way_; }
+
+ private:
+  SteeringView() = default;
+
+  auto IndexZones() -> void;
+  auto IndexLinks() -> void;
+  auto IndexServices() -> void;
+  auto IndexNodes(std::vector<LiveNode> nodes) -> void;
+  auto ApplyDrains() -> void;
+  auto RankRegions() -> void;
+  auto RegionScore(std::size_t from, std::size_t to) const -> double;
+
+  std::shared_ptr<const Document> document_;
+  std::shared_ptr<const ClientMap> clients_;
+  std::vector<LiveNode> nodes_;  ///< In order of instance.
+  std::vector<ZoneTable> zones_;
+  std::vector<RegionTable> regions_;
+  std::vector<ServiceTable> services_;  ///< In order of name.
+  std::vector<std::optional<std::size_t>> client_zones_;
+  Duration longest_one_way_{};
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/steering/zone_choice.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstddef>
+
+#include "base/ids.h"
+
+namespace heatherspan {
+
+/// A zone to which a request may be sent.
+struct ZoneChoice {
+  ZoneName zone;
+  RegionName region;
+  std::size_t zone_index = 0;  ///< In SteeringView::zones().
+  double score = 0;            ///< Lower is better.
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/steering/zone_loads.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+
+#include "absl/container/flat_hash_map.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "messages/node_load.h"
+#include "steering/zone_load.h"
+#include "steering/zone_outcome.h"
+
+namespace heatherspan {
+
+/// What a first node knows of the load of the zones: the reports of their entry VMs, and its own
+/// outcomes, which take precedence. Old reports decay to unknown, never to idle or dead.
+class ZoneLoads {
+ public:
+  explicit ZoneLoads(Duration report_lifetime = std::chrono::seconds(5));
+
+  auto OnLoad(const NodeLoad& load, MonotonicTime now) -> void;
+
+  /// The retry_after of a refusal, if it had one, bounds the time in which the zone is passed over.
+  auto OnOutcome(const ZoneName& zone, const ServiceName& service, ZoneOutcome outcome,
+                 std::optional<Duration> retry_after, MonotonicTime now) -> void;
+
+  auto Load(const ZoneName& zone, const ServiceName& service, MonotonicTime now) const -> ZoneLoad;
+
+  /// The free slots of a service at one node; nothing when unknown.
+  auto FreeSlots(const ZoneName& zone, InstanceId instance, const ServiceName& service,
+                 MonotonicTime now) const -> std::optional<int>;
+
+  /// The utilization of a node over all its services; nothing when unknown.
+  auto NodeUtilization(const ZoneName& zone, InstanceId instance, MonotonicTime now) const
+      -> std::optional<double>;
+
+  /// Drops the reports and outcomes that are too old to matter. Call it about once a second.
+  auto ForgetOld(MonotonicTime now) -> void;
+
+ private:
+  struct Report {
+    NodeLoad load;
+    MonotonicTime received;
+  };
+  struct Own {
+    int failures = 0;
+    int refusals = 0;
+    std::optional<MonotonicTime> answered;
+    MonotonicTime refusing_until;
+    MonotonicTime failing_until;
+    MonotonicTime updated;
+  };
+  using ReportsByNode = absl::flat_hash_map<InstanceId, Report>;
+
+  auto IsFresh(const Report& report, MonotonicTime now) const -> bool;
+  auto FindReport(const ZoneName& zone, InstanceId instance, MonotonicTime now) const
+      -> const Report*;
+  auto AddReports(const ReportsByNode& reports, const ServiceName& service, MonotonicTime now,
+                  ZoneLoad& load) const -> void;
+
+  Duration report_lifetime_;
+  absl::flat_hash_map<ZoneName, ReportsByNode> reports_;
+  absl::flat_hash_map<std::pair<ZoneName, ServiceName>, Own> own_;
+};
+
+}  // namespace heatherspan
