--- a/src/admission/admission_queue.h
+++ b/src/admission/admission_queue.h
@@ -14,6 +14,7 @@
 #include "admission/service_pace.h"
 #include "admission/waiting_request.h"
 #include "base/ids.h"
+#include "base/reason.h"
 #include "base/time.h"
 
 namespace heatherspan {
@@ -72,15 +73,18 @@
 
   auto EstimatedWait(const WaitingRequest& request, const ServicePace& pace) const -> Duration;
   auto MakeRoom(const WaitingRequest& request, Duration wait, MonotonicTime now) -> OfferResult;
-  auto RefuseOrDisplace(const WaitingRequest& request, const Class& victim, Duration wait)
+  auto MakeRoomInClass(const WaitingRequest& request, const Class& victim, Duration wait)
       -> OfferResult;
-  auto LeastValuableClass() const -> const Class*;
-  auto CrowdedFactor(const TeamName& team, std::size_t more, double weight) const -> double;
+  auto Displace(std::uint64_t id, Reason reason, Duration wait) -> OfferResult;
+  auto LeastValuableClass() const -> const Class&;
+  /// Waiting requests of the team, and `more`, for its weight.
+  auto Crowding(const TeamName& team, std::size_t more, double weight) const -> double;
   auto Insert(const WaitingRequest& request, const ServicePace& pace) -> void;
   auto Extract(std::uint64_t id) -> WaitingRequest;
-  auto BestClass(const TeamName& team, absl::FunctionRef<bool(const ServiceName&)> can_run,
-                 MonotonicTime now) const -> const Class*;
-  auto FirstRunnable(const Class& waiting, MonotonicTime now) const -> std::optional<std::uint64_t>;
+  /// The request of the team that is taken next; nothing when none can run.
+  auto NextOf(const TeamName& team, absl::FunctionRef<bool(const ServiceName&)> can_run,
+              MonotonicTime now) const -> std::optional<std::uint64_t>;
+  auto FirstInTime(const Class& waiting, MonotonicTime now) const -> std::optional<std::uint64_t>;
   auto SmallestWeight() const -> double;
 
   std::size_t capacity_;
--- /dev/null
+++ b/src/admission/retry_budget.cc
@@ -0,0 +1,32 @@
+#include "admission/retry_budget.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+
+namespace heatherspan {
+namespace {
+
+/// Sums of a tenth must reach one after ten requests in spite of rounding.
+constexpr double kRounding = 1e-9;
+
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(4);
+constexpr int kMostDoublings = 5;  // 128 ms; deadlines are about 2 s.
+
+}  // namespace
+
+auto RetryBudget::OnRequest() -> void { balance_ = std::min(kLargestBalance, balance_ + kRatio); }
+
+auto RetryBudget::TryRetry() -> bool {
+  if (balance_ < 1 - kRounding) return false;
+  balance_ -= 1;
+  return true;
+}
+
+auto RetryBudget::Backoff(int retry, Random& random) -> Duration {
+  const auto longest = kFirstBackoff * (1 << std::clamp(retry - 1, 0, kMostDoublings));
+  std::uniform_int_distribution<Duration::rep> draw(longest.count() / 2, longest.count());
+  return Duration(draw(random));
+}
+
+}  // namespace heatherspan
--- a/src/admission/service_pace.h
+++ b/src/admission/service_pace.h
@@ -10,6 +10,9 @@
 struct ServicePace {
   int usable_slots = 1;
   Duration expected_time = std::chrono::milliseconds(20);  ///< Of one request at a target.
+  /// The time between two starts of any service that the node's cap share allows; zero when the
+  /// share doesn't limit.
+  Duration between_starts{};
 };
 
 }  // namespace heatherspan
--- a/src/admission/target_pool.h
+++ b/src/admission/target_pool.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <variant>
