--- /dev/null
+++ b/src/steering/answer_lookup.cc
@@ -0,0 +1,199 @@
+#include "steering/answer_lookup.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <random>
+#include <string_view>
+
+#include "base/stable_hash.h"
+
+namespace heatherspan {
+namespace {
+
+/// The places that an answer gives to the client's zone and to the rest of its region; the others
+/// are for other regions.
+constexpr std::size_t kOwnZonePlaces = 3;
+constexpr std::size_t kRegionPlaces = 3;
+constexpr std::size_t kMostRegions = 32;
+constexpr double kLifetimeJitter = 0.2;
+
+/// The place of a client in the order of entry VMs.
+struct Home {
+  std::uint64_t key = 0;  ///< Of its block.
+  std::size_t zone = 0;
+};
+
+/// Collects the entry VMs of an answer.
+class AnswerBuilder {
+ public:
+  AnswerBuilder(const SteeringView& view, std::uint64_t key) : view_(view), key_(key) {}
+
+  auto count() const -> std::size_t { return answer_.count; }
+  auto answer() -> LookupAnswer& { return answer_; }
+
+  /// Adds up to `places` of the nodes that aren't listed yet, in rendezvous order.
+  auto Add(const std::vector<std::size_t>& nodes, std::size_t places) -> std::size_t {
+    std::size_t added = 0;
+    while (added < places && answer_.count < LookupAnswer::kMostNodes && AddBest(nodes)) ++added;
+    return added;
+  }
+
+  auto ListsTwoZones() const -> bool {
+    const auto nodes = answer_.Nodes();
+    return std::any_of(nodes.begin(), nodes.end(),
+                       [&](const auto* node) { return node->zone != nodes.front()->zone; });
+  }
+
+ private:
+  auto IsListed(const LiveNode* node) const -> bool {
+    const auto nodes = answer_.Nodes();
+    return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
+  }
+
+  auto AddBest(const std::vector<std::size_t>& nodes) -> bool {
+    const LiveNode* best = nullptr;
+    std::uint64_t best_score = 0;
+    for (const auto index : nodes) {
+      const auto& node = view_.nodes()[index];
+      // With equal weights the mixed hash gives the same order as RendezvousScore.
+      const auto score = CombineHash(key_, node.instance.value());
+      if ((best != nullptr && score <= best_score) || IsListed(&node)) continue;
+      best = &node;
+      best_score = score;
+    }
+    if (best == nullptr) return false;
+    answer_.nodes[answer_.count++] = best;
+    return true;
+  }
+
+  const SteeringView& view_;
+  std::uint64_t key_;
+  LookupAnswer answer_;
+};
+
+/// Addresses outside all blocks are grouped by /24 or /48.
+auto KeyOfUnknown(const IpAddress& address) -> std::uint64_t {
+  constexpr std::size_t kV4Bytes = 15;
+  constexpr std::size_t kV6Bytes = 6;
+  std::array<char, 16> text{};
+  const std::size_t size = address.is_v4() ? kV4Bytes : kV6Bytes;
+  std::copy_n(address.bytes().begin(), size, text.begin());
+  return StableHash(std::string_view(text.data(), size));
+}
+
+/// For clients without a nearest zone: one of the zones with entry VMs, by rendezvous hashing.
+auto AnyZone(const SteeringView& view, std::uint64_t key) -> std::size_t {
+  std::size_t best = 0;
+  std::uint64_t best_score = 0;
+  for (std::size_t i = 0; i < view.zones().size(); ++i) {
+    const auto& zone = view.zones()[i];
+    if (zone.alive.empty() || zone.drained) continue;
+    const auto score = CombineHash(key, zone.hash);
+    if (score < best_score) continue;
+    best = i;
+    best_score = score;
+  }
+  return best;
+}
+
+auto HomeOf(const SteeringView& view, const IpAddress& client) -> Home {
+  const auto match = view.clients().Find(client);
+  const auto key = match.has_value() ? match->block_hash : KeyOfUnknown(client);
+  if (match.has_value()) {
+    const auto zone = view.ClientZone(match->zone_number);
+    if (zone.has_value()) return {key, *zone};
+  }
+  return {key, AnyZone(view, key)};
+}
+
+/// Whether the zone itself is drained, not its whole region. Then callers prefer its neighbours. A
+/// drained region keeps its callers: its traffic is shifted behind the entry VMs, under the cap.
+auto IsDrainedAlone(const SteeringView& view, const ZoneTable& zone) -> bool {
+  return zone.drained && !view.regions()[zone.region].drained;
+}
+
+/// Adds the nodes of a region in rounds, one per zone in each, so that the first ones stand in
+/// different zones.
+auto AddRegion(const SteeringView& view, std::size_t region, const Home& home, std::size_t places,
+               std::vector<std::size_t> ZoneTable::*nodes, AnswerBuilder& builder) -> void {
+  const auto& zones = view.regions()[region].zones;
+  for (bool added = true; added && places > 0;) {
+    added = false;
+    // Starts at another zone for each client, so that their second choices spread out.
+    for (std::size_t i = 0; i < zones.size() && places > 0; ++i) {
+      const auto index = zones[(i + home.key) % zones.size()];
+      if (index == home.zone || IsDrainedAlone(view, view.zones()[index])) continue;
+      const auto count = builder.Add(view.zones()[index].*nodes, 1);
+      places -= count;
+      added = added || count > 0;
+    }
+  }
+}
+
+/// The other regions, best first; among equals in rendezvous order.
+auto OtherRegions(const SteeringView& view, const Home& home,
+                  std::array<RankedRegion, kMostRegions>& order) -> std::size_t {
+  const auto& others = view.regions()[view.zones()[home.zone].region].others;
+  const auto count = std::min(others.size(), kMostRegions);
+  std::copy_n(others.begin(), count, order.begin());
+  std::sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count),
+            [&](const RankedRegion& a, const RankedRegion& b) {
+              if (a.rank != b.rank) return a.rank < b.rank;
+              return CombineHash(home.key, view.regions()[a.region].hash) >
+                     CombineHash(home.key, view.regions()[b.region].hash);
+            });
+  return count;
+}
+
+/// Adds nodes of the other regions, one of each region in every round.
+auto AddOtherRegions(const SteeringView& view, const Home& home,
+                     std::vector<std::size_t> ZoneTable::*nodes, AnswerBuilder& builder) -> void {
+  std::array<RankedRegion, kMostRegions> order{};
+  const auto count = OtherRegions(view, home, order);
+  for (std::size_t before = LookupAnswer::kMostNodes; builder.count() != before;) {
+    before = builder.count();
+    for (std::size_t i = 0; i < count; ++i) {
+      AddRegion(view, order[i].region, home, 1, nodes, builder);
+    }
+  }
+}
+
+auto AddAll(const SteeringView& view, const Home& home, std::vector<std::size_t> ZoneTable::*nodes,
+            AnswerBuilder& builder) -> void {
+  const auto& zone = view.zones()[home.zone];
+  const bool drained = IsDrainedAlone(view, zone);
+  if (!drained) builder.Add(zone.*nodes, kOwnZonePlaces);
+  AddRegion(view, zone.region, home, kRegionPlaces, nodes, builder);
+  if (drained) builder.Add(zone.*nodes, kOwnZonePlaces);
+  AddOtherRegions(view, home, nodes, builder);
+}
+
+auto Jittered(Duration lifetime, Random& random) -> Duration {
+  std::uniform_real_distribution<double> draw(1 - kLifetimeJitter, 1 + kLifetimeJitter);
+  return Duration(static_cast<Duration::rep>(static_cast<double>(lifetime.count()) * draw(random)));
+}
+
+}  // namespace
+
+auto AnswerLookup(const SteeringView& view, const LookupQuery& query, Random& random)
+    -> LookupAnswer {
+  LookupAnswer refused;
+  if (view.FindService(query.service) == nullptr) {
+    refused.reason = Reason::kUnknownService;
+    return refused;
+  }
+  refused.reason = Reason::kNoZone;
+  if (view.zones().empty()) return refused;
+  const auto home = HomeOf(view, query.client);
+  AnswerBuilder builder(view, home.key);
+  AddAll(view, home, &ZoneTable::alive, builder);
+  // With too few to choose from, a suspected node is better than none.
+  if (!builder.ListsTwoZones()) AddAll(view, home, &ZoneTable::suspected, builder);
+  if (builder.count() == 0) return refused;
+  auto& answer = builder.answer();
+  answer.lifetime = Jittered(view.document().lookup_lifetime, random);
+  return answer;
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/steering/client_map.cc
@@ -0,0 +1,113 @@
+#include "steering/client_map.h"
+
+#include <algorithm>
+#include <compare>
+#include <limits>
+#include <string_view>
+
+#include "base/stable_hash.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr std::uint32_t kNoBlock = std::numeric_limits<std::uint32_t>::max();
+constexpr int kHalfBits = 64;
+constexpr std::uint64_t kAllOnes = std::numeric_limits<std::uint64_t>::max();
+
+auto HashOf(const IpBlock& block) -> std::uint64_t {
+  const auto& bytes = block.address().bytes();
+  std::array<char, 16> text{};
+  std::copy(bytes.begin(), bytes.end(), text.begin());
+  return StableHash(std::string_view(text.data(), text.size()), block.length());
+}
+
+/// The bits of one half that stand behind a prefix of this length.
+auto HostBits(int prefix) -> std::uint64_t {
+  if (prefix <= 0) return kAllOnes;
+  return prefix >= kHalfBits ? 0 : kAllOnes >> prefix;
+}
+
+}  // namespace
+
+struct ClientMap::Span {
+  Key first;
+  Key last;
+  int length = 0;
+  std::uint32_t block = 0;
+};
+
+auto ClientMap::Build(const std::vector<ClientBlock>& blocks) -> ClientMap {
+  ClientMap map;
+  for (const auto& block : blocks) map.zones_.push_back(block.zone);
+  std::sort(map.zones_.begin(), map.zones_.end());
+  map.zones_.erase(std::unique(map.zones_.begin(), map.zones_.end()), map.zones_.end());
+
+  std::vector<Span> spans;
+  spans.reserve(blocks.size());
+  map.blocks_.reserve(blocks.size());
+  for (const auto& block : blocks) {
+    const auto zone = std::lower_bound(map.zones_.begin(), map.zones_.end(), block.zone);
+    const auto first = KeyOf(block.block.address());
+    const int length = block.block.length();
+    const auto number = static_cast<std::uint32_t>(map.blocks_.size());
+    spans.push_back({first, LastKey(first, length), length, number});
+    map.blocks_.push_back({HashOf(block.block), block.one_way,
+                           static_cast<std::uint32_t>(zone - map.zones_.begin())});
+  }
+  // Outer blocks before the inner ones that start at the same address.
+  std::stable_sort(spans.begin(), spans.end(), [](const Span& a, const Span& b) {
+    return a.first != b.first ? a.first < b.first : a.length < b.length;
+  });
+  map.Flatten(spans);
+  return map;
+}
+
+auto ClientMap::Find(const IpAddress& address) const -> std::optional<ClientMatch> {
+  const auto after = std::upper_bound(starts_.begin(), starts_.end(), KeyOf(address));
+  if (after == starts_.begin()) return std::nullopt;
+  const auto number = block_at_[after - starts_.begin() - 1];
+  if (number == kNoBlock) return std::nullopt;
+  const auto& block = blocks_[number];
+  return ClientMatch{&zones_[block.zone_number], block.zone_number, block.hash, block.one_way};
+}
+
+auto ClientMap::KeyOf(const IpAddress& address) -> Key {
+  Key key{};
+  for (std::size_t i = 0; i < address.bytes().size(); ++i) {
+    key[i / 8] = key[i / 8] << 8 | address.bytes()[i];
+  }
+  return key;
+}
+
+auto ClientMap::LastKey(Key first, int length) -> Key {
+  return {first[0] | HostBits(length), first[1] | HostBits(length - kHalfBits)};
+}
+
+auto ClientMap::AddRange(Key start, std::uint32_t block) -> void {
+  if (!starts_.empty() && starts_.back() == start) {
+    block_at_.back() = block;
+    return;
+  }
+  starts_.push_back(start);
+  block_at_.push_back(block);
+}
+
+auto ClientMap::Flatten(const std::vector<Span>& spans) -> void {
+  starts_.reserve(2 * spans.size());
+  block_at_.reserve(2 * spans.size());
+  std::vector<const Span*> open;
+  const auto close = [&] {
+    auto next = open.back()->last;
+    open.pop_back();
+    if (++next[1] == 0 && ++next[0] == 0) return;  // Nothing follows the last address.
+    AddRange(next, open.empty() ? kNoBlock : open.back()->block);
+  };
+  for (const auto& span : spans) {
+    while (!open.empty() && open.back()->last < span.first) close();
+    AddRange(span.first, span.block);
+    open.push_back(&span);
+  }
+  while (!open.empty()) close();
+}
+
+}  // namespace heatherspan
--- a/src/steering/client_map.h
+++ b/src/steering/client_map.h
@@ -45,7 +45,6 @@
   static auto LastKey(Key first, int length) -> Key;
   auto AddRange(Key start, std::uint32_t block) -> void;
   auto Flatten(const std::vector<Span>& spans) -> void;
-  auto BuildIndex() -> void;
 
   std::vector<ZoneName> zones_;
   std::vector<Block> blocks_;
--- a/src/steering/link_budget.h
+++ b/src/steering/link_budget.h
@@ -17,7 +17,7 @@
  public:
   /// The burst, as time at the full rate; at least one large response.
   static constexpr Duration kBurst = std::chrono::milliseconds(100);
-  static constexpr Bytes kSmallestBurst = Bytes(64 * 1024);
+  static constexpr Bytes kSmallestBurst = Bytes(65'536);
 
   /// Takes over links and node counts; keeps what has been used.
   auto Update(const SteeringView& view, MonotonicTime now) -> void;
--- /dev/null
+++ b/src/steering/rank_zones.cc
@@ -0,0 +1,96 @@
+#include "steering/rank_zones.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <tuple>
+
+#include "base/stable_hash.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr Duration kConnectCost = std::chrono::milliseconds(1);
+/// An unknown load counts as neither idle nor full.
+constexpr double kUnknownUtilization = 0.6;
+constexpr double kSaturated = 1.0;
+constexpr double kLargestUtilization = 2.0;
+
+/// A choice with the keys of its order.
+struct Ranked {
+  enum class Group { kHome, kUsable, kNoShare, kFailing, kDrained };
+
+  Group group = Group::kUsable;
+  std::uint64_t tie = 0;
+  ZoneChoice choice;
+
+  auto Order() const -> std::tuple<Group, double, std::uint64_t> {
+    return {group, choice.score, tie};
+  }
+};
+
+auto Latency(const SteeringView& view, std::size_t home, std::size_t zone) -> double {
+  if (home == zone) return 0;
+  const auto round_trip = 2 * view.OneWay(home, zone) + kConnectCost;
+  const auto longest = 2 * view.LongestOneWay() + kConnectCost;
+  return static_cast<double>(round_trip.count()) / static_cast<double>(longest.count());
+}
+
+auto Utilization(const ZoneLoad& load) -> double {
+  const double reported =
+      std::min(load.utilization.value_or(kUnknownUtilization), kLargestUtilization);
+  return load.refusing ? std::max(reported, kSaturated) : reported;
+}
+
+auto GroupOf(const ZoneLoad& load, bool is_home, bool drained, double utilization)
+    -> Ranked::Group {
+  using Group = Ranked::Group;
+  if (drained) return Group::kDrained;
+  if (load.failing) return Group::kFailing;
+  if (is_home && utilization < kSaturated && !load.cap_used_up) return Group::kHome;
+  return load.cap_used_up ? Group::kNoShare : Group::kUsable;
+}
+
+/// Whether the zone can come into question at all.
+auto IsCandidate(const SteeringView& view, const ServiceTable& service, std::size_t home,
+                 std::size_t zone) -> bool {
+  const auto from = view.zones()[home].region;
+  const auto to = view.zones()[zone].region;
+  if (service.targets[zone].empty() || view.regions()[to].live_nodes == 0) return false;
+  if (!view.regions()[from].linked[to]) return false;
+  return !view.zones()[zone].drained || from == to;
+}
+
+}  // namespace
+
+auto RankZones(const SteeringView& view, const ZoneLoads& loads, const ServiceName& service,
+               const ZoneName& home, MonotonicTime now) -> std::vector<ZoneChoice> {
+  const auto* table = view.FindService(service.value());
+  const auto home_index = view.FindZone(home);
+  if (table == nullptr || !home_index.has_value()) return {};
+  const auto& objectives = view.document().objectives;
+  std::vector<Ranked> ranked;
+  ranked.reserve(view.zones().size());
+  for (std::size_t i = 0; i < view.zones().size(); ++i) {
+    if (!IsCandidate(view, *table, *home_index, i)) continue;
+    const auto& zone = view.zones()[i];
+    const auto load = loads.Load(zone.name, service, now);
+    if (load.no_usable_target) continue;
+    const double utilization = Utilization(load);
+    const double score = objectives.latency_weight * Latency(view, *home_index, i) +
+                         objectives.headroom_weight * utilization;
+    // Equally good zones come in another order for each home zone, so that they share the load.
+    const auto tie = CombineHash(view.zones()[*home_index].hash, zone.hash);
+    ranked.push_back({GroupOf(load, i == *home_index, zone.drained, utilization),
+                      tie,
+                      {zone.name, view.regions()[zone.region].name, i, score, zone.drained}});
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const Ranked& a, const Ranked& b) { return a.Order() < b.Order(); });
+  std::vector<ZoneChoice> choices;
+  choices.reserve(ranked.size());
+  for (auto& item : ranked) choices.push_back(std::move(item.choice));
+  return choices;
+}
+
+}  // namespace heatherspan
--- a/src/steering/rank_zones.h
+++ b/src/steering/rank_zones.h
@@ -11,10 +11,11 @@
 namespace heatherspan {
 
 /// The zones that can serve a request that arrived in zone `home`, best first. The home zone comes
-/// first unless it is known to be saturated or failing; the others follow by score. Drained zones,
-/// zones without a usable target, and zones whose cap shares are used up are left out. The shift
-/// limit and the link budget are taken per request, by ShiftLimiter::Admit and LinkBudget::TryUse
-/// on the choice.
+/// first unless it is known to be saturated or failing; the others follow by score. Zones without a
+/// usable target and regions without a link are left out; zones whose cap shares are used up come
+/// after the others. Drained zones of the home region come last, marked as such, since a drain
+/// moves traffic only as fast as the shift cap allows; other drained zones are left out. The shift
+/// limit and the link budget are taken per request, by ShiftLimiter::Admit and LinkBudget::TryUse.
 auto RankZones(const SteeringView& view, const ZoneLoads& loads, const ServiceName& service,
                const ZoneName& home, MonotonicTime now) -> std::vector<ZoneChoice>;
 
--- a/src/steering/region_table.h
+++ b/src/steering/region_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 #include "base/ids.h"
@@ -8,13 +9,21 @@
 
 namespace heatherspan {
 
+/// Another region as a place for callers; regions of the same rank are equally good.
+struct RankedRegion {
+  std::size_t region = 0;
+  int rank = 0;
+};
+
 /// A region in a steering view.
 struct RegionTable {
   RegionName name;
+  std::uint64_t hash = 0;
   bool drained = false;
   std::vector<std::size_t> zones;    ///< Indices in SteeringView::zones().
   std::vector<Duration> one_way;     ///< To each region.
-  std::vector<std::size_t> nearest;  ///< The other regions for look-up answers, best first.
+  std::vector<bool> linked;          ///< The document has a link to each region.
+  std::vector<RankedRegion> others;  ///< For look-up answers, best first.
   std::size_t live_nodes = 0;        ///< Alive and suspected ones.
 };
 
--- a/src/steering/shift_history.h
+++ b/src/steering/shift_history.h
@@ -28,10 +28,14 @@
   auto requests() const -> std::uint32_t { return current_.requests; }
   auto sent(std::size_t region) const -> std::uint32_t { return current_.sent[region]; }
 
-  /// The fraction sent to the region in the interval before the current one. Without requests in
-  /// that interval, everything counts as sent home.
+  /// The fraction sent to the region in the interval before the current one. Requests that were
+  /// sent nowhere count as the home region's, since they haven't moved; so refusals of any kind
+  /// don't limit what the home region gets later.
   auto PreviousFraction(std::size_t region) const -> double;
 
+  /// The fraction sent to the region one interval ago, measured over a quarter of the interval.
+  auto FractionOneIntervalAgo(std::size_t region) const -> double;
+
  private:
   struct Counts {
     std::uint32_t requests = 0;
@@ -40,6 +44,7 @@
 
   auto Step() -> void;
   auto Bin(std::size_t back) -> Counts&;
+  auto FractionOf(const Counts& counts, std::size_t region) const -> double;
   static auto Add(Counts& to, const Counts& counts) -> void;
   static auto Subtract(Counts& from, const Counts& counts) -> void;
   static auto Clear(Counts& counts) -> void;
@@ -51,6 +56,7 @@
   std::vector<Counts> bins_;
   Counts current_;
   Counts previous_;
+  Counts oldest_quarter_;  ///< Of the current interval.
 };
 
 }  // namespace heatherspan
--- /dev/null
+++ b/src/steering/shift_limiter.cc
@@ -0,0 +1,128 @@
+#include "steering/shift_limiter.h"
+
+#include <algorithm>
+
+namespace heatherspan {
+namespace {
+
+/// Absorbs the rounding of sums of doubles; far below one request.
+constexpr double kRounding = 1e-9;
+
+auto ShiftCapRefusal(Duration retry_after) -> Refusal {
+  return {Verdict::kNotRun, Reason::kShiftCap,
+          std::chrono::ceil<std::chrono::milliseconds>(retry_after)};
+}
+
+}  // namespace
+
+auto ShiftLimiter::Configure(const Document& document) -> void {
+  for (const auto& region : document.regions) RegionIndex(region.name);
+  rules_.clear();
+  for (const auto& service : document.services) {
+    rules_[service.name] = {service.shift_percent / 100.0, service.shift_interval};
+  }
+  absl::erase_if(flows_, [&](const auto& item) { return !rules_.contains(item.first.first); });
+  for (auto& [key, flow] : flows_) flow.history.SetInterval(rules_[key.first].interval);
+}
+
+auto ShiftLimiter::SetHealthy(const RegionName& region, bool healthy, MonotonicTime now) -> void {
+  auto& health = health_[RegionIndex(region)];
+  if (healthy && !health.healthy) health.since = now;
+  health.healthy = healthy;
+}
+
+auto ShiftLimiter::OnRequest(const ServiceName& service, const RegionName& home, MonotonicTime now)
+    -> void {
+  const auto home_index = RegionIndex(home);
+  auto& flow = FlowOf(service, home_index, now);
+  flow.history.AddRequest();
+  const double limit = rules_[service].fraction;
+  for (std::size_t region = 0; region < flow.credit.size(); ++region) {
+    // What was sent an interval ago, and the step on top of it, keep the steps even; the fraction
+    // of the whole interval before lags behind by half an interval.
+    const double before = std::max(flow.history.PreviousFraction(region),
+                                   flow.history.FractionOneIntervalAgo(region));
+    const double earned = std::min(1.0, before + limit);
+    // The part of a request that is left over stays, or a fraction of 0.7 would pass only half.
+    flow.credit[region] = std::min(1.0, flow.credit[region]) + earned;
+  }
+}
+
+auto ShiftLimiter::Admit(const ServiceName& service, const RegionName& home,
+                         const RegionName& serving, MonotonicTime now) -> std::optional<Refusal> {
+  const auto home_index = RegionIndex(home);
+  const auto serving_index = RegionIndex(serving);
+  auto& flow = FlowOf(service, home_index, now);
+  const auto& rule = rules_[service];
+  const double growth = Growth(flow.history, serving_index, regions_.size());
+  const double limit = GrowthLimit(rule, home_index, serving_index, now);
+  if (growth > limit + kRounding || flow.credit[serving_index] < 1 - kRounding) {
+    return ShiftCapRefusal(rule.interval);
+  }
+  flow.credit[serving_index] -= 1;
+  flow.history.AddSent(serving_index);
+  return std::nullopt;
+}
+
+auto ShiftLimiter::Fraction(const ServiceName& service, const RegionName& home,
+                            const RegionName& serving, MonotonicTime now) -> double {
+  const auto serving_index = RegionIndex(serving);
+  const auto& history = FlowOf(service, RegionIndex(home), now).history;
+  if (history.requests() == 0) return home == serving ? 1 : 0;
+  return static_cast<double>(history.sent(serving_index)) / history.requests();
+}
+
+auto ShiftLimiter::RegionIndex(const RegionName& region) -> std::size_t {
+  const auto found = std::find(regions_.begin(), regions_.end(), region);
+  const auto index = static_cast<std::size_t>(found - regions_.begin());
+  if (found != regions_.end()) return index;
+  regions_.push_back(region);
+  health_.emplace_back();
+  for (auto& [key, flow] : flows_) {
+    flow.history.GrowRegions(regions_.size());
+    flow.credit.resize(regions_.size());
+  }
+  return index;
+}
+
+auto ShiftLimiter::FlowOf(const ServiceName& service, std::size_t home, MonotonicTime now)
+    -> Flow& {
+  const FlowKey key(service, regions_[home]);
+  auto found = flows_.find(key);
+  if (found == flows_.end()) {
+    ShiftHistory history(regions_.size(), home, rules_[service].interval, now);
+    Flow flow{std::move(history), std::vector<double>(regions_.size())};
+    found = flows_.emplace(key, std::move(flow)).first;
+  }
+  auto& flow = found->second;
+  flow.history.Advance(now);
+  return flow;
+}
+
+auto ShiftLimiter::GrowthLimit(const Rule& rule, std::size_t home, std::size_t serving,
+                               MonotonicTime now) const -> double {
+  if (serving != home) return rule.fraction;
+  const auto& health = health_[home];
+  const bool settled =
+      health.healthy && (!health.since.has_value() || now - *health.since >= kReturnAfter);
+  return settled ? rule.fraction : 0;
+}
+
+auto ShiftLimiter::Growth(const ShiftHistory& history, std::size_t serving, std::size_t regions)
+    -> double {
+  // Without OnRequest, the request at hand is the only one.
+  const double requests = std::max(1U, history.requests());
+  const auto growth_of = [&](std::size_t region, std::uint32_t more) {
+    const double fraction = (history.sent(region) + more) / requests;
+    return std::max(0.0, std::min(1.0, fraction) - history.PreviousFraction(region));
+  };
+  const double own = growth_of(serving, 1);
+  if (own <= 0) return 0;
+  double sum = own;
+  for (std::size_t region = 0; region < regions; ++region) {
+    if (region != serving) sum += growth_of(region, 0);
+  }
+  return sum;
+}
+
+}  // namespace heatherspan
--- a/src/steering/shift_limiter.h
+++ b/src/steering/shift_limiter.h
@@ -37,7 +37,8 @@
   /// fractions of these requests.
   auto OnRequest(const ServiceName& service, const RegionName& home, MonotonicTime now) -> void;
 
-  /// Whether the request may be sent to the region; counts it as sent. The refusal is "not run",
+  /// Whether the request may be sent to the region; counts it as sent. Call it once for each
+  /// request and region: another try in the same region is no shift. The refusal is "not run",
   /// kShiftCap, with Retry-After.
   auto Admit(const ServiceName& service, const RegionName& home, const RegionName& serving,
              MonotonicTime now) -> std::optional<Refusal>;
@@ -53,7 +54,7 @@
   };
   struct Flow {
     ShiftHistory history;
-    std::vector<double> credit;  ///< By region: requests that may be sent now, at most one.
+    std::vector<double> credit;  ///< By region: requests that may be sent now, at most two.
   };
   struct Health {
     bool healthy = true;
--- a/src/steering/steering_view.h
+++ b/src/steering/steering_view.h
@@ -57,11 +57,12 @@
 
   auto IndexZones() -> void;
   auto IndexLinks() -> void;
+  auto AddLink(std::size_t from, std::size_t to, Duration one_way) -> void;
   auto IndexServices() -> void;
   auto IndexNodes(std::vector<LiveNode> nodes) -> void;
-  auto ApplyDrains() -> void;
   auto RankRegions() -> void;
-  auto RegionScore(std::size_t from, std::size_t to) const -> double;
+  auto RegionRank(std::size_t from, std::size_t to) const -> int;
+  auto Utilization(std::size_t region) const -> double;
 
   std::shared_ptr<const Document> document_;
   std::shared_ptr<const ClientMap> clients_;
--- /dev/null
+++ b/src/steering/target_owners.cc
@@ -0,0 +1,168 @@
+#include "steering/target_owners.h"
+
+#include <algorithm>
+#include <cstdint>
+
+#include "base/stable_hash.h"
+
+namespace heatherspan {
+namespace {
+
+/// The first by rendezvous hashing; `without` is passed over.
+auto FirstOf(const SteeringView& view, const ZoneTable& zone, std::uint64_t key,
+             std::optional<InstanceId> without) -> std::optional<InstanceId> {
+  std::optional<InstanceId> best;
+  std::uint64_t best_score = 0;
+  // Suspected nodes keep their targets until they are dead: most refute the suspicion.
+  for (const auto* list : {&zone.alive, &zone.suspected}) {
+    for (const auto index : *list) {
+      const auto instance = view.nodes()[index].instance;
+      const auto score = CombineHash(key, instance.value());
+      if (instance == without || (best.has_value() && score <= best_score)) continue;
+      best = instance;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+auto ChooseOwner(const SteeringView& view, const Target& target,
+                 std::optional<InstanceId> without = std::nullopt) -> std::optional<InstanceId> {
+  const auto index = view.FindZone(target.zone);
+  if (!index.has_value()) return std::nullopt;
+  const auto key = StableHash(target.name.value());
+  const auto& home = view.zones()[*index];
+  if (const auto owner = FirstOf(view, home, key, without); owner.has_value()) return owner;
+  std::optional<InstanceId> adopter;
+  std::uint64_t best_score = 0;
+  for (const auto other : view.regions()[home.region].zones) {
+    const auto& zone = view.zones()[other];
+    const auto owner = FirstOf(view, zone, key, without);
+    const auto score = CombineHash(home.hash, zone.hash);
+    if (!owner.has_value() || (adopter.has_value() && score <= best_score)) continue;
+    adopter = owner;
+    best_score = score;
+  }
+  return adopter;
+}
+
+/// Whether the instance may go on filling targets.
+auto CanOwn(const SteeringView& view, InstanceId instance) -> bool {
+  const auto* node = view.FindNode(instance);
+  return node != nullptr && node->state != MemberState::kLeaving;
+}
+
+}  // namespace
+
+TargetOwners::TargetOwners(InstanceId self) : self_(self) {}
+
+auto TargetOwners::Update(const SteeringView& view, MonotonicTime now) -> void {
+  for (auto& [name, ownership] : targets_) ownership.seen = false;
+  for (const auto& service : view.services()) {
+    for (const auto& zone : service.targets) {
+      for (const auto* target : zone) UpdateTarget(view, *target, service.service->name, now);
+    }
+  }
+  absl::erase_if(targets_, [](const auto& item) { return !item.second.seen; });
+}
+
+auto TargetOwners::UpdateTarget(const SteeringView& view, const Target& target,
+                                const ServiceName& service, MonotonicTime now) -> void {
+  const auto owner = ChooseOwner(view, target);
+  const auto found = targets_.find(target.name);
+  if (found == targets_.end()) {
+    auto ownership = Initial(view, target, owner, now);
+    ownership.service = service;
+    targets_.emplace(target.name, std::move(ownership));
+    return;
+  }
+  auto& ownership = found->second;
+  ownership.target = target;
+  ownership.service = service;
+  ownership.seen = true;
+  if (ownership.next.has_value() && now >= ownership.next_from) {
+    ownership.current = ownership.next;
+    ownership.next.reset();
+  }
+  const bool keeps_owner =
+      owner.has_value() && ownership.current.has_value() && CanOwn(view, *ownership.current);
+  if (!keeps_owner || owner == ownership.current) {
+    ownership.current = owner;
+    ownership.next.reset();
+  } else if (ownership.next != owner) {
+    ownership.next = owner;
+    ownership.next_from = now + kHold;
+  }
+}
+
+auto TargetOwners::Initial(const SteeringView& view, const Target& target,
+                           std::optional<InstanceId> owner, MonotonicTime now) const -> Ownership {
+  Ownership ownership;
+  ownership.target = target;
+  ownership.seen = true;
+  ownership.current = owner;
+  if (owner != self_) return ownership;
+  // A new node takes a target over from the one that had it before.
+  const auto before = ChooseOwner(view, target, self_);
+  if (!before.has_value()) return ownership;
+  ownership.current = before;
+  ownership.next = self_;
+  ownership.next_from = now + kHold;
+  return ownership;
+}
+
+auto TargetOwners::OwnerAt(const Ownership& ownership, MonotonicTime now)
+    -> std::optional<InstanceId> {
+  const bool changed = ownership.next.has_value() && now >= ownership.next_from;
+  return changed ? ownership.next : ownership.current;
+}
+
+auto TargetOwners::Owner(const TargetName& target, MonotonicTime now) const
+    -> std::optional<InstanceId> {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? std::nullopt : OwnerAt(found->second, now);
+}
+
+auto TargetOwners::OwnersIn(const ServiceName& service, const ZoneName& zone,
+                            MonotonicTime now) const -> std::vector<Share> {
+  std::vector<Share> shares;
+  for (const auto& [name, ownership] : targets_) {
+    if (ownership.service != service || ownership.target.zone != zone) continue;
+    const auto owner = OwnerAt(ownership, now);
+    if (!owner.has_value()) continue;
+    const auto found = std::find_if(shares.begin(), shares.end(),
+                                    [&](const Share& share) { return share.owner == *owner; });
+    if (found == shares.end()) {
+      shares.push_back({*owner, 1});
+    } else {
+      ++found->targets;
+    }
+  }
+  std::sort(shares.begin(), shares.end(),
+            [](const Share& a, const Share& b) { return a.owner < b.owner; });
+  return shares;
+}
+
+auto TargetOwners::Owned(const ServiceName& service, MonotonicTime now) const
+    -> std::vector<Target> {
+  std::vector<Target> owned;
+  for (const auto& [name, ownership] : targets_) {
+    if (ownership.service == service && OwnerAt(ownership, now) == self_) {
+      owned.push_back(ownership.target);
+    }
+  }
+  std::sort(owned.begin(), owned.end(),
+            [](const Target& a, const Target& b) { return a.name < b.name; });
+  return owned;
+}
+
+auto TargetOwners::NextChange(MonotonicTime now) const -> std::optional<MonotonicTime> {
+  std::optional<MonotonicTime> first;
+  for (const auto& [name, ownership] : targets_) {
+    if (!ownership.next.has_value() || ownership.next_from <= now) continue;
+    if (!first.has_value() || ownership.next_from < *first) first = ownership.next_from;
+  }
+  return first;
+}
+
+}  // namespace heatherspan
--- a/src/steering/zone_choice.h
+++ b/src/steering/zone_choice.h
@@ -12,6 +12,9 @@
   RegionName region;
   std::size_t zone_index = 0;  ///< In SteeringView::zones().
   double score = 0;            ///< Lower is better.
+  /// The document drains it. It may be used only as long as the shift limit keeps the request from
+  /// the other choices.
+  bool drained = false;
 };
 
 }  // namespace heatherspan
--- /dev/null
+++ b/tests/steering/link_budget_test.cc
@@ -0,0 +1,76 @@
+#include "steering/link_budget.h"
+
+#include <gtest/gtest.h>
+
+#include "scenario.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kStart = MonotonicTime(std::chrono::hours(1));
+
+class LinkBudgetTest : public testing::Test {
+ protected:
+  auto Use(std::int64_t bytes) -> bool { return budget_.TryUse(a_, b_, Bytes(bytes), now_); }
+  auto UsedWithin(Duration time, std::int64_t bytes) -> std::int64_t {
+    std::int64_t used = 0;
+    for (const auto end = now_ + time; now_ < end; now_ += Duration(100'000)) {
+      used += Use(bytes) ? bytes : 0;
+    }
+    return used;
+  }
+
+  const RegionName a_{"a"};
+  const RegionName b_{"b"};
+  Document document_ = TestDocument();
+  LinkBudget budget_;
+  MonotonicTime now_ = kStart;
+};
+
+// Guards against nodes that together use more than the usable part of a link of 280 Mbit/s.
+TEST_F(LinkBudgetTest, DividesTheUsableCapacityByTheLiveNodes) {
+  budget_.Update(*TestView(document_, TestNodes(document_, 5)), now_);
+  constexpr double kShare = 280e6 / 8 * 0.5 / 10;  // Bytes/s for one of ten nodes.
+  const auto used = static_cast<double>(UsedWithin(std::chrono::seconds(10), 8192));
+  EXPECT_LE(used, kShare * 10 + kShare * 0.1 + 8192);
+  EXPECT_GE(used, kShare * 10 * 0.98);
+}
+
+TEST_F(LinkBudgetTest, KeepsWhatWasUsedOverAnUpdate) {
+  const auto view = TestView(document_, TestNodes(document_, 1));
+  budget_.Update(*view, now_);
+  while (Use(8192)) continue;
+  budget_.Update(*view, now_);
+  EXPECT_FALSE(Use(8192));
+}
+
+// Guards against large responses that can never pass, and against passing them for nothing.
+TEST_F(LinkBudgetTest, LargeResponsesPassAndArePaidOff) {
+  budget_.Update(*TestView(document_, TestNodes(document_, 5)), now_);
+  EXPECT_TRUE(Use(1'750'000));  // A second's worth; the burst is a tenth of it.
+  now_ += milliseconds(850);
+  EXPECT_FALSE(Use(8192));
+  now_ += milliseconds(100);
+  EXPECT_TRUE(Use(8192));
+}
+
+TEST_F(LinkBudgetTest, CorrectsABookingWhenTheSizeIsKnown) {
+  budget_.Update(*TestView(document_, TestNodes(document_, 5)), now_);
+  EXPECT_TRUE(Use(8192));
+  budget_.Correct(a_, b_, Bytes(8192), Bytes(1'000'000));
+  now_ += milliseconds(100);
+  EXPECT_FALSE(Use(8192));
+}
+
+TEST_F(LinkBudgetTest, NeedsALinkBetweenRegionsAndNoneWithinOne) {
+  document_.links.erase(document_.links.begin());  // Between a and b.
+  budget_.Update(*TestView(document_, TestNodes(document_, 1)), now_);
+  EXPECT_FALSE(Use(1));
+  EXPECT_TRUE(budget_.TryUse(a_, a_, Bytes(1'000'000'000), now_));
+  EXPECT_TRUE(budget_.TryUse(a_, RegionName("c"), Bytes(1), now_));
+}
+
+}  // namespace
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/steering/rank_zones_test.cc
@@ -0,0 +1,134 @@
+#include "steering/rank_zones.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "scenario.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::ElementsAre;
+using testing::UnorderedElementsAre;
+
+constexpr auto kStart = MonotonicTime(std::chrono::hours(1));
+
+class RankZonesTest : public testing::Test {
+ protected:
+  auto Report(const char* zone, std::uint32_t usable, std::uint32_t used,
+              std::uint32_t share_percent = 0) -> void {
+    const ServiceLoad load{desk_, usable, used, 0};
+    loads_.OnLoad({ZoneName(zone), InstanceId(1), {load}, share_percent}, now_);
+  }
+  auto Outcome(const char* zone, ZoneOutcome outcome, int times = 1) -> void {
+    for (int i = 0; i < times; ++i) {
+      loads_.OnOutcome(ZoneName(zone), desk_, outcome, std::nullopt, now_);
+    }
+  }
+  auto Choices(const char* home = "a1") -> std::vector<ZoneChoice> {
+    const auto view = TestView(document_, nodes_);
+    return RankZones(*view, loads_, desk_, ZoneName(home), now_);
+  }
+  auto Ranked(const char* home = "a1") -> std::vector<std::string> {
+    std::vector<std::string> zones;
+    for (const auto& choice : Choices(home)) zones.push_back(choice.zone.value());
+    return zones;
+  }
+
+  const ServiceName desk_{"desk"};
+  Document document_ = TestDocument();
+  std::vector<LiveNode> nodes_ = TestNodes(document_, 1);
+  ZoneLoads loads_;
+  MonotonicTime now_ = kStart;
+};
+
+TEST_F(RankZonesTest, HomeComesFirstThenItsRegion) {
+  Report("a1", 6, 5);
+  EXPECT_THAT((std::vector{Ranked()[0], Ranked()[1]}), ElementsAre("a1", "a2"));
+  EXPECT_EQ(Ranked().size(), 6U);
+}
+
+// Guards against queueing at home while a neighbour is free, and against crossing regions for it.
+TEST_F(RankZonesTest, ASaturatedHomeGivesWayToItsNeighbourOnly) {
+  Report("a1", 6, 6);
+  Report("a2", 6, 1);
+  EXPECT_THAT((std::vector{Ranked()[0], Ranked()[1]}), ElementsAre("a2", "a1"));
+  Report("a2", 6, 6);
+  EXPECT_EQ(Ranked()[0], "a1");
+}
+
+TEST_F(RankZonesTest, TheWeightsDecideBetweenLatencyAndHeadroom) {
+  Report("a1", 6, 7);
+  Report("a2", 6, 6);
+  Report("c1", 6, 0);
+  document_.objectives = {0.9, 0.1};
+  EXPECT_EQ(Ranked()[0], "a1");
+  document_.objectives = {0.1, 0.9};
+  EXPECT_EQ(Ranked()[0], "c1");
+}
+
+// Guards against counting a zone as idle or dead because its reports stopped.
+TEST_F(RankZonesTest, OldReportsDecayToUnknown) {
+  Report("a2", 6, 6);
+  Report("b1", 6, 0);
+  Report("b2", 0, 0);
+  EXPECT_FALSE(loads_.Load(ZoneName("a2"), desk_, now_ + seconds(5)).utilization.has_value());
+  EXPECT_EQ(Ranked().size(), 5U);
+  now_ += seconds(5);
+  EXPECT_EQ(Ranked().size(), 6U);
+  EXPECT_EQ(Ranked()[1], "a2");
+}
+
+// Guards against reports that outrank own outcomes: a zone that answered a moment ago is usable.
+TEST_F(RankZonesTest, OwnOutcomesTakePrecedence) {
+  Outcome("a2", ZoneOutcome::kAnswered);
+  Report("a2", 0, 0);
+  EXPECT_EQ(Ranked()[1], "a2");
+  Report("a1", 6, 0);
+  Outcome("a1", ZoneOutcome::kRefused);
+  Report("a2", 6, 0);
+  EXPECT_EQ(Ranked()[0], "a2");
+  now_ += milliseconds(100);
+  EXPECT_EQ(Ranked()[0], "a1");
+}
+
+// Guards against requests that go on to a dead zone, and against never trying it again.
+TEST_F(RankZonesTest, AFailingZoneIsTriedLastForAWhile) {
+  Outcome("a1", ZoneOutcome::kFailed, 2);
+  EXPECT_EQ(Ranked()[0], "a1");
+  Outcome("a1", ZoneOutcome::kFailed);
+  EXPECT_EQ(Ranked()[5], "a1");
+  now_ += seconds(1);
+  EXPECT_EQ(Ranked()[0], "a1");
+}
+
+// Guards against first nodes that move back and forth with reports of a used-up share.
+TEST_F(RankZonesTest, ZonesWithoutCapShareComeLateButStay) {
+  Report("a1", 6, 0, 100);
+  EXPECT_EQ(Ranked()[5], "a1");
+  EXPECT_EQ(Ranked()[0], "a2");
+}
+
+// Guards against a drain that moves all traffic at once or refuses what can't move yet.
+TEST_F(RankZonesTest, DrainedZonesOfTheHomeRegionComeLastAndAreMarked) {
+  document_.drains.push_back({DrainScope::kRegion, "a", "move"});
+  const auto choices = Choices();
+  ASSERT_EQ(choices.size(), 6U);
+  EXPECT_FALSE(choices[3].drained);
+  EXPECT_TRUE(choices[4].drained && choices[5].drained);
+  EXPECT_THAT(Ranked("b1"), UnorderedElementsAre("b1", "b2", "c1", "c2"));
+}
+
+TEST_F(RankZonesTest, LeavesOutWhatCannotServe) {
+  document_.links.erase(document_.links.begin());  // Between a and b.
+  document_.drains.push_back({DrainScope::kTarget, "a2-t1", ""});
+  document_.drains.push_back({DrainScope::kTarget, "a2-t2", ""});
+  for (const auto* name : {"c1-0", "c2-0"}) SetState(nodes_, name, MemberState::kDead);
+  EXPECT_THAT(Ranked(), ElementsAre("a1"));
+  EXPECT_TRUE(Ranked("nowhere").empty());
+}
+
+}  // namespace
+}  // namespace heatherspan
