--- /dev/null
+++ b/src/observe/metric.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace heatherspan {
+
+/// Every metric of the daemon.
+enum class Metric : std::size_t {
+  kLookups,
+  kRequests,
+  kRefusals,
+  kRetries,
+  kRequestSeconds,
+  kForwardSeconds,
+  kTargetSeconds,
+  kInFlight,
+  kQueued,
+  kSlotsUsable,
+  kSlotsUsed,
+  kRegionShare,
+  kGrantorLease,
+  kConfigVersion,
+  kConfigChanges,
+  kInputAgeSeconds,
+  kMembers,
+  kDatagrams,
+  kDatagramBytes,
+  kRejectedInput,
+  kStoreCalls,
+  kAdminCalls,
+  kTrialDifferences,
+  kCount,
+};
+
+enum class MetricKind { kCounter, kGauge, kSummary };
+
+/// The name, kind and help text of a metric in the text exposition format.
+struct MetricDescription {
+  Metric metric;
+  std::string_view name;
+  MetricKind kind;
+  std::string_view help;
+};
+
+inline constexpr std::array<MetricDescription, static_cast<std::size_t>(Metric::kCount)>
+    kMetricDescriptions = {{
+        {Metric::kLookups, "heatherspan_lookups_total", MetricKind::kCounter,
+         "Look-ups by result."},
+        {Metric::kRequests, "heatherspan_requests_total", MetricKind::kCounter,
+         "Requests from callers by service and verdict."},
+        {Metric::kRefusals, "heatherspan_refusals_total", MetricKind::kCounter,
+         "Refusals by reason and verdict."},
+        {Metric::kRetries, "heatherspan_retries_total", MetricKind::kCounter,
+         "Attempts after the first, by the reason that the one before failed."},
+        {Metric::kRequestSeconds, "heatherspan_request_seconds", MetricKind::kSummary,
+         "Time from the whole request to the response at the first node, by service."},
+        {Metric::kForwardSeconds, "heatherspan_forward_seconds", MetricKind::kSummary,
+         "Time of one forwarded attempt, by service."},
+        {Metric::kTargetSeconds, "heatherspan_target_seconds", MetricKind::kSummary,
+         "Time that a target took for one request, by service."},
+        {Metric::kInFlight, "heatherspan_in_flight", MetricKind::kGauge,
+         "Requests in flight to targets, by service."},
+        {Metric::kQueued, "heatherspan_queued", MetricKind::kGauge,
+         "Requests that wait for a slot, by service."},
+        {Metric::kSlotsUsable, "heatherspan_slots_usable", MetricKind::kGauge,
+         "Slots of owned targets that may take work, by service."},
+        {Metric::kSlotsUsed, "heatherspan_slots_used", MetricKind::kGauge,
+         "Slots of owned targets in use, by service."},
+        {Metric::kRegionShare, "heatherspan_region_share_rps", MetricKind::kGauge,
+         "Share of the region's cap that this node may use now, in requests/s."},
+        {Metric::kGrantorLease, "heatherspan_grantor", MetricKind::kGauge,
+         "1 while this node grants shares of its region's cap."},
+        {Metric::kConfigVersion, "heatherspan_config_version", MetricKind::kGauge,
+         "Version of the configuration in force; 0 without one."},
+        {Metric::kConfigChanges, "heatherspan_config_changes_total", MetricKind::kCounter,
+         "Configurations that came into force."},
+        {Metric::kInputAgeSeconds, "heatherspan_input_age_seconds", MetricKind::kGauge,
+         "Age of the latest input, by source; -1 before the first."},
+        {Metric::kMembers, "heatherspan_members", MetricKind::kGauge,
+         "Entry VMs by state as this node sees them."},
+        {Metric::kDatagrams, "heatherspan_datagrams_total", MetricKind::kCounter,
+         "Datagrams between entry VMs by direction."},
+        {Metric::kDatagramBytes, "heatherspan_datagram_bytes_total", MetricKind::kCounter,
+         "Bytes of datagrams between entry VMs by direction."},
+        {Metric::kRejectedInput, "heatherspan_rejected_input_total", MetricKind::kCounter,
+         "Malformed, oversized, slow or unauthenticated input by listener and cause."},
+        {Metric::kStoreCalls, "heatherspan_store_calls_total", MetricKind::kCounter,
+         "Calls to the platform's store by kind and result."},
+        {Metric::kAdminCalls, "heatherspan_admin_calls_total", MetricKind::kCounter,
+         "Calls to the administration interface by path and status."},
+        {Metric::kTrialDifferences, "heatherspan_trial_differences_total", MetricKind::kCounter,
+         "Decisions for which the trial document would have chosen otherwise, by service."},
+    }};
+
+}  // namespace heatherspan
