messages: carry the home region of a forwarded request

Cause: a shift of traffic is measured from the region of the caller's client block; the owner of a ticket that routes a forwarded request did not know it. Change: ForwardRequest has a home region.

--- a/src/messages/forward_request.h
+++ b/src/messages/forward_request.h
@@ -14,7 +14,8 @@
 struct ForwardRequest {
   RequestId request_id;
   ServiceName service;
-  ZoneName zone;  ///< The availability zone whose targets are to serve.
+  RegionName home;  ///< The region of the caller's client block.
+  ZoneName zone;    ///< The availability zone whose targets are to serve.
   std::string
       ticket;  ///< Set if the receiver is the owner of the ticket and has to start the request.
   std::uint32_t deadline_ms = 0;  ///< Time left when the message was sent.
@@ -25,7 +26,7 @@
 
   template <class Archive>
   auto serialize(Archive& archive) -> void {
-    archive(request_id, service, zone, ticket, deadline_ms, method, path, headers, body);
+    archive(request_id, service, home, zone, ticket, deadline_ms, method, path, headers, body);
   }
 };
 
