document: read TOML documents with located faults

Operators need every fault of a document at once, with its place and what is expected, and nodes must never accept an unsound one.

Adds the module toml_table (TOML behind one adapter, key tables bound to the members of records) and, on top of it, ReadDocument and ReadDocumentFaults with checks of references, duplicates, overlaps, links and pools.

--- /dev/null
+++ b/src/document/document_check.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "document/document.h"
+#include "document/document_path.h"
+
+namespace heatherspan {
+
+/// A fault that concerns more than one value of a document.
+struct CheckFault {
+  DocumentPath path;
+  std::string message;
+  std::optional<DocumentPath> first;  ///< The earlier place that the value clashes with.
+};
+
+/// Checks references, duplicates, overlaps, links and pools. The ranges of single values are
+/// checked as they are read.
+auto CheckDocument(const Document& document) -> std::vector<CheckFault>;
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/document/document_reader.cc
@@ -0,0 +1,128 @@
+#include "document/document_reader.h"
+
+#include <algorithm>
+
+#include "document/document_check.h"
+#include "document/document_keys.h"
+#include "fmt/format.h"
+#include "toml_table/toml_parser.h"
+
+namespace heatherspan {
+namespace {
+
+auto TopLevelTables() -> const std::vector<std::string>& {
+  static const std::vector<std::string> tables = {"objectives", "region", "link",  "team",
+                                                  "service",    "drain",  "client"};
+  return tables;
+}
+
+/// Fills a document from a TOML tree, section by section.
+class TomlVisitor {
+ public:
+  TomlVisitor(const TomlValue& root, TomlFaults& faults) : root_(root), faults_(faults) {}
+
+  auto Single(std::string_view name, const KeyTable<Document>& keys, Document& document) -> void {
+    keys.Read(root_, name, TopLevelTables(), document, faults_);
+  }
+
+  auto Single(std::string_view name, const KeyTable<Objectives>& keys, Objectives& objectives)
+      -> void {
+    if (const auto* value = root_.Find(name)) keys.Read(*value, name, {}, objectives, faults_);
+  }
+
+  template <class Record>
+  auto List(std::string_view name, const KeyTable<Record>& keys, std::vector<Record>& records)
+      -> void {
+    ReadList(root_, name, std::string(name), keys, {}, records);
+  }
+
+  template <class Record, class Child, class Access>
+  auto Parents(std::string_view name, const KeyTable<Record>& keys, std::vector<Record>& records,
+               std::string_view child_name, const KeyTable<Child>& child_keys, Access children)
+      -> void {
+    const std::string child_key(child_name);
+    ReadList(root_, name, std::string(name), keys, {child_key}, records);
+    for (std::size_t i = 0; i < records.size(); ++i) {
+      const auto full_name = fmt::format("{}.{}", name, child_name);
+      ReadList(*root_.Find(name)->At(i), child_name, full_name, child_keys, {},
+               children(records[i]));
+    }
+  }
+
+ private:
+  /// Adds one record for each element, sound or not, so that indices match those of the text.
+  template <class Record>
+  auto ReadList(const TomlValue& owner, std::string_view name, const std::string& full_name,
+                const KeyTable<Record>& keys, const std::vector<std::string>& others,
+                std::vector<Record>& records) -> void {
+    const auto* value = owner.Find(name);
+    if (value == nullptr) return;
+    const auto* array = std::get_if<TomlValue::Array>(&value->value);
+    if (array == nullptr) {
+      faults_.Add(value->position, fmt::format("{}: found {}, expected tables [[{}]]", full_name,
+                                               value->Shown(), full_name));
+      return;
+    }
+    records.resize(array->size());
+    for (std::size_t i = 0; i < array->size(); ++i) {
+      keys.Read((*array)[i], full_name, others, records[i], faults_);
+    }
+  }
+
+  const TomlValue& root_;
+  TomlFaults& faults_;
+};
+
+/// The place of a path, or of the nearest part of it that the text has.
+auto Locate(const TomlValue& root, const DocumentPath& path) -> TomlPosition {
+  const TomlValue* value = &root;
+  const auto descend = [&value](const TomlValue* next) { value = next == nullptr ? value : next; };
+  const auto element = [&value](std::string_view name, std::size_t index) -> const TomlValue* {
+    const auto* list = value->Find(name);
+    return list == nullptr ? nullptr : list->At(index);
+  };
+  if (!path.section.empty()) descend(element(path.section, path.index));
+  if (!path.child.empty()) descend(element(path.child, path.child_index));
+  if (!path.key.empty()) descend(value->Find(path.key));
+  return value->position;
+}
+
+auto AddCheckFaults(const Document& document, const TomlValue& root, TomlFaults& faults) -> void {
+  for (auto& fault : CheckDocument(document)) {
+    if (fault.first.has_value()) {
+      fault.message += fmt::format(" (line {})", Locate(root, *fault.first).line);
+    }
+    faults.Add(Locate(root, fault.path), std::move(fault.message));
+  }
+}
+
+auto ReadToml(std::string_view text, const std::string& file, TomlFaults& faults) -> Document {
+  Document document;
+  const auto root = ParseToml(text, file, faults);
+  if (!faults.faults().empty()) return document;
+  TomlVisitor visitor(root, faults);
+  VisitSections(document, visitor);
+  AddCheckFaults(document, root, faults);
+  faults.Sort();
+  std::sort(document.clients.begin(), document.clients.end(),
+            [](const ClientBlock& a, const ClientBlock& b) { return a.block < b.block; });
+  return document;
+}
+
+}  // namespace
+
+auto ReadDocument(std::string_view text, const std::string& file) -> absl::StatusOr<Document> {
+  TomlFaults faults(file);
+  auto document = ReadToml(text, file, faults);
+  if (!faults.faults().empty()) return FaultStatus(faults.faults());
+  return document;
+}
+
+auto ReadDocumentFaults(std::string_view text, const std::string& file)
+    -> std::vector<DocumentFault> {
+  TomlFaults faults(file);
+  ReadToml(text, file, faults);
+  return faults.faults();
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/toml_table/key_table.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "fmt/format.h"
+#include "toml_table/key_description.h"
+#include "toml_table/nearest_word.h"
+#include "toml_table/toml_fault.h"
+#include "toml_table/toml_value.h"
+#include "toml_table/value_format.h"
+
+namespace heatherspan {
+
+enum class Presence { kRequired, kOptional };
+
+/// The keys of one kind of table, bound to the members of a record. Reading, checking, writing,
+/// comparing and the documentation all follow from it.
+template <class Record>
+class KeyTable {
+ public:
+  struct Key {
+    std::string name;
+    Presence presence;
+    std::string expected;
+    std::string meaning;
+    /// Sets the member and returns whether the value is sound. A name out of range is kept, so that
+    /// references to it cause no further faults.
+    std::function<bool(const TomlValue&, Record&)> read;
+    std::function<bool(std::string_view, Record&)> parse;
+    std::function<std::string(const Record&)> write;
+    std::function<std::string(const Record&)> write_toml;
+  };
+
+  /// Adds a key for a member, given as a pointer or as a function that returns a reference to it.
+  template <class Access, class Member>
+  auto Add(std::string name, Access access, Presence presence, ValueFormat<Member> format,
+           std::string meaning) -> KeyTable& {
+    const auto get = [access](const Record& record) -> const Member& {
+      return std::invoke(access, record);
+    };
+    const auto set = [access](Record& record, Member member) {
+      std::invoke(access, record) = std::move(member);
+    };
+    return AddWith<Member>(std::move(name), get, set, presence, std::move(format),
+                           std::move(meaning));
+  }
+
+  /// Adds a key for a value that is no single member.
+  template <class Member>
+  auto AddWith(std::string name, std::function<Member(const Record&)> get,
+               std::function<void(Record&, Member)> set, Presence presence,
+               ValueFormat<Member> format, std::string meaning) -> KeyTable& {
+    const auto accept = [format, set](std::optional<Member> member, Record& record) {
+      if (!member.has_value()) return false;
+      const bool sound = format.in_range(*member);
+      set(record, std::move(*member));
+      return sound;
+    };
+    Key key{std::move(name), presence, format.expected, std::move(meaning), {}, {}, {}, {}};
+    key.read = [format, accept](const TomlValue& value, Record& record) {
+      return accept(format.read(value), record);
+    };
+    key.parse = [format, accept](std::string_view text, Record& record) {
+      return accept(format.parse(text), record);
+    };
+    key.write = [format, get](const Record& record) { return format.write(get(record)); };
+    key.write_toml = [format, get](const Record& record) { return format.write_toml(get(record)); };
+    keys_.push_back(std::move(key));
+    return *this;
+  }
+
+  auto keys() const -> const std::vector<Key>& { return keys_; }
+
+  auto Find(std::string_view name) const -> const Key* {
+    for (const auto& key : keys_) {
+      if (key.name == name) return &key;
+    }
+    return nullptr;
+  }
+
+  /// Reads a table into the record and reports unknown, missing and unsound keys. Keys in `others`
+  /// hold nested tables, which the caller reads.
+  auto Read(const TomlValue& value, std::string_view table_name,
+            const std::vector<std::string>& others, Record& record, TomlFaults& faults) const
+      -> void {
+    const auto* table = std::get_if<TomlValue::Table>(&value.value);
+    if (table == nullptr) {
+      faults.Add(value.position,
+                 fmt::format("{}: found {}, expected a table", table_name, value.Shown()));
+      return;
+    }
+    for (const auto& entry : *table) ReadEntry(entry, table_name, others, record, faults);
+    for (const auto& key : keys_) {
+      if (key.presence != Presence::kRequired || value.Find(key.name) != nullptr) continue;
+      faults.Add(value.position, fmt::format("{}: the key \"{}\" is missing; expected {}",
+                                             table_name, key.name, key.expected));
+    }
+  }
+
+  auto Describe() const -> std::vector<KeyDescription> {
+    std::vector<KeyDescription> descriptions;
+    for (const auto& key : keys_) {
+      const auto text = key.presence == Presence::kRequired
+                            ? std::string("required")
+                            : fmt::format("`{}`", key.write_toml(Record{}));
+      descriptions.push_back({key.name, key.expected, text, key.meaning});
+    }
+    return descriptions;
+  }
+
+ private:
+  auto ReadEntry(const TomlEntry& entry, std::string_view table_name,
+                 const std::vector<std::string>& others, Record& record, TomlFaults& faults) const
+      -> void {
+    for (const auto& other : others) {
+      if (other == entry.key) return;
+    }
+    const auto* key = Find(entry.key);
+    if (key == nullptr) {
+      faults.Add(entry.key_position, Unknown(entry.key, table_name, others));
+    } else if (!key->read(entry.value, record)) {
+      faults.Add(entry.value.position, fmt::format("{}: found {}, expected {}", entry.key,
+                                                   entry.value.Shown(), key->expected));
+    }
+  }
+
+  auto Unknown(std::string_view name, std::string_view table_name,
+               const std::vector<std::string>& others) const -> std::string {
+    std::vector<std::string> known = others;
+    for (const auto& key : keys_) known.push_back(key.name);
+    const auto nearest = NearestWord(name, known);
+    const auto hint = nearest.empty() ? fmt::format("known keys: {}", fmt::join(known, ", "))
+                                      : fmt::format("did you mean \"{}\"?", nearest);
+    TomlValue shown;
+    shown.value = std::string(name);
+    return fmt::format("{}: unknown key {}; {}", table_name, shown.Shown(), hint);
+  }
+
+  std::vector<Key> keys_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/toml_table/toml_value.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "toml_table/toml_position.h"
+
+namespace heatherspan {
+
+struct TomlEntry;
+
+/// A value of a TOML text with its place.
+struct TomlValue {
+  using Array = std::vector<TomlValue>;
+  using Table = std::vector<TomlEntry>;
+  struct Date {};  ///< Dates and times, which no key accepts.
+
+  TomlPosition position;
+  std::variant<Date, bool, std::int64_t, double, std::string, Array, Table> value;
+
+  /// The value of a key of a table; null when this is no table or has no such key.
+  auto Find(std::string_view key) const -> const TomlValue*;
+  /// The element of an array; null when this is no array or is shorter.
+  auto At(std::size_t index) const -> const TomlValue*;
+  /// The value as error messages show it, shortened when long.
+  auto Shown() const -> std::string;
+};
+
+/// A key of a table with its value.
+struct TomlEntry {
+  std::string key;
+  TomlPosition key_position;
+  TomlValue value;
+};
+
+}  // namespace heatherspan
