--- /dev/null
+++ b/src/tickets/saved_answer.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace heatherspan {
+
+/// A target's answer, kept for repeats of the request.
+struct SavedAnswer {
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+
+  /// The memory that counts against the limits of the ticket table.
+  auto Size() const -> std::size_t;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/tickets/ticket.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace heatherspan {
+
+/// The right to run one non-idempotent request at most once. Only the instance that issued it, its
+/// owner, may start the request.
+struct Ticket {
+  InstanceId owner;
+  NodeName owner_name;
+  MonotonicTime issued;  ///< On the owner's monotonic clock; meaningless to any other process.
+  std::uint64_t nonce = 0;
+
+  friend auto operator==(const Ticket&, const Ticket&) -> bool = default;
+};
+
+}  // namespace heatherspan
