--- /dev/null
+++ b/src/caps/cap_history.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <deque>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "base/units.h"
+#include "caps/cap_terms.h"
+
+namespace heatherspan {
+
+/// The terms of a cap in force at one node, and those that other nodes may still apply because the
+/// newer version has not reached them, or because a lease granted under it has not lapsed. While
+/// both are possible, a node uses the smallest of the shares that they give, so that any mixture of
+/// nodes stays within the highest cap in force.
+class CapHistory {
+ public:
+  /// Puts terms into force. Terms of a version that is not newer than the present one are ignored,
+  /// as are changes of version that leave the shares as they are.
+  auto Apply(const CapTerms& terms, MonotonicTime now) -> void;
+
+  auto empty() const -> bool { return entries_.empty(); }
+  auto Version() const -> ConfigVersion { return version_; }
+
+  /// The smallest base share among the terms that may be applied somewhere.
+  auto BaseShare(MonotonicTime now) const -> RequestsPerSecond;
+
+  /// The smallest leased part among the terms that may be applied somewhere.
+  auto LeasedPart(MonotonicTime now) const -> RequestsPerSecond;
+
+  /// Whether a grant of this version may be used. A grant of an older version is used while the
+  /// terms of that version count. A newer one is used for a limited time, in which the newer
+  /// version has to arrive at this node.
+  auto Accepts(ConfigVersion version, MonotonicTime now) -> bool;
+
+ private:
+  struct Entry {
+    CapTerms terms;
+    MonotonicTime replaced;  ///< When newer terms came into force; unset in the last entry.
+  };
+
+  auto Counts(std::size_t index, MonotonicTime now) const -> bool;
+
+  std::deque<Entry> entries_;  ///< In the order of versions; the last is in force.
+  ConfigVersion version_;
+  ConfigVersion newer_version_;  ///< Highest version seen in a grant.
+  MonotonicTime newer_since_;    ///< When a version above the own one was first seen.
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/caps/share_holder.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "base/units.h"
+#include "caps/base_share_rank.h"
+#include "caps/cap_history.h"
+#include "caps/cap_terms.h"
+#include "messages/share_grant.h"
+#include "messages/share_request.h"
+
+namespace heatherspan {
+
+/// The share of a region's cap that this node may use: a base share that needs no coordination, and
+/// a leased share from the region's grantor.
+///
+/// Not thread-safe.
+class ShareHolder {
+ public:
+  ShareHolder(RankedVm self, RegionName region);
+
+  /// Puts the cap of a version of the document into force.
+  auto Configure(const CapTerms& terms, MonotonicTime now) -> void;
+
+  /// The view of the own zone; see BaseShareRank::OnZoneVms.
+  auto OnZoneVms(const std::vector<RankedVm>& vms, int entry_vms_max, MonotonicTime now) -> void;
+
+  /// The request to send to the grantor, if one is due: once a second while the demand exceeds the
+  /// base share, and while a lease runs. The demand is what the node expects to admit in all.
+  auto MaybeRequest(MonotonicTime now, RequestsPerSecond demand) -> std::optional<ShareRequest>;
+
+  /// Accepts a grant that answers a recent request of this node and is not older than the one held.
+  /// Returns whether it was accepted.
+  auto OnGrant(const ShareGrant& grant, MonotonicTime now) -> bool;
+
+  /// The rate that may be admitted now. To be asked at each admission, so that a node that was
+  /// paused finds its lease ended.
+  auto UsableShare(MonotonicTime now) const -> RequestsPerSecond;
+
+ private:
+  struct Sent {
+    std::uint64_t sequence = 0;
+    MonotonicTime time;
+  };
+  struct Lease {
+    std::uint64_t sequence = 0;
+    RequestsPerSecond share = RequestsPerSecond(0);
+    MonotonicTime start;
+    MonotonicTime end;
+  };
+
+  auto BaseShare(MonotonicTime now) const -> RequestsPerSecond;
+
+  InstanceId self_;
+  RegionName region_;
+  BaseShareRank rank_;
+  CapHistory history_;
+  std::uint64_t last_sequence_ = 0;
+  std::deque<Sent> sent_;
+  std::optional<Lease> lease_;
+};
+
+}  // namespace heatherspan
