caps: keep the sum of usable shares within the cap

Cause: the cap of a region has to hold while messages are lost, holders and grantors pause or are replaced, clocks drift and the document changes (docs/design.md, 6.4).

Change: ShareHolder, ShareGrantor and GrantorTerm. While nodes may apply different versions of the document (20 s), each uses the smallest shares of the versions that may be in force.

--- a/src/caps/base_share_rank.h
+++ b/src/caps/base_share_rank.h
@@ -17,8 +17,8 @@
 
 /// Decides whether an entry VM has a base share. The first entry_vms_max VMs of the zone by start
 /// time, then instance id, have one. A VM that comes to rank among them gets its base share only
-/// after a hold time, so that the VM that it replaces has been declared dead everywhere. A VM that
-/// was paused for longer than it takes others to replace it starts the hold time anew.
+/// after a hold time (4.5 s), in which the VM that it replaces or outranks has noticed the change
+/// or its own pause. A VM without a view for 2 s has no base share and starts the hold time anew.
 class BaseShareRank {
  public:
   explicit BaseShareRank(RankedVm self) : self_(self) {}
--- a/src/caps/cap_history.h
+++ b/src/caps/cap_history.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <deque>
 
 #include "base/ids.h"
@@ -15,9 +16,14 @@
 /// nodes stays within the highest cap in force.
 class CapHistory {
  public:
-  /// Puts terms into force. Terms of a version that is not newer than the present one are ignored,
-  /// as are changes of version that leave the shares as they are.
-  auto Apply(const CapTerms& terms, MonotonicTime now) -> void;
+  /// Puts terms into force. Terms of a version that is not newer than the present one are ignored;
+  /// a change of version that leaves the shares as they are only changes the version.
+  ///
+  /// The first terms after the start of a node say nothing of the version before them, which other
+  /// nodes may still apply. Unless they are of version 1, or their age (the time since their
+  /// version was accepted, by the wall clock) exceeds kSettledAge, they give no share for
+  /// kVersionOverlap.
+  auto Apply(const CapTerms& terms, Duration age, MonotonicTime now) -> void;
 
   auto empty() const -> bool { return entries_.empty(); }
   auto Version() const -> ConfigVersion { return version_; }
@@ -35,15 +41,18 @@
 
  private:
   struct Entry {
-    CapTerms terms;
+    ConfigVersion first;  ///< The first version with these shares.
+    double base = 0;
+    double leased = 0;
     MonotonicTime replaced;  ///< When newer terms came into force; unset in the last entry.
   };
 
+  auto Push(const Entry& entry, MonotonicTime now) -> void;
   auto Counts(std::size_t index, MonotonicTime now) const -> bool;
 
   std::deque<Entry> entries_;  ///< In the order of versions; the last is in force.
   ConfigVersion version_;
-  ConfigVersion newer_version_;  ///< Highest version seen in a grant.
+  ConfigVersion newer_version_;  ///< The highest version seen in a grant.
   MonotonicTime newer_since_;    ///< When a version above the own one was first seen.
 };
 
--- a/src/caps/cap_terms.h
+++ b/src/caps/cap_terms.h
@@ -17,9 +17,6 @@
 
   /// The part of the cap that the grantor divides.
   auto LeasedPart() const -> RequestsPerSecond;
-
-  /// Whether both give the same shares, whatever their versions.
-  auto SameShares(const CapTerms& other) const -> bool;
 };
 
 }  // namespace heatherspan
--- a/src/caps/grantor_term.h
+++ b/src/caps/grantor_term.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -17,10 +18,13 @@
 
   /// The lifetime to ask the store for.
   static constexpr Duration kTtl = std::chrono::seconds(6);
+  static constexpr Duration kRenewInterval = std::chrono::seconds(2);
+  static constexpr Duration kRetryInterval = std::chrono::seconds(3);
 
-  /// What to do at the store now: nothing, acquire (grant a lease of kTtl, then write the key with
-  /// it, provided that the key is absent), or renew lease_id(). After each step that the caller
-  /// takes, one of the On methods must follow.
+  /// What to do at the store now. Only a few nodes per region should try to acquire the role,
+  /// because each of them asks the store every kRetryInterval. The step is: nothing, acquire (grant
+  /// a lease of kTtl, then write the key with it, provided that the key is absent), or renew
+  /// lease_id(). After each step that the caller takes, one of the On methods must follow.
   auto NextStep(MonotonicTime now) const -> Step;
 
   /// The role's key was written with the lease. `sent` is when the lease was asked for.
@@ -49,7 +53,6 @@
  private:
   std::optional<StoreLeaseId> lease_id_;
   std::uint64_t number_ = 0;
-  MonotonicTime start_;
   MonotonicTime end_;
   MonotonicTime next_try_;
 };
--- a/src/caps/share_grantor.h
+++ b/src/caps/share_grantor.h
@@ -29,9 +29,10 @@
   /// The term must outlive the grantor.
   ShareGrantor(InstanceId self, RegionName region, const GrantorTerm& term);
 
-  /// Puts the cap of a version of the document into force. To be called on every node, whether or
-  /// not it has the role, so that a new grantor knows of recent changes.
-  auto Configure(const CapTerms& terms, MonotonicTime now) -> void;
+  /// Puts the cap of a version of the document into force; for the age see CapHistory::Apply. To be
+  /// called on every node, whether or not it has the role, so that a new grantor knows of recent
+  /// changes.
+  auto Configure(const CapTerms& terms, Duration age, MonotonicTime now) -> void;
 
   /// Begins to serve a term that was just acquired. No share is granted for one grant lifetime with
   /// margin, until the grants of the former grantor have lapsed.
@@ -60,6 +61,7 @@
     std::vector<Grant> grants;
   };
 
+  static auto Record(Holder& holder, const Grant& grant) -> void;
   auto Forget(MonotonicTime now) -> void;
   auto Target(const Holder& holder, MonotonicTime now) const -> double;
   static auto OutstandingOf(const Holder& holder, MonotonicTime now) -> double;
--- a/src/caps/share_holder.h
+++ b/src/caps/share_holder.h
@@ -24,8 +24,8 @@
  public:
   ShareHolder(RankedVm self, RegionName region);
 
-  /// Puts the cap of a version of the document into force.
-  auto Configure(const CapTerms& terms, MonotonicTime now) -> void;
+  /// Puts the cap of a version of the document into force; for the age see CapHistory::Apply.
+  auto Configure(const CapTerms& terms, Duration age, MonotonicTime now) -> void;
 
   /// The view of the own zone; see BaseShareRank::OnZoneVms.
   auto OnZoneVms(const std::vector<RankedVm>& vms, int entry_vms_max, MonotonicTime now) -> void;
@@ -50,7 +50,6 @@
   struct Lease {
     std::uint64_t sequence = 0;
     RequestsPerSecond share = RequestsPerSecond(0);
-    MonotonicTime start;
     MonotonicTime end;
   };
 
--- a/src/caps/share_lease.h
+++ b/src/caps/share_lease.h
@@ -12,9 +12,13 @@
 inline constexpr Duration kMaxShareLifetime = kShareLifetime;
 
 /// How long nodes may apply different versions of the document: 9 s until a version is in force
-/// everywhere, plus the 4.6 s until the last leases of the older version have lapsed at the
-/// grantor, plus 5% of clock drift, rounded up.
-inline constexpr Duration kVersionOverlap = std::chrono::seconds(15);
+/// everywhere, 5.2 s of a grantor's pause that doesn't outlast its term, and 3.6 s until its last
+/// grant has ended at the holder; with 5% of clock drift 18.7 s, rounded up.
+inline constexpr Duration kVersionOverlap = std::chrono::seconds(20);
+
+/// From this age on a version is taken to be in force everywhere. Contains 15 s for wall clocks
+/// that differ.
+inline constexpr Duration kSettledAge = kVersionOverlap + std::chrono::seconds(15);
 
 /// The part of a lease that its holder uses, counted from the sending of the request: the lifetime
 /// less 10% and 200 ms.
--- /dev/null
+++ b/tests/caps/cap_simulation.cc
@@ -0,0 +1,241 @@
+#include "cap_simulation.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "caps/share_lease.h"
+#include "fmt/format.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStep = milliseconds(20);
+constexpr Duration kSettling = seconds(40);
+const RegionName sofia("sofia");
+
+}  // namespace
+
+CapSimulation::Node::Node(RankedVm vm, double clock_rate)
+    : id(vm), rate(clock_rate), holder(vm, sofia), grantor(vm.instance, sofia, term) {}
+
+CapSimulation::CapSimulation(const Options& options) : options_(options), random_(options.seed) {
+  versions_.emplace_back(now_, CapTerms{ConfigVersion(1), RequestsPerSecond(1'000), 0.5, kNodes});
+  next_change_ = now_ + kSettling;
+  for (int i = 0; i < kNodes; ++i) AddNode();
+}
+
+auto CapSimulation::Chance(double probability) -> bool {
+  return std::uniform_real_distribution<>(0, 1)(random_) < probability;
+}
+
+auto CapSimulation::Milliseconds(int low, int high) -> Duration {
+  return milliseconds(std::uniform_int_distribution<>(low, high)(random_));
+}
+
+auto CapSimulation::Local(const Node& node) const -> MonotonicTime {
+  const auto real = static_cast<double>(now_.time_since_epoch().count());
+  return MonotonicTime(Duration(static_cast<std::int64_t>(real * node.rate)));
+}
+
+auto CapSimulation::AddNode() -> void {
+  const RankedVm vm{static_cast<std::int64_t>(now_.time_since_epoch().count() / 1'000'000),
+                    InstanceId(next_instance_++)};
+  const double rate = std::uniform_real_distribution<>(0.95, 1.05)(random_);
+  nodes_.push_back(std::make_unique<Node>(vm, rate));
+  auto& node = *nodes_.back();
+  node.terms = versions_.back().second;
+  const auto age = now_ - versions_.back().first;
+  node.holder.Configure(node.terms, age, Local(node));
+  node.grantor.Configure(node.terms, age, Local(node));
+}
+
+auto CapSimulation::Run(Duration length) -> Result {
+  const auto end = now_ + length;
+  while (now_ < end && !result_.violation.has_value()) {
+    now_ += kStep;
+    if (options_.failures) Fail();
+    if (options_.cap_changes) ChangeCap();
+    DeliverDue();
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (Running(*nodes_[i])) Step(*nodes_[i]);
+    }
+    Check();
+  }
+  result_.mean_use = checks_ == 0 ? 0 : use_sum_ / checks_;
+  return result_;
+}
+
+auto CapSimulation::Fail() -> void {
+  if (Chance(0.001)) outage_until_ = now_ + Milliseconds(1'000, 20'000);
+  const auto present =
+      std::count_if(nodes_.begin(), nodes_.end(), [](const auto& node) { return !node->replaced; });
+  if (present < kNodes && Chance(0.01)) AddNode();
+  auto& node = *nodes_[random_() % nodes_.size()];
+  if (!Running(node) || now_ < node.hidden_until || !Chance(0.02)) return;
+  ++result_.pauses;
+  node.paused_until = now_ + Milliseconds(100, 12'000);
+  // Membership removes a node that stays silent for long; a new one is then started in its place.
+  const bool killed = Chance(0.2);
+  if (killed) node.paused_until = MonotonicTime::max();
+  const bool replaced = killed || node.paused_until - now_ > seconds(6);
+  if (!replaced) return;
+  node.hidden_from = now_ + Milliseconds(4'000, 6'000);
+  // A process that resumes refutes its death; the refutation arrives within the hold time.
+  node.hidden_until = killed ? MonotonicTime::max() : node.paused_until + Milliseconds(0, 2'000);
+  result_.replacements += node.replaced ? 0 : 1;
+  node.replaced = true;
+}
+
+auto CapSimulation::ChangeCap() -> void {
+  if (now_ < next_change_) return;
+  next_change_ = now_ + Milliseconds(12'000, 40'000);
+  CapTerms terms;
+  terms.version = ConfigVersion(versions_.back().second.version.value() + 1);
+  terms.cap = RequestsPerSecond(static_cast<double>(200 + random_() % 1'800));
+  terms.base_fraction = 0.1 * static_cast<double>(1 + random_() % 9);
+  terms.entry_vms_max = kNodes;
+  versions_.emplace_back(now_, terms);
+  ++result_.versions;
+}
+
+auto CapSimulation::ApplyDueTerms(Node& node) -> void {
+  // Each node gets a version at its own time within 9 s.
+  for (const auto& [accepted, terms] : versions_) {
+    if (terms.version <= node.terms.version) continue;
+    const auto delay =
+        milliseconds((terms.version.value() * 7'919 + node.id.instance.value() * 104'729) % 9'000);
+    if (now_ < accepted + delay) continue;
+    node.terms = terms;
+    node.holder.Configure(terms, now_ - accepted, Local(node));
+    node.grantor.Configure(terms, now_ - accepted, Local(node));
+  }
+}
+
+auto CapSimulation::ViewZone(Node& node) -> void {
+  std::vector<RankedVm> vms;
+  for (const auto& other : nodes_) {
+    const bool hidden = now_ >= other->hidden_from && now_ < other->hidden_until;
+    if (!hidden) vms.push_back(other->id);
+  }
+  node.holder.OnZoneVms(vms, node.terms.entry_vms_max, Local(node));
+}
+
+auto CapSimulation::Step(Node& node) -> void {
+  ApplyDueTerms(node);
+  if (Chance(0.2)) ViewZone(node);
+  if (Chance(0.01)) node.demand = static_cast<double>(random_() % 1'000);
+  StepStore(node);
+  const auto request = node.holder.MaybeRequest(Local(node), RequestsPerSecond(node.demand));
+  if (!request.has_value()) return;
+  for (const auto& other : nodes_) Send(*other, node, *request);
+}
+
+auto CapSimulation::StepStore(Node& node) -> void {
+  if (!node.call.has_value()) {
+    const auto step = node.term.NextStep(Local(node));
+    if (step == GrantorTerm::Step::kNone) return;
+    StoreCall call{step, Local(node), now_ + Milliseconds(1, 100), now_, false, false, false};
+    if (options_.failures && Chance(0.1)) call.arrives += Milliseconds(0, 4'000);
+    call.answers = call.arrives + Milliseconds(1, 100);
+    call.lost = options_.failures && Chance(0.1);
+    node.call = call;
+    return;
+  }
+  auto& call = *node.call;
+  if (now_ >= call.arrives && !call.executed) Execute(node, call);
+  if (now_ < call.answers) return;
+  const bool succeeded = call.succeeded && !call.lost;
+  if (call.step == GrantorTerm::Step::kRenew) {
+    if (succeeded) node.term.OnRenewed(call.sent);
+    if (!succeeded) node.term.OnRenewFailed(role_holder_ != &node && !call.lost, Local(node));
+  } else if (succeeded) {
+    ++result_.terms;
+    node.term.OnAcquired(StoreLeaseId(node.id.instance.value()), call.sent);
+    node.grantor.Begin(Local(node));
+  } else {
+    node.term.OnNotAcquired(Local(node));
+  }
+  node.call.reset();
+}
+
+auto CapSimulation::Execute(Node& node, StoreCall& call) -> void {
+  call.executed = true;
+  if (now_ < outage_until_) return;
+  const bool held = role_holder_ != nullptr && now_ < role_ends_;
+  const bool own = held && role_holder_ == &node;
+  call.succeeded = call.step == GrantorTerm::Step::kRenew ? own : !held;
+  if (!call.succeeded) return;
+  role_holder_ = &node;
+  role_ends_ = now_ + GrantorTerm::kTtl;
+}
+
+auto CapSimulation::Send(Node& to, Node& from, const std::variant<ShareRequest, ShareGrant>& body)
+    -> void {
+  const int copies = options_.failures && Chance(0.1) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    if (options_.failures && Chance(0.15)) continue;
+    auto delay = Milliseconds(1, 80);
+    if (options_.failures && Chance(0.1)) delay += Milliseconds(0, 5'000);
+    messages_.push_back(Message{now_ + delay, &to, &from, body});
+  }
+}
+
+auto CapSimulation::DeliverDue() -> void {
+  std::vector<Message> due;
+  std::erase_if(messages_, [&](const Message& message) {
+    if (message.to->paused_until == MonotonicTime::max()) return true;
+    if (message.deliver > now_ || !Running(*message.to)) return false;
+    due.push_back(message);
+    return true;
+  });
+  std::shuffle(due.begin(), due.end(), random_);
+  for (const auto& message : due) Deliver(message);
+}
+
+auto CapSimulation::Deliver(const Message& message) -> void {
+  auto& to = *message.to;
+  if (const auto* grant = std::get_if<ShareGrant>(&message.body)) {
+    if (to.holder.OnGrant(*grant, Local(to))) to.last_grant = grant->share.value();
+    return;
+  }
+  const auto grant = to.grantor.OnRequest(std::get<ShareRequest>(message.body), Local(to));
+  if (grant.has_value()) Send(*message.from, to, *grant);
+}
+
+auto CapSimulation::Usable(const Node& node) const -> double {
+  const double usable = node.holder.UsableShare(Local(node)).value();
+  return options_.ignore_lease_end ? std::max(usable, node.last_grant) : usable;
+}
+
+auto CapSimulation::Check() -> void {
+  double sum = 0;
+  double cap = 0;
+  for (const auto& node : nodes_) {
+    // A killed process uses nothing; a paused one is counted as if it ran.
+    if (node->paused_until == MonotonicTime::max()) continue;
+    sum += Usable(*node);
+    const bool in_force = Running(*node) || Usable(*node) > 0;
+    if (in_force) cap = std::max(cap, node->terms.cap.value());
+  }
+  caps_in_force_.emplace_back(now_, cap);
+  while (caps_in_force_.front().first < now_ - GrantorLifetime(kShareLifetime)) {
+    caps_in_force_.pop_front();
+  }
+  for (const auto& [time, earlier] : caps_in_force_) cap = std::max(cap, earlier);
+  use_sum_ += cap == 0 ? 0 : sum / cap;
+  ++checks_;
+  if (sum <= cap * (1 + 1e-9)) return;
+  result_.violation = fmt::format("HS_SEED={} at {} ms: usable {:.3f}, cap {:.3f}", options_.seed,
+                                  now_.time_since_epoch().count() / 1'000'000, sum, cap);
+  for (const auto& node : nodes_) {
+    if (node->paused_until == MonotonicTime::max()) continue;
+    *result_.violation +=
+        fmt::format("; node {}: version {}, usable {:.3f}{}", node->id.instance.value(),
+                    node->terms.version.value(), Usable(*node), Running(*node) ? "" : ", paused");
+  }
+}
+
+}  // namespace heatherspan
