--- /dev/null
+++ b/src/document/canonical_reader.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string_view>
+
+#include "document/document.h"
+#include "toml_table/toml_fault.h"
+
+namespace heatherspan {
+
+/// Reads and checks a canonical text and adds what is wrong to the faults.
+auto ReadCanonicalText(std::string_view text, TomlFaults& faults) -> Document;
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/document/chunk_splitter.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+#include "document/chunk.h"
+
+namespace heatherspan {
+
+inline constexpr std::size_t kMaxChunkBytes = std::size_t{64} * 1024;
+
+/// Splits a text into chunks whose bytes, in order, give the text again. Boundaries depend on the
+/// content of lines, so that a change of one line leaves the chunks around it as they are.
+auto SplitChunks(std::string_view canonical) -> std::vector<Chunk>;
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/document/document_diff.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "document/document.h"
+
+namespace heatherspan {
+
+/// One line for each record that was added, removed or changed, with the keys that differ.
+auto DiffDocuments(const Document& before, const Document& after) -> std::vector<std::string>;
+
+}  // namespace heatherspan
--- a/src/document/document_reader.cc
+++ b/src/document/document_reader.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "document/canonical.h"
+#include "document/canonical_reader.h"
 #include "document/document_check.h"
 #include "document/document_keys.h"
 #include "fmt/format.h"
@@ -109,11 +111,15 @@
   return document;
 }
 
+auto Read(std::string_view text, const std::string& file, TomlFaults& faults) -> Document {
+  return IsCanonical(text) ? ReadCanonicalText(text, faults) : ReadToml(text, file, faults);
+}
+
 }  // namespace
 
 auto ReadDocument(std::string_view text, const std::string& file) -> absl::StatusOr<Document> {
   TomlFaults faults(file);
-  auto document = ReadToml(text, file, faults);
+  auto document = Read(text, file, faults);
   if (!faults.faults().empty()) return FaultStatus(faults.faults());
   return document;
 }
@@ -121,7 +127,7 @@
 auto ReadDocumentFaults(std::string_view text, const std::string& file)
     -> std::vector<DocumentFault> {
   TomlFaults faults(file);
-  ReadToml(text, file, faults);
+  Read(text, file, faults);
   return faults.faults();
 }
 
--- /dev/null
+++ b/src/document/sha256.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace heatherspan {
+
+/// The SHA-256 hash in lowercase hexadecimal digits.
+auto Sha256Hex(std::string_view bytes) -> std::string;
+
+}  // namespace heatherspan
