--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -17,13 +17,19 @@
 /// request twice: a reused connection that turns out closed before a byte was written is replaced,
 /// any other failure is reported with its progress. A connection with an abandoned or over-read
 /// exchange is closed.
+///
+/// Status codes of failures: kInvalidArgument (the request can't be written), kResourceExhausted
+/// (with nothing written: all connections are in use; else: the response is too large),
+/// kUnavailable (with nothing written: no connection; else: closed without a response), kDataLoss
+/// (truncated or malformed response, or one whose end can't be told), kDeadlineExceeded,
+/// kCancelled.
 class HttpClient {
  public:
   using Callback = std::function<void(HttpResult)>;
 
   struct Limits {
     std::size_t max_connections_per_endpoint = 64;  ///< Further requests fail at once.
-    std::size_t max_response_bytes = 8 * 1024 * 1024;
+    std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
     Duration connect_timeout = std::chrono::seconds(1);
     Duration idle_timeout = std::chrono::seconds(30);
   };
--- /dev/null
+++ b/src/net/http_client_connection.cc
@@ -0,0 +1,401 @@
+#include "net/http_client_connection.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fmt/format.h"
+#include "net/http_client_state.h"
+#include "net/http_reader.h"
+#include "net/http_text.h"
+#include "net/worker_pool.h"
+
+namespace heatherspan {
+namespace {
+
+namespace asio = boost::asio;
+using Strand = asio::strand<asio::io_context::executor_type>;
+using Socket = asio::basic_stream_socket<asio::ip::tcp, Strand>;
+using ErrorCode = boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::size_t kInitialBufferBytes = std::size_t{4} * 1024;
+// Long bodies are read in pieces of this size; a header has to fit in.
+constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
+// Bodies up to this size are copied behind the header, which is cheaper than a second buffer.
+constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} * 1024;
+
+/// Private methods run on the strand.
+class Connection final : public HttpClientConnection,
+                         public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(WorkerPool& workers, Endpoint endpoint, std::shared_ptr<HttpClientState> client)
+      : strand_(asio::make_strand(workers.context())),
+        socket_(strand_),
+        timer_(strand_),
+        endpoint_(std::move(endpoint)),
+        client_(std::move(client)),
+        reader_(client_->limits().max_response_bytes) {}
+
+  auto Begin(std::uint64_t exchange, HttpRequest request, Duration timeout,
+             HttpClient::Callback callback) -> void override {
+    // Posted, not dispatched: the callback must not run before Send has returned.
+    asio::post(strand_,
+               [self = shared_from_this(), exchange, request = std::move(request),
+                deadline = SteadyClock::now() + timeout, callback = std::move(callback)]() mutable {
+                 self->OnBegin(exchange, std::move(request), deadline, std::move(callback));
+               });
+  }
+
+  auto Cancel(std::uint64_t exchange) -> void override {
+    asio::post(strand_, [self = shared_from_this(), exchange] {
+      if (self->callback_ != nullptr && self->exchange_ == exchange) self->OnClose();
+    });
+  }
+
+  auto Close() -> void override {
+    asio::post(strand_, [self = shared_from_this()] { self->OnClose(); });
+  }
+
+ private:
+  enum class State { kClosed, kConnecting, kExchange, kIdle };
+
+  auto OnBegin(std::uint64_t exchange, HttpRequest request, SteadyClock::time_point deadline,
+               HttpClient::Callback callback) -> void;
+  auto OnClose() -> void;
+  auto Connect() -> void;
+  auto OnConnected(const ErrorCode& error) -> void;
+  auto ClosedByPeer() -> bool;
+  auto WriteRequest(bool reused) -> void;
+  auto OnWritten(const ErrorCode& error, std::size_t size, bool reused) -> void;
+  auto WaitForInput() -> void;
+  auto OnInput() -> void;
+  auto ReadMore() -> void;
+  auto OnRead(const ErrorCode& error, std::size_t size) -> void;
+  auto OnReadError(const ErrorCode& error) -> void;
+  auto ParseInput() -> void;
+  auto FinishIfComplete() -> void;
+  auto Fail(absl::Status status) -> void;
+  auto CloseSocket() -> void;
+  auto SetDeadline(SteadyClock::time_point deadline) -> void;
+  auto OnTimer() -> void;
+
+  Strand strand_;
+  Socket socket_;
+  asio::steady_timer timer_;
+  const Endpoint endpoint_;
+  const std::shared_ptr<HttpClientState> client_;
+  HttpResponseReader reader_;
+  std::vector<char> buffer_;
+  std::size_t end_ = 0;  ///< Bytes in the buffer that are not read yet.
+  std::string output_;
+  State state_ = State::kClosed;
+  std::uint64_t socket_number_ = 0;  ///< Handlers of earlier sockets are told by it.
+
+  // The present exchange.
+  std::uint64_t exchange_ = 0;
+  HttpRequest request_;
+  HttpClient::Callback callback_;
+  SendProgress progress_ = SendProgress::kNothingWritten;
+  bool write_done_ = false;
+  bool write_failed_ = false;
+  bool response_started_ = false;
+  SteadyClock::time_point exchange_deadline_;
+
+  SteadyClock::time_point deadline_ = SteadyClock::time_point::max();
+  SteadyClock::time_point armed_until_ = SteadyClock::time_point::max();
+};
+
+auto Connection::OnBegin(std::uint64_t exchange, HttpRequest request,
+                         SteadyClock::time_point deadline, HttpClient::Callback callback) -> void {
+  exchange_ = exchange;
+  request_ = std::move(request);
+  callback_ = std::move(callback);
+  progress_ = SendProgress::kNothingWritten;
+  exchange_deadline_ = deadline;
+  if (state_ == State::kIdle && !ClosedByPeer()) {
+    WriteRequest(true);
+  } else {
+    Connect();
+  }
+}
+
+auto Connection::OnClose() -> void {
+  if (callback_ != nullptr) {
+    Fail(absl::CancelledError("the exchange was cancelled"));
+    return;
+  }
+  if (state_ != State::kIdle) return;
+  CloseSocket();
+  client_->ForgetIdle(endpoint_, shared_from_this());
+}
+
+auto Connection::Connect() -> void {
+  CloseSocket();
+  ErrorCode error;
+  const auto address = asio::ip::make_address(endpoint_.address, error);
+  if (error) {
+    Fail(absl::InvalidArgumentError(fmt::format("\"{}\" is not an IP address", endpoint_.address)));
+    return;
+  }
+  state_ = State::kConnecting;
+  SetDeadline(
+      std::min(exchange_deadline_,
+               SteadyClock::time_point(SteadyClock::now() + client_->limits().connect_timeout)));
+  socket_.async_connect(
+      {address, endpoint_.port},
+      [self = shared_from_this(), number = socket_number_](const ErrorCode& connect_error) {
+        if (self->socket_number_ == number) self->OnConnected(connect_error);
+      });
+}
+
+auto Connection::OnConnected(const ErrorCode& error) -> void {
+  if (error) {
+    Fail(absl::UnavailableError(
+        fmt::format("cannot connect to {}: {}", endpoint_.Text(), error.message())));
+    return;
+  }
+  ErrorCode ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  buffer_.resize(kInitialBufferBytes);
+  end_ = 0;
+  WriteRequest(false);
+  // The socket may have failed at the first write.
+  if (state_ == State::kExchange) ReadMore();
+}
+
+/// Tells whether the peer has closed an idle connection (or sent bytes that belong to no exchange)
+/// although the wait for it has not come back yet.
+auto Connection::ClosedByPeer() -> bool {
+  char byte = 0;
+  const auto size = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+auto Connection::WriteRequest(bool reused) -> void {
+  state_ = State::kExchange;
+  SetDeadline(exchange_deadline_);
+  write_done_ = false;
+  write_failed_ = false;
+  response_started_ = false;
+  reader_.Start(request_.method == "HEAD");
+  output_.clear();
+  AppendRequestHead(request_, endpoint_, output_);
+  const bool copied = request_.body.size() <= kMaxCopiedBodyBytes;
+  if (copied) output_.append(request_.body);
+  const std::array buffers{
+      asio::const_buffer(output_.data(), output_.size()),
+      asio::const_buffer(request_.body.data(), copied ? 0 : request_.body.size())};
+  asio::async_write(socket_, buffers,
+                    [self = shared_from_this(), number = socket_number_, exchange = exchange_,
+                     reused](const ErrorCode& error, std::size_t size) {
+                      if (self->socket_number_ != number || self->exchange_ != exchange) return;
+                      self->OnWritten(error, size, reused);
+                    });
+  // From here on, bytes may leave at any moment.
+  progress_ = SendProgress::kWritten;
+}
+
+auto Connection::OnWritten(const ErrorCode& error, std::size_t size, bool reused) -> void {
+  if (callback_ == nullptr) return;
+  write_done_ = true;
+  if (!error) {
+    FinishIfComplete();
+    return;
+  }
+  write_failed_ = true;
+  if (size > 0) {
+    // The peer may have answered before it stopped to read; if not, the pending read fails.
+    FinishIfComplete();
+    return;
+  }
+  progress_ = SendProgress::kNothingWritten;
+  if (reused) {
+    Connect();
+    return;
+  }
+  Fail(absl::UnavailableError(
+      fmt::format("the connection to {} failed: {}", endpoint_.Text(), error.message())));
+}
+
+auto Connection::ReadMore() -> void {
+  if (end_ == buffer_.size()) {
+    if (buffer_.size() >= kMaxBufferBytes) {
+      Fail(absl::DataLossError(fmt::format("malformed response from {}", endpoint_.Text())));
+      return;
+    }
+    buffer_.resize(buffer_.size() * 2);
+  }
+  socket_.async_read_some(asio::buffer(buffer_.data() + end_, buffer_.size() - end_),
+                          [self = shared_from_this(), number = socket_number_](
+                              const ErrorCode& error, std::size_t size) {
+                            if (self->socket_number_ == number) self->OnRead(error, size);
+                          });
+}
+
+/// An idle connection only waits for input and reads none: a read would take unasked bytes from the
+/// socket before their arrival is known here, and the next exchange would take them for its answer.
+auto Connection::WaitForInput() -> void {
+  socket_.async_wait(Socket::wait_read,
+                     [self = shared_from_this(), number = socket_number_](const ErrorCode&) {
+                       if (self->socket_number_ == number) self->OnInput();
+                     });
+}
+
+auto Connection::OnInput() -> void {
+  if (state_ == State::kExchange) {
+    ReadMore();
+    return;
+  }
+  // Closed by the peer, or an answer that nobody asked for. If an exchange took the connection
+  // meanwhile, it finds the socket closed and connects anew.
+  CloseSocket();
+  client_->ForgetIdle(endpoint_, shared_from_this());
+}
+
+auto Connection::OnRead(const ErrorCode& error, std::size_t size) -> void {
+  if (error) {
+    OnReadError(error);
+    return;
+  }
+  end_ += size;
+  if (end_ == buffer_.size() && end_ < kMaxBufferBytes) buffer_.resize(buffer_.size() * 2);
+  ParseInput();
+}
+
+auto Connection::OnReadError(const ErrorCode& error) -> void {
+  if (response_started_) {
+    Fail(absl::DataLossError(
+        fmt::format("truncated response from {}: {}", endpoint_.Text(), error.message())));
+    return;
+  }
+  Fail(absl::UnavailableError(fmt::format("{} closed the connection without a response: {}",
+                                          endpoint_.Text(), error.message())));
+}
+
+auto Connection::ParseInput() -> void {
+  response_started_ = true;
+  const auto used = reader_.Read({buffer_.data(), end_});
+  std::copy(buffer_.begin() + static_cast<std::ptrdiff_t>(used),
+            buffer_.begin() + static_cast<std::ptrdiff_t>(end_), buffer_.begin());
+  end_ -= used;
+  switch (reader_.error()) {
+    case HttpReadError::kNone:
+      break;
+    case HttpReadError::kHeaderTooLarge:
+    case HttpReadError::kBodyTooLarge:
+      Fail(absl::ResourceExhaustedError(fmt::format("the response from {} is larger than {} bytes",
+                                                    endpoint_.Text(),
+                                                    client_->limits().max_response_bytes)));
+      return;
+    case HttpReadError::kNoLength:
+      Fail(absl::DataLossError(fmt::format(
+          "the response from {} has neither Content-Length nor chunked encoding, so that a "
+          "truncation would go unnoticed",
+          endpoint_.Text())));
+      return;
+    case HttpReadError::kMalformed:
+      Fail(absl::DataLossError(fmt::format("malformed response from {}", endpoint_.Text())));
+      return;
+  }
+  if (reader_.done()) {
+    FinishIfComplete();
+  } else {
+    ReadMore();
+  }
+}
+
+auto Connection::FinishIfComplete() -> void {
+  if (!reader_.done()) return;
+  const bool reusable = write_done_ && !write_failed_ && reader_.keep_alive() && end_ == 0;
+  // A complete response that overtakes the notice of the write waits for it; one that came before
+  // the whole request was sent costs the connection.
+  if (!write_done_ && output_.size() + request_.body.size() <= kMaxCopiedBodyBytes) return;
+  HttpResult result;
+  result.progress = SendProgress::kCompleted;
+  result.response = reader_.Take();
+  const auto callback = std::exchange(callback_, nullptr);
+  request_ = HttpRequest();
+  if (reusable) {
+    state_ = State::kIdle;
+    if (buffer_.size() > kInitialBufferBytes) buffer_ = std::vector<char>(kInitialBufferBytes);
+    SetDeadline(SteadyClock::now() + client_->limits().idle_timeout);
+    WaitForInput();
+    if (!client_->GiveBack(endpoint_, shared_from_this())) CloseSocket();
+  } else {
+    CloseSocket();
+    client_->Forget(endpoint_, shared_from_this());
+  }
+  callback(std::move(result));
+}
+
+auto Connection::Fail(absl::Status status) -> void {
+  CloseSocket();
+  client_->Forget(endpoint_, shared_from_this());
+  const auto callback = std::exchange(callback_, nullptr);
+  request_ = HttpRequest();
+  HttpResult result;
+  result.status = std::move(status);
+  result.progress = progress_;
+  callback(std::move(result));
+}
+
+auto Connection::CloseSocket() -> void {
+  ++socket_number_;
+  state_ = State::kClosed;
+  ErrorCode ignored;
+  socket_.close(ignored);
+  deadline_ = SteadyClock::time_point::max();
+  if (armed_until_ != SteadyClock::time_point::max()) timer_.cancel();
+  armed_until_ = SteadyClock::time_point::max();
+}
+
+/// The timer is armed anew only for an earlier deadline; a later one is set when it fires.
+auto Connection::SetDeadline(SteadyClock::time_point deadline) -> void {
+  deadline_ = deadline;
+  if (armed_until_ <= deadline) return;
+  armed_until_ = deadline;
+  timer_.expires_at(deadline);
+  timer_.async_wait([self = shared_from_this()](const ErrorCode& cancelled) {
+    if (!cancelled) self->OnTimer();
+  });
+}
+
+auto Connection::OnTimer() -> void {
+  // A wait that was replaced after it had fired.
+  if (SteadyClock::now() < armed_until_) return;
+  armed_until_ = SteadyClock::time_point::max();
+  if (deadline_ == SteadyClock::time_point::max()) return;
+  if (SteadyClock::now() < deadline_) {
+    SetDeadline(deadline_);
+    return;
+  }
+  if (callback_ == nullptr) {
+    OnClose();
+    return;
+  }
+  Fail(absl::DeadlineExceededError(fmt::format(
+      "{} {} in time", endpoint_.Text(),
+      state_ == State::kConnecting ? "did not accept the connection" : "did not answer")));
+}
+
+}  // namespace
+
+auto HttpClientConnection::Create(WorkerPool& workers, const Endpoint& endpoint,
+                                  std::shared_ptr<HttpClientState> client)
+    -> std::shared_ptr<HttpClientConnection> {
+  return std::make_shared<Connection>(workers, endpoint, std::move(client));
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/net/http_client_state.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "net/http_client.h"
+
+namespace heatherspan {
+
+class HttpClientConnection;
+
+/// The connections of an HttpClient, by endpoint. Thread-safe.
+class HttpClientState {
+ public:
+  explicit HttpClientState(HttpClient::Limits limits) : limits_(limits) {}
+
+  auto limits() const -> const HttpClient::Limits& { return limits_; }
+
+  /// An idle connection, or a new one from the function; null at the limit or after Stop.
+  auto Take(const Endpoint& endpoint,
+            const std::function<std::shared_ptr<HttpClientConnection>()>& create)
+      -> std::shared_ptr<HttpClientConnection>;
+  /// Takes back a connection whose exchange is over. False after Stop: the connection must close.
+  auto GiveBack(const Endpoint& endpoint, const std::shared_ptr<HttpClientConnection>& connection)
+      -> bool;
+  /// Forgets a connection that is in use and has closed.
+  auto Forget(const Endpoint& endpoint, const std::shared_ptr<HttpClientConnection>& connection)
+      -> void;
+  /// Forgets a connection that has closed while idle. False if an exchange took it meanwhile.
+  auto ForgetIdle(const Endpoint& endpoint, const std::shared_ptr<HttpClientConnection>& connection)
+      -> bool;
+  /// Returns all connections, which the caller has to close; no further one is handed out.
+  auto Stop() -> std::vector<std::shared_ptr<HttpClientConnection>>;
+
+ private:
+  using Connections = std::unordered_set<std::shared_ptr<HttpClientConnection>>;
+
+  struct Pool {
+    Connections open;
+    std::vector<std::shared_ptr<HttpClientConnection>> idle;  ///< The last one was used last.
+  };
+
+  const HttpClient::Limits limits_;
+  std::mutex mutex_;
+  absl::flat_hash_map<Endpoint, Pool> pools_;  ///< Guarded by the mutex, as is the flag.
+  bool stopped_ = false;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/net/http_reader.cc
@@ -0,0 +1,233 @@
+#include "net/http_reader.h"
+
+#include <algorithm>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+#include <limits>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "net/header_lookup.h"
+
+namespace heatherspan {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kMaxResponseHeaderBytes = std::size_t{64} * 1024;
+// A length that a message only claims must not decide how much memory is taken for its body.
+constexpr std::size_t kMaxReservedBodyBytes = std::size_t{64} * 1024;
+
+auto ToString(boost::beast::string_view text) -> std::string { return {text.data(), text.size()}; }
+
+auto ToView(boost::beast::string_view text) -> std::string_view {
+  return {text.data(), text.size()};
+}
+
+/// Feeds the fields and the body of one message into the project's own structs, without the
+/// intermediate containers of Beast.
+template <bool is_request, class Message>
+class MessageParser : public http::basic_parser<is_request> {
+ public:
+  using ErrorCode = boost::beast::error_code;
+  using Text = boost::beast::string_view;
+
+  Message message;
+  bool http_1_0 = false;
+  bool expects_continue = false;
+
+ protected:
+  auto on_request_impl(http::verb /*method*/, Text method, Text target, int version,
+                       ErrorCode& /*error*/) -> void override {
+    if constexpr (is_request) {
+      message.method = ToString(method);
+      message.target = ToString(target);
+      http_1_0 = version == 10;
+    }
+  }
+
+  auto on_response_impl(int code, Text /*phrase*/, int version, ErrorCode& /*error*/)
+      -> void override {
+    if constexpr (!is_request) {
+      message.status = code;
+      http_1_0 = version == 10;
+    }
+  }
+
+  auto on_field_impl(http::field field, Text name, Text value, ErrorCode& error) -> void override {
+    // Trailers come after the body; they must not pass for fields of the header.
+    if (header_done_) return;
+    // Beast reads any other coding as "no body", so that the body would pass for the next message.
+    if (field == http::field::transfer_encoding && !EqualHeaderNames(ToView(value), "chunked")) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
+    if (field == http::field::expect) {
+      expects_continue = EqualHeaderNames(ToView(value), "100-continue");
+    }
+    message.headers.push_back({ToString(name), ToString(value)});
+  }
+
+  auto on_header_impl(ErrorCode& /*error*/) -> void override { header_done_ = true; }
+
+  auto on_body_init_impl(const boost::optional<std::uint64_t>& length, ErrorCode& /*error*/)
+      -> void override {
+    if (length) message.body.reserve(std::min<std::uint64_t>(*length, kMaxReservedBodyBytes));
+  }
+
+  auto on_body_impl(Text body, ErrorCode& /*error*/) -> std::size_t override {
+    message.body.append(body.data(), body.size());
+    return body.size();
+  }
+
+  auto on_chunk_header_impl(std::uint64_t /*size*/, Text /*extensions*/, ErrorCode& /*error*/)
+      -> void override {}
+
+  auto on_chunk_body_impl(std::uint64_t /*remaining*/, Text body, ErrorCode& error)
+      -> std::size_t override {
+    return on_body_impl(body, error);
+  }
+
+  auto on_finish_impl(ErrorCode& /*error*/) -> void override {}
+
+ private:
+  bool header_done_ = false;
+};
+
+auto ReadErrorOf(const boost::beast::error_code& error) -> HttpReadError {
+  if (error == http::error::body_limit) return HttpReadError::kBodyTooLarge;
+  if (error == http::error::header_limit) return HttpReadError::kHeaderTooLarge;
+  return HttpReadError::kMalformed;
+}
+
+/// The part that requests and responses have in common.
+template <bool is_request, class Message>
+class Reader {
+ public:
+  using Parser = MessageParser<is_request, Message>;
+
+  Reader(std::size_t max_header_bytes, std::size_t max_body_bytes)
+      : max_header_bytes_(
+            std::min<std::size_t>(max_header_bytes, std::numeric_limits<std::uint32_t>::max())),
+        max_body_bytes_(max_body_bytes) {
+    Restart();
+  }
+
+  auto Restart() -> void {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(static_cast<std::uint32_t>(max_header_bytes_));
+    parser_->body_limit(max_body_bytes_);
+    header_bytes_ = 0;
+    error_ = HttpReadError::kNone;
+  }
+
+  auto Read(std::string_view input) -> std::size_t {
+    if (error_ != HttpReadError::kNone || parser_->is_done()) return 0;
+    const bool in_header = !parser_->is_header_done();
+    boost::beast::error_code error;
+    const auto used = parser_->put(boost::asio::buffer(input.data(), input.size()), error);
+    if (error && error != http::error::need_more) error_ = ReadErrorOf(error);
+    // Beast takes complete fields out of the input, so that its own limit sees only the rest.
+    if (in_header && !parser_->is_header_done()) {
+      header_bytes_ += used;
+      if (header_bytes_ + (input.size() - used) > max_header_bytes_) {
+        error_ = HttpReadError::kHeaderTooLarge;
+      }
+    }
+    return used;
+  }
+
+  auto parser() -> Parser& { return *parser_; }
+  auto error() const -> HttpReadError { return error_; }
+  auto SetError(HttpReadError error) -> void { error_ = error; }
+  auto done() const -> bool { return error_ == HttpReadError::kNone && parser_->is_done(); }
+
+  auto Take() -> Message {
+    auto message = std::move(parser_->message);
+    Restart();
+    return message;
+  }
+
+ private:
+  std::size_t max_header_bytes_;
+  std::size_t max_body_bytes_;
+  std::optional<Parser> parser_;
+  std::size_t header_bytes_ = 0;
+  HttpReadError error_ = HttpReadError::kNone;
+};
+
+}  // namespace
+
+class HttpRequestReader::Impl : public Reader<true, HttpRequest> {
+ public:
+  using Reader::Reader;
+};
+
+HttpRequestReader::HttpRequestReader(std::size_t max_header_bytes, std::size_t max_body_bytes)
+    : impl_(std::make_unique<Impl>(max_header_bytes, max_body_bytes)) {}
+
+HttpRequestReader::~HttpRequestReader() = default;
+
+auto HttpRequestReader::Read(std::string_view input) -> std::size_t { return impl_->Read(input); }
+auto HttpRequestReader::done() const -> bool { return impl_->done(); }
+auto HttpRequestReader::error() const -> HttpReadError { return impl_->error(); }
+auto HttpRequestReader::keep_alive() const -> bool { return impl_->parser().keep_alive(); }
+auto HttpRequestReader::http_1_0() const -> bool { return impl_->parser().http_1_0; }
+
+auto HttpRequestReader::expects_continue() const -> bool {
+  auto& parser = impl_->parser();
+  return parser.is_header_done() && parser.expects_continue && !parser.is_done();
+}
+
+auto HttpRequestReader::Take() -> HttpRequest { return impl_->Take(); }
+
+class HttpResponseReader::Impl : public Reader<false, HttpResponse> {
+ public:
+  using Reader::Reader;
+
+  auto Start(bool head_request) -> void {
+    head_request_ = head_request;
+    Restart();
+    parser().skip(head_request);
+  }
+
+  auto ReadAll(std::string_view input) -> std::size_t {
+    std::size_t used = 0;
+    while (true) {
+      used += Read(input.substr(used));
+      if (error() != HttpReadError::kNone || !parser().is_header_done()) return used;
+      const int status = parser().message.status;
+      if (done() && status >= 100 && status < 200) {
+        Start(head_request_);
+        if (used < input.size()) continue;
+        return used;
+      }
+      if (!done() && parser().need_eof()) SetError(HttpReadError::kNoLength);
+      return used;
+    }
+  }
+
+ private:
+  bool head_request_ = false;
+};
+
+HttpResponseReader::HttpResponseReader(std::size_t max_body_bytes)
+    : impl_(std::make_unique<Impl>(kMaxResponseHeaderBytes, max_body_bytes)) {}
+
+HttpResponseReader::~HttpResponseReader() = default;
+
+auto HttpResponseReader::Start(bool head_request) -> void { impl_->Start(head_request); }
+
+auto HttpResponseReader::Read(std::string_view input) -> std::size_t {
+  return impl_->ReadAll(input);
+}
+
+auto HttpResponseReader::done() const -> bool { return impl_->done(); }
+auto HttpResponseReader::error() const -> HttpReadError { return impl_->error(); }
+auto HttpResponseReader::keep_alive() const -> bool { return impl_->parser().keep_alive(); }
+auto HttpResponseReader::Take() -> HttpResponse { return impl_->Take(); }
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/net/http_reader.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+
+#include "net/http_request.h"
+#include "net/http_response.h"
+
+namespace heatherspan {
+
+enum class HttpReadError {
+  kNone,
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  kNoLength,  ///< The end of a response could only be told by the end of the connection.
+};
+
+/// Reads one request after the other from the bytes of a connection.
+class HttpRequestReader {
+ public:
+  HttpRequestReader(std::size_t max_header_bytes, std::size_t max_body_bytes);
+  ~HttpRequestReader();
+  HttpRequestReader(const HttpRequestReader&) = delete;
+  auto operator=(const HttpRequestReader&) -> HttpRequestReader& = delete;
+
+  /// Returns how many bytes of the input were used; the rest has to be passed again together with
+  /// the bytes that follow.
+  auto Read(std::string_view input) -> std::size_t;
+
+  auto done() const -> bool;
+  auto error() const -> HttpReadError;
+  auto keep_alive() const -> bool;
+  auto http_1_0() const -> bool;
+  /// The sender waits for "100 Continue" before it sends the body.
+  auto expects_continue() const -> bool;
+
+  /// Hands over the request that was read and starts with the next one.
+  auto Take() -> HttpRequest;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Reads one response after the other from the bytes of a connection. Informational responses are
+/// skipped.
+class HttpResponseReader {
+ public:
+  explicit HttpResponseReader(std::size_t max_body_bytes);
+  ~HttpResponseReader();
+  HttpResponseReader(const HttpResponseReader&) = delete;
+  auto operator=(const HttpResponseReader&) -> HttpResponseReader& = delete;
+
+  /// Starts with a new response. That to a HEAD request has no body, whatever its header says.
+  auto Start(bool head_request) -> void;
+  auto Read(std::string_view input) -> std::size_t;
+
+  auto done() const -> bool;
+  auto error() const -> HttpReadError;
+  auto keep_alive() const -> bool;
+  auto Take() -> HttpResponse;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace heatherspan
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -23,8 +23,8 @@
   using Handler = std::function<void(HttpRequest, Responder)>;
 
   struct Limits {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    std::size_t max_body_bytes = std::size_t{1024} * 1024;
     std::size_t max_connections = 10'000;
     Duration request_timeout = std::chrono::seconds(10);  ///< To read one whole request.
     Duration idle_timeout = std::chrono::seconds(60);     ///< Between two requests.
--- /dev/null
+++ b/src/net/http_server_state.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <unordered_set>
+
+#include "net/http_server.h"
+
+namespace heatherspan {
+
+class HttpConnection;
+
+/// What the connections of an HttpServer share with it.
+struct HttpServerState {
+  HttpServer::Limits limits;
+  HttpServer::Handler handler;
+  std::atomic<bool> draining{false};
+  std::atomic<bool> stopped{false};
+  std::atomic<std::size_t> active{0};
+  std::atomic<std::size_t> bad_request{0};
+  std::atomic<std::size_t> header_too_large{0};
+  std::atomic<std::size_t> body_too_large{0};
+  std::atomic<std::size_t> request_timeout{0};
+  std::atomic<std::size_t> too_many_connections{0};
+
+  std::mutex mutex;
+  std::unordered_set<std::shared_ptr<HttpConnection>> connections;  ///< Guarded by the mutex.
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/net/http_client_test.cc
@@ -0,0 +1,233 @@
+#include "net/http_client.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "blocking_queue.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+#include "raw_socket.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr auto kLong = std::chrono::seconds(10);
+
+/// A client whose server is a listener that the test scripts.
+class HttpClientTest : public testing::Test {
+ protected:
+  ~HttpClientTest() override {
+    client_.reset();
+    workers_.Stop();
+  }
+
+  auto Send(HttpRequest request = {}, Duration timeout = kLong)
+      -> std::shared_ptr<HttpClient::Exchange> {
+    return client_->Send(listener_.endpoint(), std::move(request), timeout,
+                         [this](HttpResult result) { results_.Push(std::move(result)); });
+  }
+
+  /// The result of an exchange that the server answers with these bytes and a close.
+  auto ResultOf(std::string_view response) -> HttpResult {
+    Send();
+    auto socket = listener_.Accept();
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(response);
+    socket.Close();
+    return results_.Pop().value_or(HttpResult{absl::InternalError("no result"), {}, {}});
+  }
+
+  BlockingQueue<HttpResult> results_;
+  RawListener listener_;
+  WorkerPool workers_{2};
+  std::unique_ptr<HttpClient> client_ = std::make_unique<HttpClient>(
+      workers_, HttpClient::Limits{.max_connections_per_endpoint = 2, .max_response_bytes = 64});
+};
+
+TEST_F(HttpClientTest, SendsOneRequestAndReusesItsConnection) {
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/a?b=c";
+  request.headers = {{"X", "y"}, {"Content-Length", "7"}, {"Host", "other"}};
+  request.body = "body";
+  Send(request);
+  auto socket = listener_.Accept();
+  EXPECT_EQ(socket.ReadUntil("body"),
+            "POST /a?b=c HTTP/1.1\r\nHost: " + listener_.endpoint().Text() +
+                "\r\nX: y\r\nContent-Length: 4\r\n\r\nbody");
+  socket.Send(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 Not Found\r\nA: b\r\nContent-Length: 2\r\n\r\nno");
+  const auto result = results_.Pop();
+  ASSERT_TRUE(result.has_value());
+  EXPECT_TRUE(result->status.ok()) << result->status;
+  EXPECT_EQ(result->progress, SendProgress::kCompleted);
+  EXPECT_EQ(result->response.status, 404);
+  EXPECT_EQ(result->response.Header("a"), "b");
+  EXPECT_EQ(result->response.body, "no");
+  HttpRequest head;
+  head.method = "HEAD";
+  Send(head);
+  EXPECT_NE(socket.ReadUntil("\r\n\r\n"), "");
+  socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n");
+  EXPECT_TRUE(results_.Pop()->status.ok());
+}
+
+// Each of these must be told from a complete answer, and the request may have run.
+TEST_F(HttpClientTest, IncompleteResponsesAreErrors) {
+  struct Case {
+    std::string response;
+    absl::StatusCode code;
+  };
+  const std::vector<Case> cases{
+      {"", absl::StatusCode::kUnavailable},
+      {"HTTP/1.1 200 OK\r\nContent-Le", absl::StatusCode::kDataLoss},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", absl::StatusCode::kDataLoss},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+       absl::StatusCode::kDataLoss},
+      {"HTTP/1.1 200 OK\r\n\r\nuntil close", absl::StatusCode::kDataLoss},
+      {"nonsense\r\n\r\n", absl::StatusCode::kDataLoss},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n", absl::StatusCode::kResourceExhausted},
+  };
+  for (const auto& [response, code] : cases) {
+    const auto result = ResultOf(response);
+    EXPECT_EQ(result.status.code(), code) << response << "\n" << result.status;
+    EXPECT_EQ(result.progress, SendProgress::kWritten) << response;
+  }
+}
+
+TEST_F(HttpClientTest, NothingIsWrittenWithoutAConnection) {
+  HttpRequest injected;
+  injected.headers = {{"A", "b\r\nC: d"}};
+  Send(injected);
+  EXPECT_EQ(results_.Pop()->status.code(), absl::StatusCode::kInvalidArgument);
+  injected.headers.clear();
+  injected.target = "/ HTTP/1.1\r\n\r\n";
+  Send(injected);
+  EXPECT_EQ(results_.Pop()->status.code(), absl::StatusCode::kInvalidArgument);
+  Endpoint closed;
+  {
+    const RawListener gone;
+    closed = gone.endpoint();
+  }
+  const auto result = client_->SendAndWait(closed, {}, kLong);
+  EXPECT_EQ(result.status.code(), absl::StatusCode::kUnavailable) << result.status;
+  EXPECT_EQ(result.progress, SendProgress::kNothingWritten);
+}
+
+TEST_F(HttpClientTest, RefusesRequestsBeyondTheConnectionLimit) {
+  Send();
+  Send();
+  Send();
+  const auto result = results_.Pop();
+  ASSERT_TRUE(result.has_value());
+  EXPECT_EQ(result->status.code(), absl::StatusCode::kResourceExhausted);
+  EXPECT_EQ(result->progress, SendProgress::kNothingWritten);
+}
+
+// Guards against a late answer that reaches the next request on the connection.
+TEST_F(HttpClientTest, AbandonedExchangesCloseTheirConnection) {
+  Send({}, std::chrono::milliseconds(300));
+  auto late = listener_.Accept();
+  const auto timed_out = results_.Pop();
+  EXPECT_EQ(timed_out->status.code(), absl::StatusCode::kDeadlineExceeded) << timed_out->status;
+  late.ReadUntilClosed();
+  late.Send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+
+  const auto exchange = Send();
+  auto cancelled = listener_.Accept();
+  cancelled.ReadUntil("\r\n\r\n");
+  exchange->Cancel();
+  const auto result = results_.Pop();
+  EXPECT_EQ(result->status.code(), absl::StatusCode::kCancelled);
+  EXPECT_EQ(result->progress, SendProgress::kWritten);
+  EXPECT_EQ(cancelled.ReadUntilClosed(), "");
+  exchange->Cancel();
+
+  EXPECT_EQ(ResultOf("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown").response.body, "own");
+}
+
+// Guards against an answer that nobody asked for and that the next request would take for its own.
+TEST_F(HttpClientTest, UnaskedBytesCloseTheConnection) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+  Send();
+  auto first = listener_.Accept();
+  first.ReadUntil("\r\n\r\n");
+  first.Send(answer + "1" + answer + "x");
+  EXPECT_EQ(results_.Pop()->response.body, "1");
+  Send();
+  auto second = listener_.Accept();
+  second.ReadUntil("\r\n\r\n");
+  second.Send(answer + "2");
+  EXPECT_EQ(results_.Pop()->response.body, "2");
+  second.Send(answer + "x");
+  Send();
+  auto third = listener_.Accept();
+  third.ReadUntil("\r\n\r\n");
+  third.Send(answer + "3");
+  EXPECT_EQ(results_.Pop()->response.body, "3");
+}
+
+TEST_F(HttpClientTest, ReplacesAConnectionThatClosedWhileIdle) {
+  Send();
+  auto first = listener_.Accept();
+  first.ReadUntil("\r\n\r\n");
+  first.Send("HTTP/1.1 204 No Content\r\n\r\n");
+  EXPECT_EQ(results_.Pop()->response.status, 204);
+  first.Close();
+  EXPECT_EQ(ResultOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").response.status, 200);
+}
+
+// A server that takes the request and dies must never see the client send it again.
+TEST_F(HttpClientTest, NeverSendsARequestTwice) {
+  Send();
+  auto first = listener_.Accept();
+  first.ReadUntil("\r\n\r\n");
+  first.Send("HTTP/1.1 204 No Content\r\n\r\n");
+  results_.Pop();
+  Send();
+  EXPECT_NE(first.ReadUntil("\r\n\r\n"), "");
+  first.Close();
+  const auto lost = results_.Pop();
+  EXPECT_EQ(lost->status.code(), absl::StatusCode::kUnavailable) << lost->status;
+  EXPECT_EQ(lost->progress, SendProgress::kWritten);
+  HttpRequest marked;
+  marked.target = "/marked";
+  Send(marked);
+  EXPECT_EQ(listener_.Accept().ReadUntil("\r\n\r\n").substr(0, 11), "GET /marked");
+}
+
+TEST_F(HttpClientTest, EachOfManyCallersGetsItsOwnAnswer) {
+  constexpr int kCalls = 2000;
+  constexpr int kAtOnce = 50;
+  HttpServer server(workers_, {}, [](HttpRequest request, const HttpServer::Responder& respond) {
+    HttpResponse response;
+    response.body = std::move(request.body);
+    respond(std::move(response));
+  });
+  const auto endpoint = *server.Listen({"127.0.0.1", 0});
+  HttpClient client(workers_, {});
+  BlockingQueue<std::pair<std::string, HttpResult>> answers;
+  int sent = 0;
+  const auto send = [&] {
+    HttpRequest request;
+    request.method = "POST";
+    // Some bodies are longer than the buffers.
+    request.body = std::to_string(sent) + std::string(sent % 7 == 0 ? 40'000 : 0, 'x');
+    ++sent;
+    client.Send(endpoint, request, kLong, [&answers, body = request.body](HttpResult result) {
+      answers.Push({body, std::move(result)});
+    });
+  };
+  while (sent < kAtOnce) send();
+  for (int received = 0; received < kCalls; ++received) {
+    const auto answer = answers.Pop();
+    ASSERT_TRUE(answer.has_value());
+    ASSERT_TRUE(answer->second.status.ok()) << answer->second.status;
+    ASSERT_EQ(answer->first, answer->second.response.body);
+    if (sent < kCalls) send();
+  }
+}
+
+}  // namespace
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/net/http_server_test.cc
@@ -0,0 +1,237 @@
+#include "net/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "blocking_queue.h"
+#include "net/worker_pool.h"
+#include "raw_socket.h"
+
+namespace heatherspan {
+namespace {
+
+auto AnyPort() -> Endpoint { return {"127.0.0.1", 0}; }
+
+struct Call {
+  HttpRequest request;
+  HttpServer::Responder respond;
+};
+
+/// A server whose requests the test answers.
+class HttpServerTest : public testing::Test {
+ protected:
+  ~HttpServerTest() override { workers_.Stop(); }
+
+  auto Start(HttpServer::Limits limits = {}) -> void {
+    server_ = std::make_unique<HttpServer>(
+        workers_, limits, [this](HttpRequest request, HttpServer::Responder respond) {
+          calls_.Push({std::move(request), std::move(respond)});
+        });
+    const auto bound = server_->Listen(AnyPort());
+    ASSERT_TRUE(bound.ok()) << bound.status();
+    endpoint_ = *bound;
+  }
+
+  auto Exchange(std::string_view input) -> std::string {
+    auto socket = RawSocket::Connect(endpoint_);
+    socket.Send(input);
+    return socket.ReadUntilClosed();
+  }
+
+  BlockingQueue<Call> calls_;
+  WorkerPool workers_{2};
+  std::unique_ptr<HttpServer> server_;
+  Endpoint endpoint_;
+};
+
+auto Answer(std::string body) -> HttpResponse {
+  HttpResponse response;
+  response.body = std::move(body);
+  return response;
+}
+
+TEST_F(HttpServerTest, HandsOverTheWholeRequest) {
+  Start();
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send("POST /v1/x?a=1 HTTP/1.1\r\nHost: h\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n");
+  socket.Send("3\r\nabc\r\n2\r\nde\r\n0\r\nA-Trailer: t\r\n\r\n");
+  auto call = calls_.Pop();
+  ASSERT_TRUE(call.has_value());
+  EXPECT_EQ(call->request.method, "POST");
+  EXPECT_EQ(call->request.target, "/v1/x?a=1");
+  EXPECT_EQ(call->request.Header("a"), "b");
+  EXPECT_EQ(call->request.Header("A-Trailer"), "") << "a trailer must not pass for a header";
+  EXPECT_EQ(call->request.body, "abcde");
+  EXPECT_EQ(call->request.remote.address, "127.0.0.1");
+  EXPECT_EQ(server_->active_requests(), 1U);
+  auto response = Answer("done");
+  response.headers = {{"X", "y"}, {"Content-Length", "999"}, {"Z", "a\r\nInjected: b"}};
+  call->respond(response);
+  EXPECT_EQ(socket.ReadUntil("done"), "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 4\r\n\r\ndone");
+}
+
+// Guards against crossed answers on a connection.
+TEST_F(HttpServerTest, HandlesPipelinedRequestsOneAfterTheOther) {
+  Start();
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send(
+      "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+  for (const std::string target : {"/1", "/2", "/3"}) {
+    auto call = calls_.Pop();
+    ASSERT_TRUE(call.has_value());
+    EXPECT_EQ(call->request.target, target);
+    EXPECT_EQ(server_->active_requests(), 1U);
+    EXPECT_EQ(calls_.size(), 0U);
+    // A second answer to the same request must be dropped.
+    call->respond(Answer("answer" + target + "\n"));
+    call->respond(Answer("second"));
+  }
+  const auto output = socket.ReadUntilClosed();
+  EXPECT_LT(output.find("answer/1\n"), output.find("answer/2\n"));
+  EXPECT_LT(output.find("answer/2\n"), output.find("answer/3\n"));
+  EXPECT_EQ(output.find("second"), std::string::npos);
+}
+
+TEST_F(HttpServerTest, RefusesWhatIsBeyondItsLimits) {
+  Start({.max_header_bytes = 512,
+         .max_body_bytes = 64,
+         .max_connections = 2,
+         .request_timeout = std::chrono::milliseconds(20)});
+  EXPECT_EQ(Exchange("GET / HTTP/1.1\r\nA: " + std::string(600, 'a')).substr(0, 12),
+            "HTTP/1.1 431");
+  EXPECT_EQ(Exchange("GET /" + std::string(600, 'a')).substr(0, 12), "HTTP/1.1 431");
+  EXPECT_EQ(Exchange("PUT / HTTP/1.1\r\nContent-Length: 65\r\n\r\n").substr(0, 12), "HTTP/1.1 413");
+  EXPECT_EQ(Exchange("PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n41\r\n" +
+                     std::string(65, 'a') + "\r\n0\r\n\r\n")
+                .substr(0, 12),
+            "HTTP/1.1 413");
+  EXPECT_EQ(Exchange("GET / HTTP/1.1\r\nA: ").substr(0, 12), "HTTP/1.1 408");
+  const auto counters = server_->counters();
+  EXPECT_EQ(counters.header_too_large, 2U);
+  EXPECT_EQ(counters.body_too_large, 2U);
+  EXPECT_EQ(counters.request_timeout, 1U);
+  EXPECT_EQ(calls_.size(), 0U);
+}
+
+TEST_F(HttpServerTest, RefusesConnectionsBeyondTheLimit) {
+  Start({.max_connections = 1});
+  auto first = RawSocket::Connect(endpoint_);
+  first.Send("GET / HTTP/1.1\r\n\r\n");
+  auto call = calls_.Pop();
+  ASSERT_TRUE(call.has_value());
+  EXPECT_EQ(Exchange("GET / HTTP/1.1\r\n\r\n").substr(0, 12), "HTTP/1.1 503");
+  EXPECT_EQ(server_->counters().too_many_connections, 1U);
+  call->respond(Answer("first"));
+  EXPECT_NE(first.ReadUntil("first").find("200 OK"), std::string::npos);
+}
+
+// Guards against messages whose end this server and another one could see at different places.
+TEST_F(HttpServerTest, AnswersMalformedInputWith400) {
+  Start();
+  const std::vector<std::string> inputs{
+      "nonsense\r\n\r\n",
+      "GET / HTTP/2.7\r\n\r\n",
+      "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+      "PUT / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+      "PUT / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+      "PUT / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "PUT / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+      "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+  };
+  for (const auto& input : inputs) {
+    EXPECT_EQ(Exchange(input).substr(0, 12), "HTTP/1.1 400") << input;
+  }
+  EXPECT_EQ(server_->counters().bad_request, inputs.size());
+  EXPECT_EQ(calls_.size(), 0U);
+}
+
+TEST_F(HttpServerTest, SurvivesMutatedInput) {
+  constexpr unsigned kSeed = 20260412;
+  constexpr int kRounds = 200;
+  RecordProperty("seed", static_cast<int>(kSeed));
+  std::atomic<int> handled{0};
+  HttpServer server(workers_, {.request_timeout = std::chrono::milliseconds(20)},
+                    [&](const HttpRequest& /*request*/, const HttpServer::Responder& respond) {
+                      ++handled;
+                      auto response = Answer("x");
+                      response.close = true;
+                      respond(response);
+                    });
+  endpoint_ = *server.Listen(AnyPort());
+  const std::string valid =
+      "PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  std::mt19937 random(kSeed);
+  for (int round = 0; round < kRounds; ++round) {
+    auto input = valid;
+    for (int change = 0; change < 3; ++change) {
+      input[random() % input.size()] = static_cast<char>(random());
+    }
+    EXPECT_EQ(Exchange(input).substr(0, 9), "HTTP/1.1 ") << "seed " << kSeed << " round " << round;
+  }
+  EXPECT_EQ(Exchange(valid).substr(0, 12), "HTTP/1.1 200");
+  const auto counters = server.counters();
+  EXPECT_EQ(static_cast<std::size_t>(handled.load()) + counters.bad_request +
+                counters.header_too_large + counters.body_too_large + counters.request_timeout,
+            static_cast<std::size_t>(kRounds) + 1);
+}
+
+TEST_F(HttpServerTest, FollowsVersionMethodAndStatus) {
+  Start();
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send("HEAD / HTTP/1.1\r\n\r\n");
+  calls_.Pop()->respond(Answer("body"));
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\n"), "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+  socket.Send("PUT / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\n"), "HTTP/1.1 100 Continue\r\n\r\n");
+  socket.Send("ab");
+  auto response = Answer("none");
+  response.status = 204;
+  calls_.Pop()->respond(response);
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\n"), "HTTP/1.1 204 No Content\r\n\r\n");
+  socket.Send("GET / HTTP/1.0\r\n\r\n");
+  calls_.Pop()->respond(Answer("old"));
+  EXPECT_EQ(socket.ReadUntilClosed(),
+            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\nold");
+}
+
+TEST_F(HttpServerTest, AnswersWhenTheHandlerDropsItsResponder) {
+  Start();
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send("GET / HTTP/1.1\r\n\r\n");
+  calls_.Pop();
+  EXPECT_EQ(socket.ReadUntilClosed().substr(0, 12), "HTTP/1.1 500");
+}
+
+// Guards a planned stop: it must not cut off a request in flight.
+TEST_F(HttpServerTest, DrainFinishesRequestsAndClosesIdleConnections) {
+  Start();
+  auto idle = RawSocket::Connect(endpoint_);
+  idle.Send("GET / HTTP/1.1\r\n\r\n");
+  calls_.Pop()->respond(Answer("before"));
+  idle.ReadUntil("before");
+  auto busy = RawSocket::Connect(endpoint_);
+  busy.Send("GET / HTTP/1.1\r\n\r\n");
+  auto call = calls_.Pop();
+  ASSERT_TRUE(call.has_value());
+  server_->BeginDrain();
+  EXPECT_EQ(idle.ReadUntilClosed(), "");
+  call->respond(Answer("last"));
+  EXPECT_EQ(busy.ReadUntilClosed(),
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close\r\n\r\nlast");
+  EXPECT_EQ(server_->active_requests(), 0U);
+}
+
+TEST_F(HttpServerTest, NamesTheAddressItCannotListenOn) {
+  Start();
+  HttpServer second(workers_, {}, [](const HttpRequest&, const HttpServer::Responder&) {});
+  const auto bound = second.Listen(endpoint_);
+  EXPECT_EQ(bound.status().code(), absl::StatusCode::kUnavailable);
+  EXPECT_NE(std::string(bound.status().message()).find(endpoint_.Text()), std::string::npos);
+}
+
+}  // namespace
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/net/raw_socket.cc
@@ -0,0 +1,108 @@
+#include "raw_socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace heatherspan {
+namespace {
+
+constexpr int kTimeoutMs = 10'000;
+
+auto LoopbackAddress(std::uint16_t port) -> sockaddr_in {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+auto WaitFor(int descriptor, std::int16_t events) -> bool {
+  pollfd entry{.fd = descriptor, .events = events, .revents = 0};
+  return ::poll(&entry, 1, kTimeoutMs) == 1;
+}
+
+}  // namespace
+
+auto RawSocket::Connect(const Endpoint& endpoint) -> RawSocket {
+  RawSocket own(::socket(AF_INET, SOCK_STREAM, 0));
+  const auto address = LoopbackAddress(endpoint.port);
+  if (::connect(own.descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
+      0) {
+    own.Close();
+  }
+  return own;
+}
+
+RawSocket::~RawSocket() { Close(); }
+
+auto RawSocket::Close() -> void {
+  if (descriptor_ >= 0) ::close(descriptor_);
+  descriptor_ = -1;
+}
+
+auto RawSocket::Send(std::string_view bytes) const -> bool {
+  while (!bytes.empty()) {
+    if (!WaitFor(descriptor_, POLLOUT)) return false;
+    const auto sent = ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+  return true;
+}
+
+auto RawSocket::ReadSome(std::string& out, std::size_t limit) const -> bool {
+  std::array<char, 4096> buffer{};
+  if (!WaitFor(descriptor_, POLLIN)) return false;
+  const auto size = ::recv(descriptor_, buffer.data(), std::min(limit, buffer.size()), 0);
+  if (size <= 0) return false;
+  out.append(buffer.data(), static_cast<std::size_t>(size));
+  return true;
+}
+
+auto RawSocket::ReadUntil(std::string_view text) const -> std::string {
+  std::string out;
+  while (out.find(text) == std::string::npos && ReadSome(out, 1)) {
+  }
+  return out;
+}
+
+auto RawSocket::ReadSize(std::size_t size) const -> std::string {
+  std::string out;
+  while (out.size() < size && ReadSome(out, size - out.size())) {
+  }
+  return out;
+}
+
+auto RawSocket::ReadUntilClosed() const -> std::string {
+  std::string out;
+  while (ReadSome(out, std::numeric_limits<std::size_t>::max())) {
+  }
+  return out;
+}
+
+RawListener::RawListener() : socket_(-1) {
+  descriptor_ = ::socket(AF_INET, SOCK_STREAM, 0);
+  socket_ = RawSocket(descriptor_);
+  auto address = LoopbackAddress(0);
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  if (::bind(descriptor_, generic, size) != 0 || ::listen(descriptor_, 16) != 0 ||
+      ::getsockname(descriptor_, generic, &size) != 0) {
+    return;
+  }
+  endpoint_ = {"127.0.0.1", ntohs(address.sin_port)};
+}
+
+auto RawListener::Accept() const -> RawSocket {
+  if (!WaitFor(descriptor_, POLLIN)) return RawSocket(-1);
+  return RawSocket(::accept(descriptor_, nullptr, nullptr));
+}
+
+}  // namespace heatherspan
