toml_table: keep fault messages printable and bounded

Values in fault messages come from texts that others wrote. Control characters could forge log lines or drive a terminal, a value cut off within a character or a canonical text with damaged bytes made messages that are no valid UTF-8 (and thus no valid JSON), and one wrong zone name could yield 110,000 lines.

Replaces what is not printable UTF-8 with "?", refuses it in free text such as a drain's reason, and shows at most 100 faults in a status; ReadDocumentFaults still gives all of them.

--- a/src/ctl/json_text.cc
+++ b/src/ctl/json_text.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "toml_table/printable_text.h"
+
 namespace heatherspan {
 namespace {
 
@@ -65,11 +67,13 @@
 
 auto PrintableText(std::string_view text) -> std::string {
   std::string printable;
-  for (const char c : text) {
-    const bool control = static_cast<unsigned char>(c) < 0x20 || c == 0x7f;
-    printable += control && c != '\n' ? '?' : c;
+  while (true) {
+    const auto end = text.find('\n');
+    printable += PrintableLine(text.substr(0, end));
+    if (end == std::string_view::npos) return printable;
+    printable += '\n';
+    text.remove_prefix(end + 1);
   }
-  return printable;
 }
 
 auto ReadableText(std::string_view text) -> std::string {
--- a/src/ctl/json_text.h
+++ b/src/ctl/json_text.h
@@ -5,7 +5,7 @@
 
 namespace heatherspan {
 
-/// Text from a server, safe for a terminal: control characters but line feeds become "?".
+/// Text from a server, safe for a terminal: what is not printable becomes "?", but for line feeds.
 auto PrintableText(std::string_view text) -> std::string;
 
 /// A JSON text as indented "key: value" lines; other text as it is. The result ends with a line
--- a/src/document/plan.h
+++ b/src/document/plan.h
@@ -9,7 +9,8 @@
 
 namespace heatherspan {
 
-/// A region before and after a change.
+/// A region before and after a change. Every zone counts with entry_vms_max entry VMs; the base
+/// shares of those that do not run are not used.
 struct RegionPlan {
   RegionName region;
   RequestsPerSecond cap_before;
--- a/src/toml_table/toml_fault.h
+++ b/src/toml_table/toml_fault.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -23,9 +24,8 @@
  public:
   explicit TomlFaults(std::string file) : file_(std::move(file)) {}
 
-  auto Add(TomlPosition position, std::string message) -> void {
-    faults_.push_back({file_, position, std::move(message)});
-  }
+  /// Values in the message come from the text; what is not printable in them is replaced.
+  auto Add(TomlPosition position, std::string_view message) -> void;
   auto faults() const -> const std::vector<TomlFault>& { return faults_; }
   /// Orders the faults by their place in the text.
   auto Sort() -> void;
@@ -35,7 +35,10 @@
   std::vector<TomlFault> faults_;
 };
 
-/// OK without faults; otherwise an error with one line for each fault.
+inline constexpr std::size_t kMaxFaultLines = 100;
+
+/// OK without faults; otherwise an error with one line for each fault, at most kMaxFaultLines: a
+/// wrong zone name may occur in 110,000 client blocks.
 auto FaultStatus(const std::vector<TomlFault>& faults) -> absl::Status;
 
 }  // namespace heatherspan
--- a/src/toml_table/toml_value.cc
+++ b/src/toml_table/toml_value.cc
@@ -1,11 +1,12 @@
 #include "toml_table/toml_value.h"
 
 #include "fmt/format.h"
+#include "toml_table/printable_text.h"
 
 namespace heatherspan {
 namespace {
 
-constexpr std::size_t kShownCharacters = 80;
+constexpr std::size_t kShownBytes = 80;
 
 struct Shower {
   auto operator()(const TomlValue::Date&) const -> std::string { return "a date or time"; }
@@ -13,12 +14,8 @@
   auto operator()(std::int64_t value) const -> std::string { return fmt::format("{}", value); }
   auto operator()(double value) const -> std::string { return fmt::format("{}", value); }
   auto operator()(const std::string& value) const -> std::string {
-    std::string shown;
-    for (const char c : value.substr(0, kShownCharacters)) {
-      // Control characters would break the line or drive the terminal.
-      shown += static_cast<unsigned char>(c) < 0x20 || c == 0x7f ? '?' : c;
-    }
-    return fmt::format("\"{}{}\"", shown, value.size() > kShownCharacters ? "..." : "");
+    const auto shown = PrintableLine(value.substr(0, kShownBytes));
+    return fmt::format("\"{}{}\"", shown, value.size() > kShownBytes ? "..." : "");
   }
   auto operator()(const TomlValue::Array& value) const -> std::string {
     return fmt::format("an array of {}", value.size());
--- a/src/toml_table/value_format.cc
+++ b/src/toml_table/value_format.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "base/number_text.h"
+#include "toml_table/printable_text.h"
 
 namespace heatherspan {
 
@@ -170,9 +171,7 @@
 }
 
 auto IsPlainText(std::string_view text, std::size_t max_bytes) -> bool {
-  return text.size() <= max_bytes && std::none_of(text.begin(), text.end(), [](unsigned char c) {
-           return c < 0x20 || c == 0x7f;
-         });
+  return text.size() <= max_bytes && IsPrintableLine(text);
 }
 
 auto DurationIn(Duration unit, std::string_view unit_name, double min, double max)
--- a/src/toml_table/value_format.h
+++ b/src/toml_table/value_format.h
@@ -60,7 +60,7 @@
     "a name: at most 63 of a-z, 0-9 and hyphens, a letter first";
 /// Letters a-z, digits and hyphens, at most 63, with a letter first.
 auto IsName(std::string_view text) -> bool;
-/// At most the given number of bytes without control characters.
+/// At most the given number of bytes of UTF-8 without control characters.
 auto IsPlainText(std::string_view text, std::size_t max_bytes) -> bool;
 
 /// Whole numbers; the member is an integer or a StrongNumber of one.
--- a/tests/toml_table/toml_parser_test.cc
+++ b/tests/toml_table/toml_parser_test.cc
@@ -50,6 +50,24 @@
             "");
 }
 
+// Guards against values that forge log lines, drive terminals or are no valid JSON text; long
+// values are cut off within a character here.
+TEST(TomlFaults, KeepMessagesPrintable) {
+  TomlFaults faults("f");
+  TomlValue value;
+  value.value = std::string(79, 'a') + "\xd0\xb6";
+  faults.Add({}, "\xd0\xb6 a\nb \x1b \xed\xa0\x80 " + value.Shown());
+  EXPECT_EQ(faults.faults()[0].message, "\xd0\xb6 a?b ? ??? \"" + std::string(79, 'a') + "?...\"");
+}
+
+TEST(FaultStatus, IsBounded) {
+  TomlFaults faults("f");
+  for (int i = 0; i < 110'000; ++i) faults.Add({}, "wrong");
+  const std::string message(FaultStatus(faults.faults()).message());
+  EXPECT_EQ(message.size(), 100 * std::string("f:1:1: wrong\n").size() +
+                                std::string("and 109900 more faults").size());
+}
+
 TEST(NearestWord, IsEmptyForWordsWithNothingInCommon) {
   const std::vector<std::string> words = {"cap_rps", "name"};
   EXPECT_EQ(NearestWord("cap_rsp", words), "cap_rps");
--- a/tests/toml_table/value_format_test.cc
+++ b/tests/toml_table/value_format_test.cc
@@ -41,7 +41,9 @@
 TEST(Text, RefusesControlCharacters) {
   const auto format = Text(1, 5);
   EXPECT_TRUE(format.in_range("a b"));
-  for (const auto* text : {"", "a\tb", "a\nb", "123456"}) EXPECT_FALSE(format.in_range(text));
+  EXPECT_TRUE(format.in_range("\xd0\xb6"));
+  for (const auto* text : {"", "a\tb", "a\nb", "123456", "\xff", "\xc0\xaf", "\xc2\x9b"})
+    EXPECT_FALSE(format.in_range(text));
 }
 
 TEST(EndpointValue, RefusesAddressesThatCannotBeReached) {
