--- a/tests/settings/settings_page_test.cc
+++ b/tests/settings/settings_page_test.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 
 #include "settings/settings_keys.h"
+#include "settings/settings_reader.h"
 
 namespace heatherspan {
 namespace {
@@ -30,5 +31,18 @@
   EXPECT_EQ(page.substr(start), ExpectedTables());
 }
 
+// Guards against an example on the page that the program refuses.
+TEST(SettingsPage, HasASoundExample) {
+  std::ifstream file(HS_DOCS_DIR "/settings.md");
+  std::string example;
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("    ")) example += line + "\n";
+  }
+  const auto secret = [](const std::string&) { return std::string(64, 's'); };
+  const auto settings = ReadSettings(example, "example", secret);
+  ASSERT_TRUE(settings.ok()) << settings.status().message();
+  EXPECT_EQ(settings->seeds.size(), 2U);
+}
+
 }  // namespace
 }  // namespace heatherspan
