--- a/standins/caller.h
+++ b/standins/caller.h
@@ -162,6 +162,7 @@
     const std::string reason(response.Header("Heatherspan-Reason"));
     attempts.result.detail = reason.empty() ? fmt::format("status-{}", response.status) : reason;
     if (response.status == 428 && verdict == "not-run") {
+      attempts.sent = false;  // Fetching a ticket doesn't make the next attempt a repeat.
       return UseTicket(attempts, std::string(response.Header("Heatherspan-Ticket")));
     }
     attempts.result.refusals.push_back(
--- a/standins/operation.h
+++ b/standins/operation.h
@@ -36,7 +36,7 @@
       lost_at;  ///< The entry VMs that did not answer after a request was sent.
   std::vector<std::string> tickets;  ///< In the order of their use.
   int connect_failures = 0;
-  int repeats = 0;  ///< Attempts after the first one that was sent.
+  int repeats = 0;  ///< Attempts after the first one, without those that fetched a ticket.
   MonotonicTime started;
   Duration duration{};
 };
--- a/tests/standins/caller_test.cc
+++ b/tests/standins/caller_test.cc
@@ -131,6 +131,7 @@
   EXPECT_EQ(result.outcome, Outcome::kAnswered);
   EXPECT_EQ(result.tickets, std::vector<std::string>{"t-1"});
   EXPECT_EQ(world_.sent[1].ticket, "t-1");
+  EXPECT_EQ(result.repeats, 0);
 }
 
 // The ticket of a look-up answer may be used for one operation only.
