--- a/scripts/demo-check.jq
+++ b/scripts/demo-check.jq
@@ -20,7 +20,7 @@
       | .most = ([.most, .last - .first] | max))
   | .most;
 
-# Whether one of the caller's requests was running at the time.
+# The time from the start of the first request to the end of the last one.
 def span($records): {from: ($records | map(.started_ms) | min),
                      until: ($records | map(.started_ms + .duration_ms) | max)};
 
