net: keep an idle connection when the reactor reports input that was already read

Cause: an edge of readiness from before the wait could end the wait on an idle connection, which was then closed; net.HttpClientTest.NeverSendsARequestTwice failed once in a run of all tests because the second request took a new connection. Change: the wait is renewed unless the peer has closed or sent something.

--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -258,6 +258,11 @@
     ReadMore();
     return;
   }
+  // The reactor may report input that was read before the wait began.
+  if (!ClosedByPeer()) {
+    WaitForInput();
+    return;
+  }
   // Closed by the peer, or an answer that nobody asked for. If an exchange took the connection
   // meanwhile, it finds the socket closed and connects anew.
   CloseSocket();
