--- /dev/null
+++ b/src/membership/membership_timing.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+#include "base/time.h"
+
+namespace heatherspan {
+
+/// How often Membership::OnTick is to be called.
+inline constexpr Duration kMembershipTick = std::chrono::milliseconds(100);
+/// A tick later than this shows that the process was paused.
+inline constexpr Duration kPauseLimit = std::chrono::seconds(1);
+/// One member is probed in each period.
+inline constexpr Duration kProbePeriod = std::chrono::seconds(1);
+/// A direct probe takes 70 ms between regions; the rest is for retransmission by other queues.
+inline constexpr Duration kDirectTimeout = std::chrono::milliseconds(300);
+/// From the start of a probe, with its indirect part, to its failure.
+inline constexpr Duration kProbeTimeout = std::chrono::milliseconds(900);
+/// From suspicion to death, if the member is still listed by the platform.
+inline constexpr Duration kSuspicionTime = std::chrono::seconds(3);
+/// The same for a member that the platform no longer lists.
+inline constexpr Duration kUnlistedSuspicionTime = std::chrono::milliseconds(1'500);
+/// How often a suspected member is probed again until it refutes or is dead.
+inline constexpr Duration kVerifyInterval = std::chrono::seconds(2);
+/// How often one address that belongs to no live member is tried, to merge partitions.
+inline constexpr Duration kContactInterval = std::chrono::seconds(5);
+/// How long the record of a dead member is kept, against late news that it is alive.
+inline constexpr Duration kForgetTime = std::chrono::minutes(10);
+/// For how long a new member gets full messages of member records.
+inline constexpr Duration kNewcomerTime = std::chrono::seconds(30);
+/// A node that learnt of no further member for this long has the whole list.
+inline constexpr Duration kLearningQuietTime = std::chrono::seconds(3);
+
+inline constexpr std::size_t kIndirectProbes = 3;
+/// Updates in one message.
+inline constexpr std::size_t kMaxUpdates = 8;
+/// Member records in each message beyond news, which repair lost updates.
+inline constexpr std::size_t kRepairUpdates = 2;
+/// The largest datagram, with its envelope.
+inline constexpr std::size_t kMaxDatagramBytes = 1'200;
+/// Room for magic, format, sender, sequence, length and HMAC.
+inline constexpr std::size_t kEnvelopeBytes = 64;
+/// Records, dead ones included: 640 nodes, both halves of a replaced fleet, and a margin.
+inline constexpr std::size_t kMaxMembers = 1'536;
+inline constexpr std::size_t kMaxProbes = 64;
+inline constexpr std::size_t kMaxRelays = 64;
+
+}  // namespace heatherspan
