--- /dev/null
+++ b/src/document/document_diff.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "document/document.h"
+
+namespace heatherspan {
+
+/// One line for each record that was added, removed or changed, with the keys that differ. The
+/// order of records does not count.
+auto DiffDocuments(const Document& before, const Document& after) -> std::vector<std::string>;
+
+}  // namespace heatherspan
