membership: detect failed entry VMs by SWIM with local health

Cause: every node has to know which entry VMs are alive, at 7 nodes and at 640, without a load that grows with their number (docs/design.md, 6.10).

Change: Membership with probes, indirect probes, suspicion, incarnations, Lifeguard's local health, bounded piggybacked updates, repair records, contacts for healed partitions, own-pause detection and the VM list. A node declares a member dead only after its own probes fail, whatever others say, so that one slow or cut-off observer removes nobody.

--- a/src/membership/encoded_size.h
+++ b/src/membership/encoded_size.h
@@ -21,8 +21,6 @@
  private:
   static constexpr std::size_t kLengthBytes = 8;
 
-  auto Add(const std::string& text) -> void { size_ += kLengthBytes + text.size(); }
-
   template <class Value>
   auto Add(std::vector<Value>& values) -> void {
     size_ += kLengthBytes;
@@ -33,6 +31,8 @@
   auto Add(Value& value) -> void {
     if constexpr (std::is_arithmetic_v<Value> || std::is_enum_v<Value>) {
       size_ += sizeof(Value);
+    } else if constexpr (std::is_same_v<Value, std::string>) {
+      size_ += kLengthBytes + value.size();
     } else {
       value.serialize(*this);
     }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -49,10 +49,10 @@
 
   auto self() const -> const MemberUpdate& { return self_; }
   auto Find(InstanceId instance) const -> const MemberUpdate*;
-  auto StateOf(InstanceId instance) const -> std::optional<MemberState>;
   /// Whether the member joined within kNewcomerTime, or is unknown.
   auto IsNewcomer(InstanceId instance, MonotonicTime now) const -> bool;
   auto FindLiveAt(const Endpoint& endpoint) const -> const MemberUpdate*;
+  auto FindDeadAt(const Endpoint& endpoint) const -> const MemberUpdate*;
 
   /// Every member that is not dead, without the own instance.
   auto Live() const -> std::vector<InstanceId>;
@@ -81,7 +81,7 @@
     std::optional<MonotonicTime> last_heard;
     bool direct_link_cut = false;
     std::optional<MonotonicTime> suspected_since;
-    bool probe_failed = false;   ///< By this node, since the suspicion began.
+    int failed_probes = 0;       ///< By this node, since the suspicion began.
     bool death_claimed = false;  ///< Another node declared it dead.
     std::optional<MonotonicTime> died;
     MonotonicTime last_doubt;
@@ -92,20 +92,26 @@
   auto MergeKnown(Record& record, const MemberUpdate& update, bool direct, MonotonicTime now)
       -> void;
   auto Replace(const MemberUpdate& update, bool direct, MonotonicTime now) -> bool;
+  auto Index(const MemberUpdate& update) -> void;
+  auto Unindex(const MemberUpdate& update) -> void;
   auto Revive(Record& record, const MemberUpdate& update, bool direct, MonotonicTime now) -> void;
   auto Suspect(Record& record, bool death_claimed, MonotonicTime now) -> void;
   auto Kill(Record& record, MonotonicTime now) -> void;
-  auto Doubt(Record& record) -> void;
-  auto SuspicionTime(const Record& record) const -> Duration;
+  auto IsOver(const Record& record, MonotonicTime now) const -> bool;
   auto Changed(const Record& record) -> void;
   auto Forget(MonotonicTime now) -> void;
+  auto Unsuspect(Record& record) -> void;
+  auto MakeRoom() -> bool;
 
   MemberUpdate self_;
   LocalHealth& health_;
   UpdateQueue& news_;
   std::map<InstanceId, Record> records_;
+  /// Of the members that are not dead; at most one has a name or an address.
+  std::map<NodeName, InstanceId> live_by_name_;
+  std::map<Endpoint, InstanceId> live_by_address_;
   std::set<InstanceId> suspected_;
-  std::deque<InstanceId> doubts_;
+  std::deque<InstanceId> disputed_;  ///< Held dead here, called alive by others.
   std::vector<InstanceId> joined_;
   std::set<Endpoint> listed_;  ///< Of the VM list; empty without one.
   std::size_t live_count_ = 0;
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,251 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "membership/membership_timing.h"
+#include "messages/ack.h"
+#include "messages/ping.h"
+#include "messages/ping_request.h"
+
+namespace heatherspan {
+namespace {
+
+// Members told directly that this node leaves; gossip tells the others.
+constexpr std::size_t kLeaveNotices = 8;
+
+template <class Element>
+auto PickOne(const std::vector<Element>& elements, Random& random) -> const Element& {
+  return elements[random() % elements.size()];
+}
+
+}  // namespace
+
+Membership::Membership(MemberUpdate self, std::vector<Endpoint> seeds)
+    : table_(std::move(self), health_, news_), composer_(table_, news_), seeds_(std::move(seeds)) {
+  std::erase(seeds_, table_.self().peer_endpoint);
+}
+
+auto Membership::OnTick(MonotonicTime now, Random& random) -> Outgoing {
+  Outgoing out;
+  const bool paused = last_tick_.has_value() && now - *last_tick_ > kMembershipTick + kPauseLimit;
+  if (!last_tick_.has_value()) last_learnt_ = now;
+  if (paused) OnPause(now);
+  last_tick_ = now;
+  CheckProbes(now, random, out);
+  table_.OnTick(now);
+  if (const auto doubt = table_.TakeDoubt(now); doubt.has_value()) StartProbe(*doubt, now, out);
+  ProbeNext(now, random, out);
+  TryContacts(now, random, out);
+  Learn(now, random, out);
+  return out;
+}
+
+auto Membership::OnPause(MonotonicTime now) -> void {
+  health_.OnPause();
+  probes_.clear();
+  relays_.clear();
+  table_.RestartSuspicions(now);
+  // Asks peers for their view before this node judges them.
+  learning_ = true;
+  last_learnt_ = now;
+  next_probe_ = now + kProbePeriod;
+}
+
+auto Membership::CheckProbes(MonotonicTime now, Random& random, Outgoing& out) -> void {
+  std::vector<InstanceId> failed;
+  for (auto next = probes_.begin(); next != probes_.end();) {
+    auto& [sequence, probe] = *next;
+    const auto age = now - probe.sent;
+    if (age >= health_.Scale(kProbeTimeout)) {
+      failed.push_back(probe.subject);
+      next = probes_.erase(next);
+      continue;
+    }
+    if (!probe.indirect && age >= health_.Scale(kDirectTimeout)) {
+      probe.indirect = true;
+      ProbeIndirectly(sequence, probe, now, random, out);
+    }
+    ++next;
+  }
+  for (const auto subject : failed) table_.OnProbeFailed(subject, now);
+  std::erase_if(relays_, [now](const auto& entry) { return entry.second.expires <= now; });
+}
+
+auto Membership::StartProbe(InstanceId subject, MonotonicTime now, Outgoing& out) -> void {
+  const auto* member = table_.Find(subject);
+  if (member == nullptr) return;
+  if (member->state == MemberState::kDead) {
+    PingAddress(member->peer_endpoint, subject, now, out);
+    return;
+  }
+  const bool probed = std::any_of(probes_.begin(), probes_.end(), [subject](const auto& entry) {
+    return entry.second.subject == subject;
+  });
+  if (probed || probes_.size() >= kMaxProbes) return;
+  probes_.emplace(next_sequence_, Probe{subject, member->peer_endpoint, now, false});
+  PingAddress(member->peer_endpoint, subject, now, out);
+}
+
+auto Membership::PingAddress(const Endpoint& to, InstanceId receiver, MonotonicTime now,
+                             Outgoing& out) -> void {
+  Ping ping;
+  ping.sequence = next_sequence_++;
+  out.push_back({to, composer_.Complete(std::move(ping), receiver, now)});
+}
+
+auto Membership::ProbeNext(MonotonicTime now, Random& random, Outgoing& out) -> void {
+  if (now < next_probe_) return;
+  next_probe_ = now + kProbePeriod;
+  // The round may name members that have died since; they are skipped.
+  for (std::size_t i = 0; i <= table_.live_count(); ++i) {
+    const auto next =
+        order_.Next(order_.AtEnd() ? table_.Live() : std::vector<InstanceId>(), random);
+    if (!next.has_value()) return;
+    const auto* member = table_.Find(*next);
+    if (member == nullptr || member->state == MemberState::kDead) continue;
+    StartProbe(*next, now, out);
+    return;
+  }
+}
+
+auto Membership::ProbeIndirectly(std::uint64_t sequence, const Probe& probe, MonotonicTime now,
+                                 Random& random, Outgoing& out) -> void {
+  auto helpers = table_.Live();
+  std::shuffle(helpers.begin(), helpers.end(), random);
+  std::size_t asked = 0;
+  for (const auto helper : helpers) {
+    if (asked == kIndirectProbes) return;
+    const auto* member = table_.Find(helper);
+    if (helper == probe.subject || member->state == MemberState::kSuspected) continue;
+    PingRequest request;
+    request.sequence = sequence;
+    request.subject = probe.subject;
+    request.subject_endpoint = probe.endpoint;
+    out.push_back({member->peer_endpoint, composer_.Complete(std::move(request), helper, now)});
+    ++asked;
+  }
+}
+
+auto Membership::TryContacts(MonotonicTime now, Random& random, Outgoing& out) -> void {
+  if (now < next_contact_) return;
+  const bool lonely = table_.live_count() == 0;
+  next_contact_ = now + (lonely ? kLonelyContactInterval : kContactInterval);
+  auto contacts = table_.Contacts();
+  for (const auto& seed : seeds_) {
+    if (table_.FindLiveAt(seed) == nullptr) contacts.push_back(seed);
+  }
+  if (contacts.empty()) return;
+  const auto& to = PickOne(contacts, random);
+  // An address may belong to a dead member; naming it lets the member refute.
+  InstanceId receiver;
+  if (const auto* dead = table_.FindDeadAt(to); dead != nullptr) receiver = dead->instance;
+  PingAddress(to, receiver, now, out);
+}
+
+auto Membership::Learn(MonotonicTime now, Random& random, Outgoing& out) -> void {
+  if (table_.live_count() == 0) {
+    learning_ = true;
+    last_learnt_ = now;
+  }
+  if (!learning_ || table_.live_count() == 0) return;
+  const auto cycle = kLearningTimePerMember * table_.live_count() + kLearningQuietTime;
+  learning_ = now - last_learnt_ <= cycle;
+  const auto* teacher = table_.Find(teacher_);
+  if (teacher == nullptr || teacher->state != MemberState::kAlive || now >= teacher_until_) {
+    teacher_ = PickOne(table_.Live(), random);
+    teacher_until_ = now + cycle;
+    teacher = table_.Find(teacher_);
+  }
+  PingAddress(teacher->peer_endpoint, teacher_, now, out);
+}
+
+auto Membership::OnDatagram(InstanceId sender, const Endpoint& from, const Datagram& datagram,
+                            MonotonicTime now, Random& random) -> Outgoing {
+  Outgoing out;
+  if (sender == table_.self().instance) return out;
+  if (const auto* ping = std::get_if<Ping>(&datagram)) {
+    TakeIn(sender, ping->updates, now, random);
+    OnPing(sender, from, *ping, now, out);
+  } else if (const auto* request = std::get_if<PingRequest>(&datagram)) {
+    TakeIn(sender, request->updates, now, random);
+    OnPingRequest(sender, from, *request, now, out);
+  } else if (const auto* ack = std::get_if<Ack>(&datagram)) {
+    TakeIn(sender, ack->updates, now, random);
+    OnAck(sender, *ack, now, out);
+  }
+  return out;
+}
+
+auto Membership::TakeIn(InstanceId sender, const std::vector<MemberUpdate>& updates,
+                        MonotonicTime now, Random& random) -> void {
+  for (std::size_t i = 0; i < std::min(updates.size(), kMaxUpdates); ++i) {
+    table_.Merge(updates[i], updates[i].instance == sender, now);
+  }
+  table_.OnHeard(sender, now);
+  for (const auto instance : table_.TakeJoined()) {
+    order_.Add(instance, random);
+    last_learnt_ = now;
+  }
+}
+
+auto Membership::OnPing(InstanceId sender, const Endpoint& from, const Ping& ping,
+                        MonotonicTime now, Outgoing& out) -> void {
+  Ack ack;
+  ack.sequence = ping.sequence;
+  ack.subject = table_.self().instance;
+  out.push_back({from, composer_.Complete(std::move(ack), sender, now)});
+}
+
+auto Membership::OnPingRequest(InstanceId sender, const Endpoint& from, const PingRequest& request,
+                               MonotonicTime now, Outgoing& out) -> void {
+  if (relays_.size() >= kMaxRelays) return;
+  const Relay relay{request.subject, from, sender, request.sequence, now + kProbeTimeout};
+  relays_.emplace(next_sequence_, relay);
+  PingAddress(request.subject_endpoint, request.subject, now, out);
+}
+
+auto Membership::OnAck(InstanceId sender, const Ack& ack, MonotonicTime now, Outgoing& out)
+    -> void {
+  if (const auto relay = relays_.find(ack.sequence); relay != relays_.end()) {
+    Ack answer;
+    answer.sequence = relay->second.origin_sequence;
+    answer.subject = ack.subject;
+    const auto origin = relay->second.origin_instance;
+    if (sender == relay->second.subject) {
+      out.push_back({relay->second.origin, composer_.Complete(std::move(answer), origin, now)});
+    }
+    relays_.erase(relay);
+    return;
+  }
+  const auto found = probes_.find(ack.sequence);
+  if (found == probes_.end()) return;
+  const auto subject = found->second.subject;
+  if (ack.subject == subject) {
+    table_.OnProbeAnswered(subject, sender == subject);
+    health_.OnProbeAnswered();
+    probes_.erase(found);
+  } else if (ack.subject == sender) {
+    table_.OnReplaced(subject, now);
+    probes_.erase(found);
+  }
+}
+
+auto Membership::OnVmList(const std::vector<VmHint>& vms, MonotonicTime now) -> Outgoing {
+  table_.OnVmList(vms, now);
+  // The next tick tries the addresses.
+  if (table_.live_count() == 0) next_contact_ = now;
+  return {};
+}
+
+auto Membership::Leave(MonotonicTime now, Random& random) -> Outgoing {
+  table_.LeaveSelf();
+  Outgoing out;
+  auto live = table_.Live();
+  std::shuffle(live.begin(), live.end(), random);
+  if (live.size() > kLeaveNotices) live.resize(kLeaveNotices);
+  for (const auto peer : live) PingAddress(table_.Find(peer)->peer_endpoint, peer, now, out);
+  return out;
+}
+
+}  // namespace heatherspan
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -119,6 +119,8 @@
   MonotonicTime next_contact_;
   MonotonicTime last_learnt_;
   bool learning_ = true;
+  InstanceId teacher_;  ///< The peer whose list is being learnt.
+  MonotonicTime teacher_until_;
 };
 
 }  // namespace heatherspan
--- /dev/null
+++ b/src/membership/message_composer.cc
@@ -0,0 +1,76 @@
+#include "membership/message_composer.h"
+
+#include <algorithm>
+#include <concepts>
+#include <utility>
+
+#include "membership/encoded_size.h"
+#include "membership/membership_timing.h"
+#include "messages/ack.h"
+#include "messages/ping.h"
+#include "messages/ping_request.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr std::size_t kVariantTagBytes = 4;
+
+}  // namespace
+
+auto MessageComposer::SetLoad(NodeLoad load) -> void {
+  load_ = std::move(load);
+  while (!load_.services.empty() && EncodedSize(load_) > kMaxLoadBytes) load_.services.pop_back();
+}
+
+template <class Message>
+auto MessageComposer::Complete(Message message, InstanceId receiver, MonotonicTime now) -> Message {
+  if constexpr (!std::same_as<Message, PingRequest>) {
+    message.config = digest_;
+    message.load = load_;
+  }
+  const auto used = EncodedSize(message) + kVariantTagBytes + kEnvelopeBytes;
+  message.updates = Updates(receiver, kMaxDatagramBytes - std::min(used, kMaxDatagramBytes), now);
+  return message;
+}
+
+template auto MessageComposer::Complete(Ping, InstanceId, MonotonicTime) -> Ping;
+template auto MessageComposer::Complete(Ack, InstanceId, MonotonicTime) -> Ack;
+template auto MessageComposer::Complete(PingRequest, InstanceId, MonotonicTime) -> PingRequest;
+
+auto MessageComposer::Updates(InstanceId receiver, std::size_t room, MonotonicTime now)
+    -> std::vector<MemberUpdate> {
+  std::vector<MemberUpdate> updates;
+  const auto add = [&updates, &room](const MemberUpdate& update) {
+    const auto size = EncodedSize(update);
+    if (size > room) return;
+    room -= size;
+    updates.push_back(update);
+  };
+  add(table_.self());
+  // Lets the receiver refute at once.
+  const auto* known = table_.Find(receiver);
+  if (known != nullptr && known->state != MemberState::kAlive) add(*known);
+  for (auto& update : news_.Take(kMaxUpdates - updates.size(), table_.live_count(), room)) {
+    updates.push_back(std::move(update));
+  }
+  const bool newcomer = table_.IsNewcomer(receiver, now);
+  const auto repairs = std::min(newcomer ? kMaxUpdates : kRepairUpdates, table_.live_count());
+  auto& cursor = Cursor(receiver, newcomer);
+  for (std::size_t i = 0; i < repairs && updates.size() < kMaxUpdates; ++i) {
+    const auto* next = table_.NextAlive(cursor);
+    if (next == nullptr || EncodedSize(*next) > room) break;
+    cursor = next->instance;
+    add(*next);
+  }
+  return updates;
+}
+
+auto MessageComposer::Cursor(InstanceId receiver, bool newcomer) -> InstanceId& {
+  if (!newcomer) return repair_cursor_;
+  if (newcomer_cursors_.size() >= kMaxNewcomers && !newcomer_cursors_.contains(receiver)) {
+    newcomer_cursors_.clear();
+  }
+  return newcomer_cursors_[receiver];
+}
+
+}  // namespace heatherspan
--- a/src/membership/message_composer.h
+++ b/src/membership/message_composer.h
@@ -1,8 +1,12 @@
 #pragma once
 
+#include <cstddef>
+#include <map>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
+#include "base/time.h"
 #include "membership/member_table.h"
 #include "membership/update_queue.h"
 #include "messages/config_digest.h"
@@ -17,7 +21,8 @@
   MessageComposer(const MemberTable& table, UpdateQueue& news) : table_(table), news_(news) {}
 
   auto SetConfig(ConfigDigest digest) -> void { digest_ = std::move(digest); }
-  auto SetLoad(NodeLoad load) -> void { load_ = std::move(load); }
+  /// Leaves out the last services if the report is too large for a message.
+  auto SetLoad(NodeLoad load) -> void;
 
   /// Completes a Ping, an Ack or a PingRequest to a member: the own record, what this node believes
   /// of the receiver if it is not alive, news, and records of other members in turn.
@@ -25,6 +30,7 @@
   auto Complete(Message message, InstanceId receiver, MonotonicTime now) -> Message;
 
  private:
+  auto Cursor(InstanceId receiver, bool newcomer) -> InstanceId&;
   auto Updates(InstanceId receiver, std::size_t room, MonotonicTime now)
       -> std::vector<MemberUpdate>;
 
@@ -33,6 +39,8 @@
   ConfigDigest digest_;
   NodeLoad load_;
   InstanceId repair_cursor_;
+  /// A newcomer is led through the whole list, whatever others are sent in between.
+  std::map<InstanceId, InstanceId> newcomer_cursors_;
 };
 
 }  // namespace heatherspan
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -2,7 +2,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
+#include <set>
+#include <tuple>
 #include <vector>
 
 #include "base/ids.h"
@@ -29,14 +32,16 @@
   static auto TransmitLimit(std::size_t members) -> int;
 
  private:
+  /// Times sent, then the latest first, then the instance.
+  using Rank = std::tuple<int, std::uint64_t, InstanceId>;
   struct Entry {
     MemberUpdate update;
-    int sent = 0;
-    std::uint64_t order = 0;
+    Rank rank;
   };
 
   std::map<InstanceId, Entry> entries_;
-  std::uint64_t next_order_ = 0;
+  std::set<Rank> order_;
+  std::uint64_t next_age_ = std::numeric_limits<std::uint64_t>::max();
 };
 
 }  // namespace heatherspan
--- /dev/null
+++ b/tests/membership/membership_network.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "membership/membership.h"
+
+namespace heatherspan {
+
+/// Nodes that exchange membership datagrams over an in-memory network with delay, loss and cuts.
+class MembershipNetwork {
+ public:
+  struct Node {
+    MemberUpdate self;
+    std::unique_ptr<Membership> membership;
+    bool running = true;
+    MonotonicTime paused_until;
+    MonotonicTime next_tick;
+    double loss = 0;         ///< Of each datagram from or to it.
+    std::int64_t bytes = 0;  ///< Sent and received.
+  };
+
+  MembershipNetwork(std::size_t nodes, std::uint64_t seed);
+
+  /// Whether datagrams pass from one node to another.
+  std::function<bool(std::size_t, std::size_t)> link = [](std::size_t, std::size_t) {
+    return true;
+  };
+  double loss = 0;
+
+  auto Run(Duration length) -> void;
+  /// Runs until the condition holds, at most for the given time; returns the time taken.
+  auto RunUntil(const std::function<bool()>& condition, Duration limit) -> Duration;
+  /// Starts a new process at the address of a node.
+  auto Restart(std::size_t index) -> void;
+  auto Pause(std::size_t index, Duration length) -> void;
+  auto Send(std::size_t from, std::vector<OutgoingDatagram> datagrams) -> void;
+
+  auto node(std::size_t index) -> Node& { return nodes_[index]; }
+  auto size() const -> std::size_t { return nodes_.size(); }
+  auto now() const -> MonotonicTime { return now_; }
+  auto random() -> Random& { return random_; }
+  auto largest_datagram() const -> std::size_t { return largest_; }
+
+  /// How the observer sees the subject's present instance; dead if it isn't listed.
+  auto StateAt(std::size_t observer, std::size_t subject) const -> MemberState;
+  /// The running pairs of which one doesn't list the other, for which the filter holds.
+  auto LostPairs(const std::function<bool(std::size_t, std::size_t)>& filter) const -> int;
+  /// Whether every running node lists every other as alive.
+  auto IsWhole() const -> bool;
+  /// Whether all running nodes but the subject see it in a state for which the test holds.
+  auto AllSee(std::size_t subject, const std::function<bool(MemberState)>& test) const -> bool;
+
+ private:
+  struct Flight {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    InstanceId sender;
+    Datagram datagram;
+  };
+
+  auto Start(std::size_t index) -> void;
+  auto Step() -> void;
+  auto Receive(std::size_t from, std::size_t to, InstanceId sender, const Datagram& datagram)
+      -> void;
+  auto Lost(double probability) -> bool;
+
+  Random random_;
+  MonotonicTime now_{std::chrono::hours(1)};
+  std::vector<Node> nodes_;
+  std::map<Endpoint, std::size_t> by_address_;
+  std::multimap<MonotonicTime, Flight> flights_;
+  std::size_t largest_ = 0;
+};
+
+}  // namespace heatherspan
