config: spread, check and store versions of the document

Cause: an accepted configuration has to be in force everywhere within seconds and never to go back, while the store is down, loses answers or is restored from an older copy (docs/design.md, 6.9).

Of two manifests of one version, which only a store that was reset can cause, all nodes take the one with the greater hash. The manifest that a promote replaces is written to the history first, so that a write whose answer was lost is found there. Unreferenced chunks are not removed.

--- /dev/null
+++ b/src/config/config_repository.h
@@ -0,0 +1,259 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "config/config_keys.h"
+#include "config/config_write.h"
+#include "config/manifest.h"
+#include "config/store.h"
+#include "config/version_gate.h"
+#include "document/chunk.h"
+#include "document/chunk_splitter.h"
+#include "document/sha256.h"
+#include "fmt/format.h"
+
+namespace heatherspan {
+
+/// The configurations of an environment in the store. Calls block as the store's calls do.
+///
+/// A trial is written at trial's own version; a promote copies the trial's chunks into production.
+/// Chunks are written before the manifest that names them, and manifests by compare-and-swap, so
+/// that a reader never sees a manifest with a missing chunk. Chunks that no manifest names any more
+/// are not removed.
+///
+/// Errors: FAILED_PRECONDITION for a conflict (the message names the other write), UNAVAILABLE if
+/// nothing was written, UNKNOWN if the write may have taken effect (repeat it with the same write
+/// id), DATA_LOSS for values that don't have their hash.
+template <Store S>
+class ConfigRepository {
+ public:
+  ConfigRepository(S& store, const EnvironmentName& environment)
+      : store_(store), keys_(environment) {}
+
+  /// Puts a document to trial. The base version is that of the present trial, 0 for none.
+  auto PutTrial(std::string_view canonical, const ConfigWrite& write) -> absl::StatusOr<Manifest> {
+    std::vector<std::string> hashes;
+    for (const auto& chunk : SplitChunks(canonical)) {
+      if (auto status = WriteChunk(chunk.hash, chunk.bytes); !status.ok()) return status;
+      hashes.push_back(chunk.hash);
+    }
+    return Swap(keys_.Trial(), std::move(hashes), write, ConfigVersion(0));
+  }
+
+  /// Promotes the trial to production. The base version is that of the present production, 0 for
+  /// none. The new version is above the store's and above the highest that any node has seen.
+  /// `trial` is the version of the trial that the operator has checked.
+  auto Promote(ConfigVersion trial, const ConfigWrite& write, ConfigVersion highest_seen)
+      -> absl::StatusOr<Manifest> {
+    const auto stored = ReadManifest(keys_.Trial());
+    if (!stored.ok()) return stored.status();
+    if (!stored->has_value()) return absl::NotFoundError("there is no document on trial");
+    const auto& manifest = (*stored)->manifest;
+    if (manifest.version != trial) return Conflict("trial", trial, manifest);
+    auto promoted = Swap(keys_.Production(), manifest.chunks, write, highest_seen);
+    if (promoted.ok()) WriteHistory(*promoted);
+    return promoted;
+  }
+
+  auto ReadTrial() -> absl::StatusOr<std::optional<Manifest>> { return Read(keys_.Trial()); }
+  auto ReadProduction() -> absl::StatusOr<std::optional<Manifest>> {
+    return Read(keys_.Production());
+  }
+
+  /// Waits until production has another revision than the given one, at most for the given time.
+  /// Empty at the end of the wait or without a value; `revision` becomes that of the value.
+  auto WaitProduction(std::uint64_t& revision, Duration wait)
+      -> absl::StatusOr<std::optional<Manifest>> {
+    auto value = store_.Wait(keys_.Production(), revision, wait);
+    if (!value.ok()) return value.status();
+    if (!value->has_value()) return std::optional<Manifest>();
+    auto manifest = Manifest::Decode((*value)->value);
+    if (!manifest.ok()) return manifest.status();
+    revision = (*value)->revision;
+    return std::optional<Manifest>(*std::move(manifest));
+  }
+
+  /// Reads and verifies one chunk.
+  auto ReadChunk(const std::string& hash) -> absl::StatusOr<std::string> {
+    auto value = store_.Read(keys_.Chunk(hash));
+    if (!value.ok()) return value.status();
+    if (!value->has_value()) return absl::NotFoundError(fmt::format("chunk {} is missing", hash));
+    if (Sha256Hex((*value)->value) != hash) {
+      return absl::DataLossError(fmt::format("chunk {} has other bytes", hash));
+    }
+    return std::move((*value)->value);
+  }
+
+  /// Reads and verifies the whole canonical form.
+  auto ReadDocument(const Manifest& manifest) -> absl::StatusOr<std::string> {
+    std::string canonical;
+    for (const auto& hash : manifest.chunks) {
+      auto chunk = ReadChunk(hash);
+      if (!chunk.ok()) return chunk.status();
+      canonical += *chunk;
+    }
+    return canonical;
+  }
+
+  /// The production manifests of the last versions, the latest first. Versions that were skipped,
+  /// or whose history entry could not be written, are left out.
+  auto History(std::size_t most) -> absl::StatusOr<std::vector<Manifest>> {
+    std::vector<Manifest> history;
+    auto next = ReadProduction();
+    if (!next.ok()) return next.status();
+    while (next->has_value() && history.size() < most) {
+      const auto previous = (*next)->previous;
+      history.push_back(**std::move(next));
+      if (previous == ConfigVersion(0) || previous >= history.back().version) break;
+      next = Read(keys_.History(previous));
+      if (!next.ok()) return next.status();
+    }
+    return history;
+  }
+
+  /// Writes the manifest that a node has in force back if the store's is lower, because the store
+  /// was restored from an older copy. Returns whether it was written. `chunks` gives the bytes of a
+  /// hash.
+  template <class Chunks>
+  auto WriteBack(const Manifest& in_force, Chunks&& chunks) -> absl::StatusOr<bool> {
+    const auto stored = ReadManifest(keys_.Production());
+    if (!stored.ok()) return stored.status();
+    const bool lower =
+        !stored->has_value() || IsHigher(in_force.Digest(), (*stored)->manifest.Digest());
+    if (!lower) return false;
+    for (const auto& hash : in_force.chunks) {
+      if (auto status = WriteChunk(hash, chunks(hash)); !status.ok()) return status;
+    }
+    const auto revision = stored->has_value() ? (*stored)->revision : 0;
+    const auto result = store_.Write(keys_.Production(), in_force.Encode(), revision, std::nullopt);
+    if (result.effect == WriteEffect::kConflict) return false;
+    if (result.effect != WriteEffect::kTookEffect) return WriteError(result, "write-back");
+    WriteHistory(in_force);
+    return true;
+  }
+
+ private:
+  struct Stored {
+    Manifest manifest;
+    std::uint64_t revision = 0;
+  };
+
+  auto ReadManifest(const std::string& key) -> absl::StatusOr<std::optional<Stored>> {
+    auto value = store_.Read(key);
+    if (!value.ok()) return value.status();
+    if (!value->has_value()) return std::optional<Stored>();
+    auto manifest = Manifest::Decode((*value)->value);
+    if (!manifest.ok()) return manifest.status();
+    return std::optional<Stored>(Stored{*std::move(manifest), (*value)->revision});
+  }
+
+  auto Read(const std::string& key) -> absl::StatusOr<std::optional<Manifest>> {
+    auto stored = ReadManifest(key);
+    if (!stored.ok()) return stored.status();
+    if (!stored->has_value()) return std::optional<Manifest>();
+    return std::optional<Manifest>(std::move((*stored)->manifest));
+  }
+
+  auto WriteChunk(const std::string& hash, const std::string& bytes) -> absl::Status {
+    const auto result = store_.Write(keys_.Chunk(hash), bytes, 0, std::nullopt);
+    if (result.effect == WriteEffect::kTookEffect) return absl::OkStatus();
+    if (result.effect == WriteEffect::kNone) return WriteError(result, "chunk");
+    // The key exists or may exist; its name fixes the bytes.
+    return ReadChunk(hash).status();
+  }
+
+  /// Writes the next manifest under a key by compare-and-swap.
+  auto Swap(const std::string& key, std::vector<std::string> hashes, const ConfigWrite& write,
+            ConfigVersion highest_seen) -> absl::StatusOr<Manifest> {
+    const auto stored = ReadManifest(key);
+    if (!stored.ok()) return stored.status();
+    const Stored present = stored->value_or(Stored{});
+    if (IsOwn(*stored, write)) return present.manifest;
+    if (present.manifest.version != write.base_version) {
+      return LostRace(key, write, present.manifest);
+    }
+    // Before it is replaced, so that its writer finds it if the answer was lost.
+    if (key == keys_.Production() && stored->has_value()) WriteHistory(present.manifest);
+    Manifest next;
+    next.version = std::max(present.manifest.version, highest_seen) + ConfigVersion(1);
+    next.write_id = write.write_id;
+    next.chunks = std::move(hashes);
+    next.author = write.author;
+    next.time_unix_ms = write.time_unix_ms;
+    next.reason = write.reason;
+    next.previous = present.manifest.version;
+    const auto result = store_.Write(key, next.Encode(), present.revision, std::nullopt);
+    if (result.effect == WriteEffect::kTookEffect) return next;
+    if (result.effect == WriteEffect::kNone) return WriteError(result, key);
+    return Reread(key, write, result);
+  }
+
+  /// After a conflict or a lost answer: the write id tells whose write is there.
+  auto Reread(const std::string& key, const ConfigWrite& write, const StoreWriteResult& result)
+      -> absl::StatusOr<Manifest> {
+    const auto stored = ReadManifest(key);
+    if (stored.ok() && IsOwn(*stored, write)) return (*stored)->manifest;
+    if (result.effect == WriteEffect::kConflict) {
+      if (!stored.ok()) return stored.status();
+      return Conflict(key, write.base_version, stored->value_or(Stored{}).manifest);
+    }
+    const bool other =
+        stored.ok() && stored->has_value() && (*stored)->manifest.version != write.base_version;
+    // Another write is there now; the own one may have been there before it.
+    if (other) return LostRace(key, write, (*stored)->manifest);
+    return absl::UnknownError(
+        fmt::format("{}: the answer to write {} was lost, and it may have taken effect or may yet; "
+                    "repeat it with the same write id",
+                    key, write.write_id));
+  }
+
+  /// The own write is recognised as the present manifest, or as one before it by the history.
+  auto LostRace(const std::string& key, const ConfigWrite& write, const Manifest& present)
+      -> absl::StatusOr<Manifest> {
+    if (key == keys_.Production() && present.previous != write.base_version) {
+      const auto own = Read(keys_.History(present.previous));
+      if (own.ok() && own->has_value() && (*own)->write_id == write.write_id) return **own;
+    }
+    return Conflict(key, write.base_version, present);
+  }
+
+  static auto IsOwn(const std::optional<Stored>& stored, const ConfigWrite& write) -> bool {
+    return stored.has_value() && stored->manifest.write_id == write.write_id;
+  }
+
+  static auto Conflict(const std::string& what, ConfigVersion expected, const Manifest& other)
+      -> absl::Status {
+    return absl::FailedPreconditionError(fmt::format(
+        "{}: expected version {}, found version {} by {} ({}), write {}", what, expected.value(),
+        other.version.value(), other.author, other.reason, other.write_id));
+  }
+
+  static auto WriteError(const StoreWriteResult& result, const std::string& what) -> absl::Status {
+    const std::string reason(result.status.message());
+    if (result.effect == WriteEffect::kNone) {
+      return absl::UnavailableError(fmt::format("{}: nothing was written: {}", what, reason));
+    }
+    return absl::UnknownError(fmt::format("{}: the write may have taken effect: {}", what, reason));
+  }
+
+  /// Best effort: the history informs operators, and no decision but LostRace depends on it.
+  auto WriteHistory(const Manifest& manifest) -> void {
+    store_.Write(keys_.History(manifest.version), manifest.Encode(), 0, std::nullopt);
+  }
+
+  S& store_;
+  ConfigKeys keys_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/config/config_race_test.cc
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "base/number_text.h"
+#include "config/config_repository.h"
+#include "config/config_spread.h"
+#include "fake_store.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr int kNodes = 5;
+
+/// Operators that race for production, and nodes that read the store and gossip, in a random order
+/// with outages, lost answers, late watches and resets of the store.
+class ConfigRace {
+ public:
+  explicit ConfigRace(std::uint64_t seed) : random_(seed) {
+    store_.random.seed(seed);
+    const auto trial = repository_.PutTrial("document\n", ConfigWrite{"trial", {}, "a", "r", 0});
+    trial_ = trial.value().version;
+    chunk_ = trial.value().chunks[0];
+    store_.Save();
+  }
+
+  auto Run() -> void {
+    for (int step = 0; step < 2'000; ++step) {
+      if (random_() % 100 == 0) store_.down = !store_.down;
+      if (random_() % 200 == 0) store_.Save();
+      if (random_() % 300 == 0) {
+        store_.Restore();
+        ++resets_;
+      }
+      store_.late_watches = random_() % 4 == 0;
+      store_.loss = random_() % 3 == 0 ? 0.5 : 0;
+      if (random_() % 5 == 0) PromoteSomething();
+      Read(nodes_[random_() % kNodes]);
+      Gossip(nodes_[random_() % kNodes], nodes_[random_() % kNodes]);
+      CheckNodes();
+    }
+  }
+  auto wins() const -> std::size_t { return winners_.size(); }
+
+ private:
+  struct Node {
+    ConfigSpread spread;
+    std::uint64_t revision = 0;
+    ConfigDigest last;
+  };
+
+  /// Two operators that saw the same version; the second one acts between read and write of the
+  /// first one.
+  auto PromoteSomething() -> void {
+    auto& node = nodes_[random_() % kNodes];
+    const auto seen = node.spread.gate().highest_seen().version;
+    const auto base = repository_.ReadProduction();
+    if (!base.ok()) return;
+    const auto version = base->has_value() ? (*base)->version : ConfigVersion(0);
+    const auto rival = Write(version);
+    store_.before_write = [this, rival, seen] {
+      Note(rival, repository_.Promote(trial_, rival, seen));
+    };
+    const auto own = Write(version);
+    Note(own, repository_.Promote(trial_, own, seen));
+    store_.before_write = nullptr;
+  }
+
+  auto Write(ConfigVersion base) -> ConfigWrite {
+    return ConfigWrite{"w" + std::to_string(next_write_++), base, "ivo", "race", 0};
+  }
+
+  auto Note(const ConfigWrite& write, const absl::StatusOr<Manifest>& result) -> void {
+    if (!result.ok()) return;
+    EXPECT_EQ(result->write_id, write.write_id);
+    // A store that was reset, and a node that has not heard of the lost versions, may give a
+    // version again; the nodes then agree on one of the two manifests by their hashes.
+    const auto key = std::pair(result->version, resets_);
+    const auto [entry, added] = winners_.try_emplace(key, write.write_id);
+    EXPECT_EQ(entry->second, write.write_id) << "version " << result->version.value();
+  }
+
+  auto Read(Node& node) -> void {
+    const auto manifest = repository_.WaitProduction(node.revision, Duration(0));
+    if (!manifest.ok() || !manifest->has_value()) return;
+    node.spread.OnStoreManifest(**manifest);
+    EXPECT_TRUE(node.spread.OnStoreChunk(chunk_, "document\n").ok());
+    const auto& in_force = node.spread.in_force();
+    if (!in_force.has_value()) return;
+    const auto bytes = [](const std::string&) { return std::string("document\n"); };
+    (void)repository_.WriteBack(*in_force, bytes).status();
+  }
+
+  auto Gossip(const Node& from, Node& to) -> void {
+    if (!from.spread.in_force().has_value()) return;
+    to.spread.OnDigest(ConfigSource{InstanceId(1), {}}, from.spread.Digest());
+    const auto response = from.spread.Answer(ManifestRequest{});
+    EXPECT_TRUE(to.spread.OnManifestResponse(response).ok());
+    EXPECT_TRUE(to.spread.OnStoreChunk(chunk_, "document\n").ok());
+  }
+
+  auto CheckNodes() -> void {
+    for (auto& node : nodes_) {
+      EXPECT_FALSE(IsHigher(node.last, node.spread.Digest())) << "a node went back";
+      node.last = node.spread.Digest();
+    }
+  }
+
+  Random random_;
+  FakeStore store_;
+  ConfigRepository<FakeStore> repository_{store_, EnvironmentName("prod")};
+  ConfigVersion trial_;
+  std::string chunk_;
+  std::array<Node, kNodes> nodes_;
+  int next_write_ = 0;
+  int resets_ = 0;
+  std::map<std::pair<ConfigVersion, int>, std::string> winners_;
+};
+
+// Guards against two winners of one version, and against nodes that go back to a lower version.
+TEST(ConfigRace, OneWriteWinsEachVersionAndNoNodeGoesBack) {
+  const char* fixed = std::getenv("HS_SEED");
+  const auto first = fixed == nullptr ? 1 : ParseNumber<std::uint64_t>(fixed).value_or(1);
+  const auto last = fixed == nullptr ? 20 : first;
+  for (auto seed = first; seed <= last; ++seed) {
+    SCOPED_TRACE("HS_SEED=" + std::to_string(seed));
+    ConfigRace race(seed);
+    race.Run();
+    EXPECT_GT(race.wins(), 10);
+    std::cout << "HS_SEED=" << seed << " versions " << race.wins() << "\n";
+  }
+}
+
+}  // namespace
+}  // namespace heatherspan
