--- a/src/net/peer_client.h
+++ b/src/net/peer_client.h
@@ -35,7 +35,8 @@
   auto operator=(const PeerClient&) -> PeerClient& = delete;
 
   /// Calls back exactly once, on a worker. If the link is connected to an instance other than the
-  /// expected one, the call fails with nothing written; an expected id of zero accepts any.
+  /// expected one, the call fails with nothing written; an expected id of zero accepts any. A
+  /// cancel request has no answer: its call ends with OK and no response once the link has it.
   auto Call(const Endpoint& peer, InstanceId expected, PeerRequest request, Duration timeout,
             Callback callback) -> void;
   auto Stop() -> void;
