daemon, admin: serve look-ups and requests end to end

Cause: the modules had no process that joins them. Change: heatherspand with the callers' interface, the executor, the router, tickets, shares, membership, configuration, the VM list, the administration interface and the planned stop.

--- /dev/null
+++ b/apps/heatherspand/main.cc
@@ -0,0 +1,3 @@
+#include "daemon/daemon_program.h"
+
+auto main(int argc, char** argv) -> int { return heatherspan::RunDaemonProgram(argc, argv); }
--- a/src/base/strong_number.h
+++ b/src/base/strong_number.h
@@ -15,7 +15,8 @@
 
   constexpr auto value() const -> Rep { return value_; }
 
-  friend constexpr auto operator<=>(const StrongNumber&, const StrongNumber&) = default;
+  friend constexpr auto operator<=>(const StrongNumber&, const StrongNumber&)
+      -> std::compare_three_way_result_t<Rep> = default;
   friend constexpr auto operator+(StrongNumber a, StrongNumber b) -> StrongNumber {
     return StrongNumber(a.value_ + b.value_);
   }
--- a/src/base/strong_string.h
+++ b/src/base/strong_string.h
@@ -17,7 +17,8 @@
   auto value() const -> const std::string& { return value_; }
   auto empty() const -> bool { return value_.empty(); }
 
-  friend auto operator<=>(const StrongString&, const StrongString&) = default;
+  friend auto operator<=>(const StrongString&, const StrongString&)
+      -> std::strong_ordering = default;
 
   template <class H>
   friend auto AbslHashValue(H state, const StrongString& id) -> H {
--- /dev/null
+++ b/src/daemon/config_service.cc
@@ -0,0 +1,201 @@
+#include "daemon/config_service.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "config/reader_selection.h"
+#include "document/canonical.h"
+#include "net/peer_client.h"
+#include "observe/event_log.h"
+#include "observe/metrics_registry.h"
+
+namespace heatherspan {
+namespace {
+
+// A watch ends well before the 9 s in which a change has to be in force, so that a node that
+// becomes a reader begins in time.
+constexpr Duration kWatchTime = std::chrono::seconds(5);
+
+}  // namespace
+
+ConfigService::ConfigService(HttpStore& store, const EnvironmentName& environment,
+                             PeerClient& peers, NodeIdentity identity, EventLog& log,
+                             MetricsRegistry& metrics, Events events, std::uint64_t seed)
+    : repository_(store, environment),
+      peers_(peers),
+      identity_(std::move(identity)),
+      log_(log),
+      metrics_(metrics),
+      events_(std::move(events)),
+      random_(seed) {}
+
+auto ConfigService::OnDigest(const ConfigSource& source, const ConfigDigest& digest) -> void {
+  const std::lock_guard lock(mutex_);
+  spread_.OnDigest(source, digest);
+}
+
+auto ConfigService::OnTick() -> void {
+  std::optional<ConfigPull> pull;
+  {
+    const std::lock_guard lock(mutex_);
+    pull = spread_.NextPull(clock_.Now(), random_);
+  }
+  if (!pull.has_value()) return;
+  peers_.Call(pull->source.peer_endpoint, pull->source.instance, pull->request,
+              ConfigSpread::kPullTimeout, [this, pull = *pull](PeerResult result) {
+                if (!result.status.ok()) {
+                  const std::lock_guard lock(mutex_);
+                  spread_.OnPullFailed();
+                  return;
+                }
+                OnPullEnd(pull, result.response);
+              });
+}
+
+auto ConfigService::OnPullEnd(const ConfigPull& pull, const PeerResponse& response) -> void {
+  absl::Status status = absl::InternalError("the peer answered with a message of another kind");
+  {
+    const std::lock_guard lock(mutex_);
+    if (const auto* manifest = std::get_if<ManifestResponse>(&response); manifest != nullptr) {
+      status = spread_.OnManifestResponse(*manifest);
+    } else if (const auto* chunks = std::get_if<ChunkResponse>(&response); chunks != nullptr) {
+      status = spread_.OnChunkResponse(*chunks);
+    } else {
+      spread_.OnPullFailed();
+    }
+  }
+  if (!status.ok()) {
+    log_.Write(
+        LogLevel::kWarning, "config-pull-failed",
+        {{"peer", pull.source.peer_endpoint.Text()}, {"error", std::string(status.message())}});
+  }
+  ApplyWhole();
+}
+
+auto ConfigService::ApplyWhole() -> void {
+  const std::lock_guard apply_lock(apply_mutex_);
+  std::optional<std::string> canonical;
+  std::optional<Manifest> manifest;
+  {
+    const std::lock_guard lock(mutex_);
+    canonical = spread_.TakeWhole();
+    manifest = spread_.in_force();
+  }
+  if (!canonical.has_value() || !manifest.has_value()) return;
+  auto document = ReadCanonical(*canonical);
+  if (!document.ok()) {
+    // It was checked before it was promoted, so only a newer program can have written it.
+    log_.Write(LogLevel::kError, "config-unreadable",
+               {{"config_version", manifest->version.value()},
+                {"error", std::string(document.status().message())}});
+    return;
+  }
+  metrics_.Increment(Metric::kConfigChanges, {});
+  metrics_.Set(Metric::kConfigVersion, {}, static_cast<double>(manifest->version.value()));
+  log_.Write(LogLevel::kInfo, "config-in-force",
+             {{"config_version", manifest->version.value()}, {"author", manifest->author}});
+  events_.in_force(*manifest, std::make_shared<const Document>(*std::move(document)));
+}
+
+auto ConfigService::IsReader() const -> bool {
+  std::vector<ReaderCandidate> live;
+  for (const auto& member : events_.members()) {
+    if (member.state == MemberState::kAlive) live.push_back({member.zone, member.instance});
+  }
+  const auto readers = SelectReaders(live, identity_.zone);
+  return std::find(readers.begin(), readers.end(), identity_.instance) != readers.end();
+}
+
+auto ConfigService::RunReaderStep() -> void {
+  const bool poll_now = poll_now_.exchange(false);
+  if (!poll_now && !IsReader()) return;
+  const auto status = PollStore(kWatchTime);
+  metrics_.Increment(Metric::kStoreCalls,
+                     {{"kind", "watch"}, {"result", status.ok() ? "ok" : "error"}});
+  if (!status.ok()) {
+    log_.Write(LogLevel::kDebug, "store-watch-failed", {{"error", std::string(status.message())}});
+  }
+}
+
+auto ConfigService::PollStore(Duration wait) -> absl::Status {
+  auto manifest = repository_.WaitProduction(revision_, wait);
+  if (!manifest.ok()) return manifest.status();
+  {
+    const std::lock_guard lock(mutex_);
+    store_answered_ = clock_.Now();
+  }
+  if (!manifest->has_value()) return absl::OkStatus();
+  if (auto status = WriteBackIfOlder(**manifest); !status.ok()) return status;
+  auto status = TakeFromStore(**manifest);
+  // Read it again at the next step.
+  if (!status.ok()) revision_ = 0;
+  return status;
+}
+
+auto ConfigService::WriteBackIfOlder(const Manifest& stored) -> absl::Status {
+  std::optional<Manifest> in_force;
+  {
+    const std::lock_guard lock(mutex_);
+    in_force = spread_.in_force();
+  }
+  if (!in_force.has_value() || !IsHigher(in_force->Digest(), stored.Digest())) {
+    return absl::OkStatus();
+  }
+  log_.Write(
+      LogLevel::kWarning, "store-older",
+      {{"store_version", stored.version.value()}, {"config_version", in_force->version.value()}});
+  const auto written = repository_.WriteBack(*in_force, [this](const std::string& hash) {
+    const std::lock_guard lock(mutex_);
+    const auto chunk = spread_.cache().Find(hash);
+    return chunk == nullptr ? std::string() : *chunk;
+  });
+  return written.status();
+}
+
+auto ConfigService::TakeFromStore(const Manifest& manifest) -> absl::Status {
+  std::vector<std::string> missing;
+  {
+    const std::lock_guard lock(mutex_);
+    spread_.OnStoreManifest(manifest);
+    missing = spread_.MissingChunks();
+  }
+  for (const auto& hash : missing) {
+    auto chunk = repository_.ReadChunk(hash);
+    if (!chunk.ok()) return chunk.status();
+    const std::lock_guard lock(mutex_);
+    if (auto status = spread_.OnStoreChunk(hash, *std::move(chunk)); !status.ok()) return status;
+  }
+  ApplyWhole();
+  return absl::OkStatus();
+}
+
+auto ConfigService::EncodedManifest() const -> std::string {
+  const std::lock_guard lock(mutex_);
+  return spread_.Answer(ManifestRequest{}).manifest;
+}
+
+auto ConfigService::Chunks(const std::vector<std::string>& hashes) const
+    -> std::vector<std::string> {
+  const std::lock_guard lock(mutex_);
+  return spread_.Answer(ChunkRequest{hashes}).chunks;
+}
+
+auto ConfigService::Digest() const -> ConfigDigest {
+  const std::lock_guard lock(mutex_);
+  return spread_.Digest();
+}
+
+auto ConfigService::StoreAgeSeconds(MonotonicTime now) const -> double {
+  const std::lock_guard lock(mutex_);
+  if (!store_answered_.has_value()) return -1;
+  return std::chrono::duration<double>(now - *store_answered_).count();
+}
+
+auto ConfigService::HighestSeen() const -> ConfigVersion {
+  const std::lock_guard lock(mutex_);
+  return spread_.gate().highest_seen().version;
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/config_service.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "config/config_repository.h"
+#include "config/config_spread.h"
+#include "daemon/node_identity.h"
+#include "document/document.h"
+#include "membership/member.h"
+#include "messages/config_digest.h"
+#include "messages/peer_response.h"
+#include "platform/http_store.h"
+
+namespace heatherspan {
+
+class EventLog;
+class MetricsRegistry;
+class PeerClient;
+
+/// Brings configurations to this node, from the store if it is a reader of its zone, otherwise from
+/// peers, and gives them to peers. Thread-safe; `mutex_` is the config lock of the lock order.
+class ConfigService {
+ public:
+  struct Events {
+    /// A configuration came into force; called without the lock, one call at a time.
+    std::function<void(const Manifest& manifest, std::shared_ptr<const Document> document)>
+        in_force;
+    std::function<std::vector<Member>()> members;
+  };
+
+  ConfigService(HttpStore& store, const EnvironmentName& environment, PeerClient& peers,
+                NodeIdentity identity, EventLog& log, MetricsRegistry& metrics, Events events,
+                std::uint64_t seed);
+
+  auto OnDigest(const ConfigSource& source, const ConfigDigest& digest) -> void;
+  /// Starts the next pull from a peer, if one is due.
+  auto OnTick() -> void;
+  /// Waits for a change at the store, if this node is a reader; otherwise returns after a pause.
+  /// Blocks, so that it is called by a control worker only.
+  auto RunReaderStep() -> void;
+
+  auto EncodedManifest() const -> std::string;
+  auto Chunks(const std::vector<std::string>& hashes) const -> std::vector<std::string>;
+  auto Digest() const -> ConfigDigest;
+  auto HighestSeen() const -> ConfigVersion;
+  /// Seconds since the store last answered this node; -1 before the first answer.
+  auto StoreAgeSeconds(MonotonicTime now) const -> double;
+  /// Takes over what this node has just promoted, without waiting for the watch.
+  auto OnPromoted() -> void { poll_now_ = true; }
+
+ private:
+  auto IsReader() const -> bool;
+  auto PollStore(Duration wait) -> absl::Status;
+  auto TakeFromStore(const Manifest& manifest) -> absl::Status;
+  auto WriteBackIfOlder(const Manifest& stored) -> absl::Status;
+  auto OnPullEnd(const ConfigPull& pull, const PeerResponse& response) -> void;
+  auto ApplyWhole() -> void;
+
+  ConfigRepository<HttpStore> repository_;
+  PeerClient& peers_;
+  NodeIdentity identity_;
+  EventLog& log_;
+  MetricsRegistry& metrics_;
+  Events events_;
+  SystemClock clock_;
+  std::uint64_t revision_ = 0;  ///< Of the manifest last seen at the store; one control worker's.
+  std::atomic<bool> poll_now_ = false;
+
+  std::mutex apply_mutex_;  ///< Keeps in_force calls in order; taken before every other lock.
+  mutable std::mutex mutex_;
+  Random random_;
+  ConfigSpread spread_;
+  std::optional<MonotonicTime> store_answered_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/configuration.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/ids.h"
+#include "document/document.h"
+#include "steering/steering_view.h"
+
+namespace heatherspan {
+
+/// The configuration in force with the live entry VMs, as one immutable snapshot.
+struct Configuration {
+  ConfigVersion version;
+  std::int64_t accepted_unix_ms = 0;  ///< When the version was promoted, by the wall clock.
+  std::shared_ptr<const Document> document;
+  std::shared_ptr<const SteeringView> view;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/daemon_program.cc
@@ -0,0 +1,92 @@
+#include "daemon/daemon_program.h"
+
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <string>
+#include <thread>
+
+#include "daemon/daemon.h"
+#include "observe/event_log.h"
+#include "settings/settings_reader.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr int kExitDone = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitUnsoundSettings = 3;
+
+/// Blocks the signals that stop the program in every thread; they are waited for instead.
+auto BlockStopSignals() -> sigset_t {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
+auto ReadFile(const std::string& path) -> std::optional<std::string> {
+  std::ifstream file(path, std::ios::binary);
+  std::string text(std::istreambuf_iterator<char>(file), {});
+  if (!file) return std::nullopt;
+  return text;
+}
+
+auto Serve(const Settings& settings) -> int {
+  const auto signals = BlockStopSignals();
+  EventLog log(ParseLogLevel(settings.log_level).value_or(LogLevel::kInfo));
+  Daemon daemon(settings, log);
+  if (const auto status = daemon.Start(); !status.ok()) {
+    log.Write(LogLevel::kError, "start-failed", {{"error", std::string(status.message())}});
+    return kExitFailure;
+  }
+  std::thread waiter([&] {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    daemon.BeginLeave();
+  });
+  daemon.WaitUntilStopped();
+  // The stop may have begun by a drain; the waiter then still waits.
+  pthread_kill(waiter.native_handle(), SIGTERM);
+  waiter.join();
+  log.Write(LogLevel::kInfo, "stopped", {});
+  return kExitDone;
+}
+
+}  // namespace
+
+auto RunDaemonProgram(int argc, char** argv) -> int {
+  CLI::App app("heatherspand: the daemon of an entry VM");
+  std::string path;
+  bool check = false;
+  app.add_option("--settings", path, "Settings file (TOML)")->required();
+  app.add_flag("--check", check, "Check the settings and exit");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? kExitDone : kExitUsage;
+  }
+  const auto text = ReadFile(path);
+  if (!text.has_value()) {
+    std::cerr << path << ": cannot be read\n";
+    return kExitUsage;
+  }
+  const auto settings = ReadSettings(*text, path, ProcessEnvironment());
+  if (!settings.ok()) {
+    std::cerr << settings.status().message() << '\n';
+    return kExitUnsoundSettings;
+  }
+  if (check) {
+    std::cout << path << ": sound\n";
+    return kExitDone;
+  }
+  return Serve(*settings);
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/forward_results.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/refusal.h"
+#include "base/time.h"
+#include "messages/forward_response.h"
+
+namespace heatherspan {
+
+/// A response that carries a refusal.
+auto RefusedResponse(const Refusal& refusal) -> ForwardResponse;
+
+/// A response that carries a verdict and a reason without Retry-After.
+auto RefusedResponse(Verdict verdict, Reason reason) -> ForwardResponse;
+
+/// Whether the first node may try the request elsewhere after this result.
+auto IsRetryable(const ForwardResponse& response, bool idempotent) -> bool;
+
+/// The time left until a deadline in whole milliseconds, at least zero.
+auto MillisecondsLeft(MonotonicTime deadline, MonotonicTime now) -> std::uint32_t;
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/peer_calls.cc
@@ -0,0 +1,54 @@
+#include "daemon/peer_calls.h"
+
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "absl/status/status.h"
+#include "daemon/forward_results.h"
+
+namespace heatherspan {
+
+auto ForwardMessage(const RoutedRequest& request, MonotonicTime now) -> ForwardRequest {
+  ForwardRequest message;
+  message.request_id = request.id;
+  message.service = request.service;
+  message.home = request.home;
+  message.deadline_ms = MillisecondsLeft(request.deadline, now);
+  message.method = request.method;
+  message.path = request.path;
+  message.headers = request.headers;
+  message.body = request.body;
+  return message;
+}
+
+auto RequestOf(ForwardRequest message, bool idempotent, MonotonicTime now) -> RoutedRequest {
+  RoutedRequest request;
+  request.id = std::move(message.request_id);
+  request.service = std::move(message.service);
+  request.home = std::move(message.home);
+  request.idempotent = idempotent;
+  request.deadline = now + std::chrono::milliseconds(message.deadline_ms);
+  request.method = std::move(message.method);
+  request.path = std::move(message.path);
+  request.headers = std::move(message.headers);
+  request.body = std::move(message.body);
+  return request;
+}
+
+auto JudgeForward(PeerResult result) -> ForwardResponse {
+  if (result.status.ok()) {
+    if (auto* response = std::get_if<ForwardResponse>(&result.response); response != nullptr) {
+      return std::move(*response);
+    }
+    return RefusedResponse(Verdict::kMayHaveRun, Reason::kInternal);
+  }
+  if (result.progress == SendProgress::kNothingWritten) {
+    return RefusedResponse(Verdict::kNotRun, Reason::kPeerUnreachable);
+  }
+  const auto reason =
+      absl::IsDeadlineExceeded(result.status) ? Reason::kPeerTimeout : Reason::kPeerConnectionLost;
+  return RefusedResponse(Verdict::kMayHaveRun, reason);
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/request_router.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+
+#include "base/time.h"
+#include "daemon/attempt_plan.h"
+#include "daemon/node_identity.h"
+#include "daemon/published_configuration.h"
+#include "daemon/routed_request.h"
+#include "daemon/steering_state.h"
+#include "net/worker_pool.h"
+
+namespace heatherspan {
+
+class EventLog;
+class Executor;
+class MetricsRegistry;
+class PeerClient;
+
+/// Carries a request of this first node to an availability zone, and elsewhere if it may be
+/// retried. Thread-safe.
+class RequestRouter {
+ public:
+  RequestRouter(WorkerPool& workers, PeerClient& peers, Executor& executor, SteeringState& steering,
+                const PublishedConfiguration& configuration, MetricsRegistry& metrics,
+                EventLog& log, NodeIdentity identity);
+
+  /// Calls back exactly once.
+  auto Route(RoutedRequest request, ForwardCallback callback) -> void;
+
+ private:
+  class Flow;
+
+  auto StartAttempt(const std::shared_ptr<Flow>& flow) -> void;
+  auto SendAttempt(const std::shared_ptr<Flow>& flow, const AttemptPlan& plan) -> void;
+  auto OnAttemptEnd(const std::shared_ptr<Flow>& flow, const AttemptPlan& plan,
+                    MonotonicTime started, ForwardResponse response) -> void;
+  auto RetryOrFinish(const std::shared_ptr<Flow>& flow, ForwardResponse response) -> void;
+
+  WorkerPool& workers_;
+  PeerClient& peers_;
+  Executor& executor_;
+  SteeringState& steering_;
+  const PublishedConfiguration& configuration_;
+  MetricsRegistry& metrics_;
+  EventLog& log_;
+  NodeIdentity identity_;
+  SystemClock clock_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/routed_request.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "messages/forward_response.h"
+#include "messages/header_field.h"
+
+namespace heatherspan {
+
+/// A caller's request inside the node.
+struct RoutedRequest {
+  RequestId id;
+  ServiceName service;
+  /// The region of the caller's client block; shifts away from it are limited.
+  RegionName home;
+  bool idempotent = true;
+  MonotonicTime deadline;
+  /// Nothing may be sent after this time; set for requests with a ticket.
+  std::optional<MonotonicTime> send_by;
+  std::string method;
+  std::string path;
+  std::vector<HeaderField> headers;
+  std::string body;
+};
+
+/// Receives the end of a request, exactly once.
+using ForwardCallback = std::function<void(ForwardResponse)>;
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/steering_state.cc
@@ -0,0 +1,123 @@
+#include "daemon/steering_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "steering/choose_executor.h"
+#include "steering/rank_zones.h"
+
+namespace heatherspan {
+namespace {
+
+// Of several refusals, the first one names the cause: it belongs to the best zone.
+auto KeepFirst(std::optional<Refusal>& first, const Refusal& refusal) -> void {
+  if (!first.has_value()) first = refusal;
+}
+
+}  // namespace
+
+SteeringState::SteeringState(NodeIdentity identity, std::uint64_t seed)
+    : identity_(std::move(identity)), random_(seed), owners_(identity_.instance) {}
+
+auto SteeringState::OwnRegion(const Configuration& configuration) const -> const RegionName* {
+  return configuration.view->RegionOf(identity_.zone);
+}
+
+auto SteeringState::OnConfiguration(const Configuration& configuration, MonotonicTime now) -> void {
+  const std::lock_guard lock(mutex_);
+  shift_limiter_.Configure(*configuration.document);
+  link_budget_.Update(*configuration.view, now);
+  owners_.Update(*configuration.view, now);
+  for (const auto& region : configuration.view->regions()) {
+    shift_limiter_.SetHealthy(region.name, region.live_nodes > 0 && !region.drained, now);
+  }
+}
+
+auto SteeringState::OnRequest(const ServiceName& service, const RegionName& home, MonotonicTime now)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  retry_budget_.OnRequest();
+  shift_limiter_.OnRequest(service, home, now);
+}
+
+auto SteeringState::PlanAttempt(const Configuration& configuration, const ServiceName& service,
+                                const RegionName& home, const std::vector<ZoneName>& tried,
+                                MonotonicTime now) -> std::variant<AttemptPlan, Refusal> {
+  const auto* origin = OwnRegion(configuration);
+  if (origin == nullptr) return Refusal{Verdict::kNotRun, Reason::kNoZone, {}};
+  const auto bytes = configuration.view->FindService(service.value())->service->mean_response;
+  std::optional<Refusal> first;
+  const std::lock_guard lock(mutex_);
+  for (const auto& choice : RankZones(*configuration.view, loads_, service, identity_.zone, now)) {
+    if (std::find(tried.begin(), tried.end(), choice.zone) != tried.end()) continue;
+    // A drained zone serves on only for what may not move yet.
+    if (choice.drained && !first.has_value()) continue;
+    const auto executor = ChooseExecutor(owners_, loads_, service, choice.zone, now, random_);
+    if (!executor.has_value()) continue;
+    const auto* node = configuration.view->FindNode(*executor);
+    if (node == nullptr) continue;
+    if (!link_budget_.HasRoom(*origin, choice.region, bytes, now)) {
+      KeepFirst(first, {Verdict::kNotRun, Reason::kLinkBudget, std::chrono::seconds(1)});
+      continue;
+    }
+    if (const auto refusal = shift_limiter_.Admit(service, home, choice.region, now);
+        refusal.has_value()) {
+      KeepFirst(first, *refusal);
+      continue;
+    }
+    link_budget_.TryUse(*origin, choice.region, bytes, now);
+    const auto booked = choice.region == *origin ? Bytes(0) : bytes;
+    return AttemptPlan{choice.zone, *origin, choice.region, *node, booked};
+  }
+  return first.value_or(Refusal{Verdict::kNotRun, Reason::kNoZone, std::chrono::seconds(1)});
+}
+
+auto SteeringState::OnAttemptEnd(const AttemptPlan& plan, const ServiceName& service,
+                                 ZoneOutcome outcome, std::optional<Duration> retry_after,
+                                 Bytes actual, MonotonicTime now) -> void {
+  const std::lock_guard lock(mutex_);
+  loads_.OnOutcome(plan.zone, service, outcome, retry_after, now);
+  if (plan.booked.value() > 0 && outcome == ZoneOutcome::kAnswered) {
+    link_budget_.Correct(plan.origin, plan.region, plan.booked, actual);
+  }
+}
+
+auto SteeringState::OnLoad(const NodeLoad& load, MonotonicTime now) -> void {
+  const std::lock_guard lock(mutex_);
+  loads_.OnLoad(load, now);
+}
+
+auto SteeringState::NodeUtilization(const ZoneName& zone, InstanceId instance,
+                                    MonotonicTime now) const -> std::optional<double> {
+  const std::lock_guard lock(mutex_);
+  return loads_.NodeUtilization(zone, instance, now);
+}
+
+auto SteeringState::TryRetry(int retry) -> std::optional<Duration> {
+  const std::lock_guard lock(mutex_);
+  if (!retry_budget_.TryRetry()) return std::nullopt;
+  return RetryBudget::Backoff(retry, random_);
+}
+
+auto SteeringState::OwnedServices(const Configuration& configuration, MonotonicTime now) const
+    -> std::vector<PoolService> {
+  const std::lock_guard lock(mutex_);
+  std::vector<PoolService> services;
+  for (const auto& table : configuration.view->services()) {
+    auto targets = owners_.Owned(table.service->name, now);
+    services.push_back({table.service->name, table.service->slots_per_target, std::move(targets)});
+  }
+  return services;
+}
+
+auto SteeringState::NextOwnerChange(MonotonicTime now) const -> std::optional<MonotonicTime> {
+  const std::lock_guard lock(mutex_);
+  return owners_.NextChange(now);
+}
+
+auto SteeringState::ForgetOld(MonotonicTime now) -> void {
+  const std::lock_guard lock(mutex_);
+  loads_.ForgetOld(now);
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/target_exchange.cc
@@ -0,0 +1,86 @@
+#include "daemon/target_exchange.h"
+
+#include <array>
+#include <string>
+#include <utility>
+
+#include "absl/status/status.h"
+#include "daemon/forward_results.h"
+#include "daemon/header_names.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr int kServiceUnavailable = 503;
+
+constexpr std::array<std::pair<std::string_view, TargetOutcome>, 3> kTargetRefusals = {{
+    {"shed", TargetOutcome::kShed},
+    {"draining", TargetOutcome::kDraining},
+    {"deadline", TargetOutcome::kDeadlineRefused},
+}};
+
+auto RefusalOutcome(const HttpResponse& response) -> std::optional<TargetOutcome> {
+  if (response.status != kServiceUnavailable) return std::nullopt;
+  const auto refused = response.Header(kTargetRefusedHeader);
+  for (const auto& [text, outcome] : kTargetRefusals) {
+    if (refused == text) return outcome;
+  }
+  return std::nullopt;
+}
+
+auto JudgeResponse(HttpResponse response) -> TargetVerdict {
+  if (const auto refusal = RefusalOutcome(response); refusal.has_value()) {
+    const auto reason =
+        *refusal == TargetOutcome::kDeadlineRefused ? Reason::kDeadline : Reason::kTargetRefused;
+    return {RefusedResponse(Verdict::kNotRun, reason), *refusal};
+  }
+  TargetVerdict verdict;
+  verdict.outcome = TargetOutcome::kAnswered;
+  verdict.response.verdict = Verdict::kRan;
+  verdict.response.status = static_cast<std::uint32_t>(response.status);
+  verdict.response.headers = std::move(response.headers);
+  verdict.response.body = std::move(response.body);
+  return verdict;
+}
+
+auto JudgeFailure(const HttpResult& result) -> TargetVerdict {
+  if (result.progress == SendProgress::kNothingWritten) {
+    return {RefusedResponse(Verdict::kNotRun, Reason::kTargetConnect),
+            TargetOutcome::kConnectFailed};
+  }
+  if (absl::IsDeadlineExceeded(result.status)) {
+    return {RefusedResponse(Verdict::kMayHaveRun, Reason::kTargetTimeout), TargetOutcome::kTimeout};
+  }
+  if (absl::IsResourceExhausted(result.status)) {
+    return {RefusedResponse(Verdict::kMayHaveRun, Reason::kResponseTooLarge),
+            TargetOutcome::kAnswered};
+  }
+  if (absl::IsCancelled(result.status)) {
+    return {RefusedResponse(Verdict::kMayHaveRun, Reason::kCancelled), TargetOutcome::kCancelled};
+  }
+  const auto reason = result.response.status != 0 && absl::IsDataLoss(result.status)
+                          ? Reason::kTruncatedResponse
+                          : Reason::kTargetConnectionLost;
+  return {RefusedResponse(Verdict::kMayHaveRun, reason), TargetOutcome::kConnectionLost};
+}
+
+}  // namespace
+
+auto TargetRequest(const RoutedRequest& request, MonotonicTime now) -> HttpRequest {
+  HttpRequest http;
+  http.method = request.method;
+  http.target = request.path;
+  http.headers = request.headers;
+  http.headers.push_back({std::string(kRequestIdHeader), request.id.value()});
+  http.headers.push_back(
+      {std::string(kDeadlineHeader), std::to_string(MillisecondsLeft(request.deadline, now))});
+  http.body = request.body;
+  return http;
+}
+
+auto JudgeExchange(HttpResult result) -> TargetVerdict {
+  if (result.status.ok()) return JudgeResponse(std::move(result.response));
+  return JudgeFailure(result);
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/target_report_reader.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "admission/target_report.h"
+#include "base/ids.h"
+
+namespace heatherspan {
+
+/// Reads the body of a target's GET /-/load.
+auto ReadTargetReport(const TargetName& target, std::string_view body)
+    -> absl::StatusOr<TargetReport>;
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/ticket_service.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "daemon/node_identity.h"
+#include "daemon/routed_request.h"
+#include "tickets/ticket_codec.h"
+#include "tickets/ticket_table.h"
+
+namespace heatherspan {
+
+class PeerClient;
+class PublishedConfiguration;
+class RequestRouter;
+
+/// Runs requests with tickets: at their owner if that is this node, else through the owner.
+/// Thread-safe; `mutex_` is the ticket lock of the lock order.
+class TicketService {
+ public:
+  using StatusCallback = std::function<void(absl::StatusOr<TicketStatus>)>;
+
+  TicketService(const std::string& key, const NodeIdentity& identity, TicketLimits limits,
+                RequestRouter& router, PeerClient& peers,
+                const PublishedConfiguration& configuration, std::uint64_t seed);
+
+  auto Issue() -> std::string;
+
+  /// Runs the request of the ticket at most once over all repeats. Calls back exactly once.
+  auto Run(const std::string& ticket, RoutedRequest request, ForwardCallback callback) -> void;
+
+  /// Runs a request that a peer forwarded to this node as the owner of its ticket.
+  auto RunAsOwner(const std::string& ticket, RoutedRequest request, ForwardCallback callback)
+      -> void;
+
+  /// What became of the request of a ticket; asks the owner if it is another node.
+  auto Status(const std::string& ticket, StatusCallback callback) -> void;
+  auto OwnStatus(const std::string& ticket) const -> absl::StatusOr<TicketStatus>;
+
+  auto records() const -> std::size_t;
+
+ private:
+  auto RunOwned(const Ticket& ticket, RoutedRequest request, ForwardCallback callback) -> void;
+  /// Adds the callback to those that wait for the running request. Returns true if that is all that
+  /// has to be done. Called with the lock held.
+  auto JoinWaiters(const Ticket& ticket, const TicketDecision& decision, ForwardCallback& callback)
+      -> bool;
+  auto Forward(const std::string& text, const Ticket& ticket, const RoutedRequest& request,
+               ForwardCallback callback) -> void;
+  auto OnRunEnd(const Ticket& ticket, ForwardResponse response) -> void;
+
+  TicketCodec codec_;
+  InstanceId self_;
+  RequestRouter& router_;
+  PeerClient& peers_;
+  const PublishedConfiguration& configuration_;
+  SystemClock clock_;
+
+  mutable std::mutex mutex_;
+  Random random_;
+  TicketTable table_;
+  /// Callers that wait for the result of a running request, by nonce.
+  std::map<std::uint64_t, std::vector<ForwardCallback>> waiters_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/daemon/vm_list_service.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "membership/vm_hint.h"
+#include "platform/vm_list_client.h"
+
+namespace heatherspan {
+
+/// Reads the platform's list of VMs and tells what it says of entry VMs and leaving targets. The
+/// list lags, so that a target stays drained until the list says that it is live again.
+class VmListService {
+ public:
+  struct Events {
+    std::function<void(const std::vector<VmHint>& vms)> entry_vms;
+    std::function<void(const TargetName& target, bool leaving)> target;
+    std::function<void(absl::Status status)> failed;
+  };
+
+  VmListService(PlatformCaller& platform, Events events)
+      : client_(platform), events_(std::move(events)) {}
+
+  /// Blocks; called by a control worker.
+  auto Poll() -> void;
+
+  /// Seconds since the last list; -1 before the first.
+  auto AgeSeconds(MonotonicTime now) const -> double;
+
+ private:
+  auto ReportTargets(const std::vector<VmEntry>& vms) -> void;
+
+  VmListClient client_;
+  Events events_;
+  SystemClock clock_;
+  std::map<TargetName, bool> leaving_;  ///< Only Poll uses it.
+  mutable std::mutex mutex_;            ///< A leaf: no other lock is taken while it is held.
+  std::optional<MonotonicTime> last_;
+};
+
+}  // namespace heatherspan
