--- a/src/net/peer_channel.cc
+++ b/src/net/peer_channel.cc
@@ -35,7 +35,8 @@
   Results results;
   {
     const std::lock_guard lock(mutex_);
-    const bool full = calls_.size() >= kMaxPendingCalls;
+    waiting_bytes_ += pending.frame.size();
+    const bool full = calls_.size() >= kMaxPendingCalls || waiting_bytes_ > kMaxWaitingBytes;
     last_call_ = Now();
     const auto call = calls_.emplace(correlation, std::move(pending)).first;
     deadlines_.emplace(call->second.deadline, correlation);
@@ -50,7 +51,8 @@
     } else if (full) {
       FinishCall(call,
                  absl::ResourceExhaustedError(
-                     fmt::format("{} calls to {} are pending", kMaxPendingCalls, peer_.Text())),
+                     fmt::format("{} calls to {} are pending, {} bytes of them wait for a link",
+                                 calls_.size() - 1, peer_.Text(), waiting_bytes_)),
                  SendProgress::kNothingWritten, results);
     } else {
       ArmTimer(call->second.deadline);
@@ -112,7 +114,8 @@
                SendProgress::kNothingWritten, results);
     return;
   }
-  if (!link_->Send(correlation, std::move(pending.frame))) {
+  waiting_bytes_ -= pending.frame.size();
+  if (!link_->Send(correlation, std::exchange(pending.frame, {}))) {
     FinishCall(call,
                absl::ResourceExhaustedError(
                    fmt::format("the write queue of the link to {} is full", peer_.Text())),
@@ -120,7 +123,6 @@
     return;
   }
   pending.sent = true;
-  pending.frame = std::string();
   if (pending.one_way) FinishCall(call, absl::OkStatus(), SendProgress::kWritten, results);
 }
 
@@ -234,6 +236,7 @@
 auto PeerChannel::FinishCall(Calls::iterator call, absl::Status status, SendProgress progress,
                              Results& results) -> void {
   deadlines_.erase({call->second.deadline, call->first});
+  waiting_bytes_ -= call->second.frame.size();
   PeerResult result;
   result.status = std::move(status);
   result.progress = progress;
--- a/src/net/peer_channel.h
+++ b/src/net/peer_channel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -25,6 +26,8 @@
  public:
   /// Calls that wait for an answer; further ones fail at once.
   static constexpr std::size_t kMaxPendingCalls = 1024;
+  /// Frames that wait for the link to be ready; they hold as much as the link's own queue.
+  static constexpr std::size_t kMaxWaitingBytes = PeerLink::kMaxQueuedBytes;
   /// An unused link is closed after this time.
   static constexpr auto kIdleTimeout = std::chrono::seconds(60);
 
@@ -79,6 +82,7 @@
   std::optional<InstanceId> other_;  ///< Set once the link is ready.
   std::atomic<std::uint64_t> next_correlation_{1};
   Calls calls_;
+  std::size_t waiting_bytes_ = 0;  ///< Of the frames that no link has yet.
   std::set<std::pair<MonotonicTime, std::uint64_t>> deadlines_;
   MonotonicTime last_call_;
   MonotonicTime armed_until_ = MonotonicTime::max();
--- a/tests/net/peer_link_test.cc
+++ b/tests/net/peer_link_test.cc
@@ -308,6 +308,24 @@
   }
 }
 
+// Guards against memory that grows while a peer does not answer the handshake.
+TEST_F(PeerLinkTest, BoundsTheCallsThatWaitForALink) {
+  const RawListener silent;
+  ForwardRequest large;
+  large.body = std::string(kMaxFrameBytes - 1000, 'x');
+  constexpr std::size_t kFit = PeerLink::kMaxQueuedBytes / kMaxFrameBytes;
+  for (std::size_t i = 0; i <= kFit; ++i) Call(silent.endpoint(), large);
+  const auto refused = Result();
+  EXPECT_EQ(refused.status.code(), absl::StatusCode::kResourceExhausted) << refused.status;
+  EXPECT_EQ(refused.progress, SendProgress::kNothingWritten);
+  client_->Stop();
+  for (std::size_t i = 0; i < kFit; ++i) {
+    const auto stopped = Result();
+    EXPECT_EQ(stopped.status.code(), absl::StatusCode::kCancelled) << stopped.status;
+    EXPECT_EQ(stopped.progress, SendProgress::kNothingWritten);
+  }
+}
+
 TEST_F(PeerLinkTest, CancelRequestsHaveNoAnswer) {
   Call(endpoint_, CancelRequest{RequestId("r")});
   const auto call = calls_.Pop();
