--- a/tests/standins/caller_test.cc
+++ b/tests/standins/caller_test.cc
@@ -180,6 +180,24 @@
   EXPECT_EQ(world_.pauses, (std::vector<Duration>{seconds(3), seconds(3), seconds(2)}));
 }
 
+TEST_F(CallerTest, PrefersTheRetryTimeInMilliseconds) {
+  world_.replies = {Always(Refusal(503, "not-run", "overload",
+                                   {{"Retry-After", "1"}, {"Heatherspan-Retry-After-Ms", "150"}})),
+                    Answered};
+  EXPECT_EQ(Run("GET").outcome, Outcome::kAnswered);
+  EXPECT_EQ(world_.pauses, std::vector<Duration>{milliseconds(150)});
+}
+
+// Only a repeat may be told that its request ran without getting the answer.
+TEST_F(CallerTest, AcceptsThatARepeatedPostRanWithoutItsBody) {
+  const auto ran = Always(Refusal(502, "ran", "response-too-large"));
+  world_.replies = {Always(TicketRefusal("t-1")), Always(Lost()), ran};
+  EXPECT_EQ(Run("POST").outcome, Outcome::kAnswered);
+  world_.replies = {Always(TicketRefusal("t-1")), ran};
+  world_.sent.clear();
+  EXPECT_EQ(Run("POST").outcome, Outcome::kWrong);
+}
+
 TEST_F(CallerTest, DetectsAnswersThatAreNotItsOwn) {
   world_.replies = {[](const HttpRequest& request) { return Answer(request, "/orders/2"); },
                     [](const HttpRequest& request) {
