--- a/bench/ownership_comparison.cc
+++ b/bench/ownership_comparison.cc
@@ -73,7 +73,7 @@
     const auto probers = scheme_ == Scheme::kOwner ? static_cast<double>(busy_.size())
                                                    : static_cast<double>(Pairs());
     counts.probes_per_second += probers / kProbeSeconds;
-    if (scheme_ == Scheme::kCentral) counts.messages_per_second += 2 * nodes_;
+    if (scheme_ == Scheme::kCentral) counts.messages_per_second += std::int64_t{2} * nodes_;
   }
 
  private:
--- a/src/steering/lookup_answer.h
+++ b/src/steering/lookup_answer.h
@@ -21,7 +21,9 @@
   std::size_t count = 0;
   Duration lifetime{};
 
-  auto Nodes() const -> std::span<const LiveNode* const> { return {nodes.data(), count}; }
+  auto Nodes() const& -> std::span<const LiveNode* const> { return {nodes.data(), count}; }
+  /// The span of a temporary answer would outlive it.
+  auto Nodes() && -> std::span<const LiveNode* const> = delete;
 };
 
 }  // namespace heatherspan
--- a/tests/steering/allocation_counter.cc
+++ b/tests/steering/allocation_counter.cc
@@ -10,15 +10,29 @@
 
 }  // namespace
 
-auto operator new(std::size_t size) -> void* {
+// All forms without alignment are replaced, since a form that is left out may come from another
+// allocator, such as that of a sanitizer, and then doesn't match free().
+
+auto operator new(std::size_t size, const std::nothrow_t&) noexcept -> void* {
   ++allocations;
-  auto* memory = std::malloc(size == 0 ? 1 : size);
+  return std::malloc(size == 0 ? 1 : size);
+}
+auto operator new(std::size_t size) -> void* {
+  auto* memory = operator new(size, std::nothrow);
   if (memory == nullptr) throw std::bad_alloc();
   return memory;
 }
+auto operator new[](std::size_t size) -> void* { return operator new(size); }
+auto operator new[](std::size_t size, const std::nothrow_t& tag) noexcept -> void* {
+  return operator new(size, tag);
+}
 
 auto operator delete(void* memory) noexcept -> void { std::free(memory); }
 auto operator delete(void* memory, std::size_t) noexcept -> void { std::free(memory); }
+auto operator delete(void* memory, const std::nothrow_t&) noexcept -> void { std::free(memory); }
+auto operator delete[](void* memory) noexcept -> void { std::free(memory); }
+auto operator delete[](void* memory, std::size_t) noexcept -> void { std::free(memory); }
+auto operator delete[](void* memory, const std::nothrow_t&) noexcept -> void { std::free(memory); }
 
 namespace heatherspan {
 
--- a/tests/steering/answer_lookup_test.cc
+++ b/tests/steering/answer_lookup_test.cc
@@ -26,12 +26,14 @@
   }
   auto Listed(const std::string& client) -> std::vector<std::string> {
     std::vector<std::string> names;
-    for (const auto* node : Ask(client).Nodes()) names.push_back(node->name.value());
+    const auto answer = Ask(client);
+    for (const auto* node : answer.Nodes()) names.push_back(node->name.value());
     return names;
   }
   auto Zones(const std::string& client) -> std::vector<std::string> {
     std::vector<std::string> zones;
-    for (const auto* node : Ask(client).Nodes()) zones.push_back(node->zone.value());
+    const auto answer = Ask(client);
+    for (const auto* node : answer.Nodes()) zones.push_back(node->zone.value());
     return zones;
   }
   auto UseNodes(std::vector<LiveNode> nodes) -> void {
