--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,130 @@
+#include "net/http_server.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <mutex>
+#include <utility>
+
+#include "net/http_connection.h"
+#include "net/http_server_state.h"
+#include "net/tcp_acceptor.h"
+#include "net/worker_pool.h"
+
+namespace heatherspan {
+namespace {
+
+// Connections beyond the limit that may still be open to read their 503.
+constexpr std::size_t kMaxRefusedConnections = 64;
+constexpr auto kMinSweepInterval = std::chrono::milliseconds(5);
+constexpr auto kMaxSweepInterval = std::chrono::milliseconds(500);
+
+auto Open(WorkerPool& workers, const std::shared_ptr<HttpServerState>& state, AcceptedSocket socket)
+    -> void {
+  bool refused = false;
+  std::shared_ptr<HttpConnection> connection;
+  {
+    const std::lock_guard lock(state->mutex);
+    const auto open = state->connections.size();
+    refused = open >= state->limits.max_connections;
+    if (refused) state->too_many_connections.fetch_add(1);
+    // Stop empties the set under this mutex; a connection added later would stay open.
+    if (state->stopped.load() || open >= state->limits.max_connections + kMaxRefusedConnections) {
+      ::close(socket.descriptor);
+      return;
+    }
+    connection = HttpConnection::Create(workers, socket.descriptor, socket.is_v6,
+                                        std::move(socket.remote), state);
+    state->connections.insert(connection);
+  }
+  refused ? connection->StartRefused() : connection->Start();
+}
+
+auto CloseOverdue(HttpServerState& state) -> void {
+  const auto now = std::chrono::steady_clock::now();
+  const std::lock_guard lock(state.mutex);
+  for (const auto& connection : state.connections) {
+    if (connection->Overdue(now)) connection->EndOverdue();
+  }
+}
+
+auto SweepInterval(const HttpServer::Limits& limits) -> Duration {
+  const auto shortest = std::min({limits.request_timeout, limits.idle_timeout, limits.write_timeout,
+                                  Duration(HttpConnection::kLingerTime)});
+  return std::clamp<Duration>(shortest / 4, kMinSweepInterval, kMaxSweepInterval);
+}
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(WorkerPool& workers, Limits limits, Handler handler)
+      : workers_(workers),
+        state_(std::make_shared<HttpServerState>()),
+        acceptor_(workers, [&workers, state = state_](AcceptedSocket socket) {
+          Open(workers, state, std::move(socket));
+        }) {
+    state_->limits = limits;
+    state_->handler = std::move(handler);
+  }
+
+  auto Listen(const Endpoint& endpoint) -> absl::StatusOr<Endpoint> {
+    auto bound = acceptor_.Listen(endpoint);
+    if (!bound.ok()) return bound;
+    // One timer serves the deadlines of all connections, so that a request arms none.
+    sweep_ = workers_.RunEvery(SweepInterval(state_->limits),
+                               [state = state_] { CloseOverdue(*state); });
+    return bound;
+  }
+
+  auto BeginDrain() -> void {
+    state_->draining.store(true);
+    const std::lock_guard lock(state_->mutex);
+    for (const auto& connection : state_->connections) connection->CloseIfIdle();
+  }
+
+  auto Stop() -> void {
+    if (state_->stopped.exchange(true)) return;
+    acceptor_.Stop();
+    sweep_.reset();
+    // The posted tasks keep the connections; if the workers have stopped, they go with them.
+    const std::lock_guard lock(state_->mutex);
+    for (const auto& connection : state_->connections) connection->Close();
+    state_->connections.clear();
+  }
+
+  auto state() const -> const HttpServerState& { return *state_; }
+
+ private:
+  WorkerPool& workers_;
+  const std::shared_ptr<HttpServerState> state_;
+  TcpAcceptor acceptor_;
+  std::shared_ptr<WorkerPool::Timer> sweep_;
+};
+
+HttpServer::HttpServer(WorkerPool& workers, Limits limits, Handler handler)
+    : impl_(std::make_shared<Impl>(workers, limits, std::move(handler))) {}
+
+HttpServer::~HttpServer() { impl_->Stop(); }
+
+auto HttpServer::Listen(const Endpoint& endpoint) -> absl::StatusOr<Endpoint> {
+  return impl_->Listen(endpoint);
+}
+
+auto HttpServer::BeginDrain() -> void { impl_->BeginDrain(); }
+
+auto HttpServer::Stop() -> void { impl_->Stop(); }
+
+auto HttpServer::active_requests() const -> std::size_t { return impl_->state().active.load(); }
+
+auto HttpServer::counters() const -> Counters {
+  const auto& state = impl_->state();
+  return {.bad_request = state.bad_request.load(),
+          .header_too_large = state.header_too_large.load(),
+          .body_too_large = state.body_too_large.load(),
+          .request_timeout = state.request_timeout.load(),
+          .too_many_connections = state.too_many_connections.load()};
+}
+
+}  // namespace heatherspan
