net: keep an idle HTTP connection after a spurious wake-up

Cause: the wait for input on an idle client connection also ended when another worker still held the notice of the response that had been read. The connection was then closed and the next request opened a new one: 1 of 40 runs of hs_net_test failed in HttpClientTest.NeverSendsARequestTwice. Change: an idle connection is closed only if the socket has input or has ended; otherwise the wait goes on.

--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <string>
 #include <utility>
 #include <vector>
@@ -258,6 +259,11 @@
     ReadMore();
     return;
   }
+  // The wait may also end by the notice of input that has been read already.
+  if (!ClosedByPeer()) {
+    WaitForInput();
+    return;
+  }
   // Closed by the peer, or an answer that nobody asked for. If an exchange took the connection
   // meanwhile, it finds the socket closed and connects anew.
   CloseSocket();
