daemon: follow the steering's rules for attempts, owners and server errors

Cause: the shift limiter was asked again for a retry in the same region and could refuse it wrongly; a node that knows no other owned every target of its zone; overflow wasn't spread; a target that answers 500 or more did not count as failing. Change: one admission for each request and region, a join time of 3 s before a lone node owns targets, a random order among equally good zones, kServerError.

--- /dev/null
+++ b/src/daemon/attempt_history.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <vector>
+
+#include "base/ids.h"
+
+namespace heatherspan {
+
+/// What the attempts of one request have used so far.
+struct AttemptHistory {
+  std::vector<ZoneName> tried;
+  /// Regions to which the shift limiter has admitted the request; it counts a request once for each
+  /// region, whatever the number of attempts there.
+  std::vector<RegionName> admitted;
+};
+
+}  // namespace heatherspan
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -42,6 +42,8 @@
 constexpr Duration kGrantorInterval = std::chrono::milliseconds(500);
 constexpr Duration kVmListInterval = std::chrono::seconds(2);
 constexpr Duration kRefreshInterval = std::chrono::seconds(1);
+// Several rounds of contacts to the seeds; they are tried every 500 ms while no other is known.
+constexpr Duration kJoinTime = std::chrono::seconds(3);
 constexpr Duration kShareInterval = std::chrono::milliseconds(100);
 
 auto RandomSeed() -> std::uint64_t {
@@ -118,6 +120,7 @@
   auto Start() -> absl::Status {
     if (auto status = Listen(); !status.ok()) return status;
     Build();
+    joined_by = clock.Now() + kJoinTime;
     started = true;
     membership->Start();
     executor->Start();
@@ -304,6 +307,8 @@
     if (current_document == nullptr) return;
     const auto now = clock.Now();
     const auto members = membership->Members();
+    // A node that knows no other would take every target of its zone for its own.
+    if (members.size() == 1 && now < joined_by) return;
     auto nodes = LiveNodes(members);
     for (auto& node : nodes) {
       node.utilization = steering->NodeUtilization(node.zone, node.instance, now);
@@ -439,6 +444,8 @@
   ConfigVersion version;
   std::int64_t accepted_unix_ms = 0;
   std::shared_ptr<const Document> current_document;
+  /// When this node concludes that it is the only one.
+  MonotonicTime joined_by;
   std::shared_ptr<const ClientMap> clients;
 
   WorkerPool workers;
--- a/src/daemon/request_router.cc
+++ b/src/daemon/request_router.cc
@@ -45,7 +45,7 @@
 
   RoutedRequest request;
   ForwardCallback callback;
-  std::vector<ZoneName> tried;
+  AttemptHistory history;
   int attempts = 0;
   /// An earlier attempt may have run; then no later refusal may say otherwise.
   bool may_have_run = false;
@@ -80,7 +80,7 @@
     return RetryOrFinish(flow, RefusedResponse(Verdict::kNotRun, Reason::kDeadline));
   }
   auto plan = steering_.PlanAttempt(*configuration, flow->request.service, flow->request.home,
-                                    flow->tried, now);
+                                    flow->history, now);
   if (const auto* refusal = std::get_if<Refusal>(&plan); refusal != nullptr) {
     // When every zone has been tried, the last one's answer says more than "no zone".
     const bool use_last = flow->last.has_value() && refusal->reason == Reason::kNoZone;
@@ -89,7 +89,6 @@
     return flow->callback(std::move(response));
   }
   ++flow->attempts;
-  flow->tried.push_back(std::get<AttemptPlan>(plan).zone);
   SendAttempt(flow, std::get<AttemptPlan>(plan));
 }
 
--- a/src/daemon/steering_state.cc
+++ b/src/daemon/steering_state.cc
@@ -14,6 +14,11 @@
   if (!first.has_value()) first = refusal;
 }
 
+template <class Value>
+auto Contains(const std::vector<Value>& values, const Value& value) -> bool {
+  return std::find(values.begin(), values.end(), value) != values.end();
+}
+
 }  // namespace
 
 SteeringState::SteeringState(NodeIdentity identity, std::uint64_t seed)
@@ -41,15 +46,16 @@
 }
 
 auto SteeringState::PlanAttempt(const Configuration& configuration, const ServiceName& service,
-                                const RegionName& home, const std::vector<ZoneName>& tried,
-                                MonotonicTime now) -> std::variant<AttemptPlan, Refusal> {
+                                const RegionName& home, AttemptHistory& history, MonotonicTime now)
+    -> std::variant<AttemptPlan, Refusal> {
   const auto* origin = OwnRegion(configuration);
   if (origin == nullptr) return Refusal{Verdict::kNotRun, Reason::kNoZone, {}};
   const auto bytes = configuration.view->FindService(service.value())->service->mean_response;
   std::optional<Refusal> first;
   const std::lock_guard lock(mutex_);
-  for (const auto& choice : RankZones(*configuration.view, loads_, service, identity_.zone, now)) {
-    if (std::find(tried.begin(), tried.end(), choice.zone) != tried.end()) continue;
+  for (const auto& choice :
+       RankZones(*configuration.view, loads_, service, identity_.zone, now, random_())) {
+    if (Contains(history.tried, choice.zone)) continue;
     // A drained zone serves on only for what may not move yet.
     if (choice.drained && !first.has_value()) continue;
     const auto executor = ChooseExecutor(owners_, loads_, service, choice.zone, now, random_);
@@ -60,11 +66,12 @@
       KeepFirst(first, {Verdict::kNotRun, Reason::kLinkBudget, std::chrono::seconds(1)});
       continue;
     }
-    if (const auto refusal = shift_limiter_.Admit(service, home, choice.region, now);
+    if (const auto refusal = AdmitShift(service, home, choice.region, history, now);
         refusal.has_value()) {
       KeepFirst(first, *refusal);
       continue;
     }
+    history.tried.push_back(choice.zone);
     link_budget_.TryUse(*origin, choice.region, bytes, now);
     const auto booked = choice.region == *origin ? Bytes(0) : bytes;
     return AttemptPlan{choice.zone, *origin, choice.region, *node, booked};
@@ -72,6 +79,15 @@
   return first.value_or(Refusal{Verdict::kNotRun, Reason::kNoZone, std::chrono::seconds(1)});
 }
 
+auto SteeringState::AdmitShift(const ServiceName& service, const RegionName& home,
+                               const RegionName& serving, AttemptHistory& history,
+                               MonotonicTime now) -> std::optional<Refusal> {
+  if (Contains(history.admitted, serving)) return std::nullopt;
+  auto refusal = shift_limiter_.Admit(service, home, serving, now);
+  if (!refusal.has_value()) history.admitted.push_back(serving);
+  return refusal;
+}
+
 auto SteeringState::OnAttemptEnd(const AttemptPlan& plan, const ServiceName& service,
                                  ZoneOutcome outcome, std::optional<Duration> retry_after,
                                  Bytes actual, MonotonicTime now) -> void {
--- a/src/daemon/steering_state.h
+++ b/src/daemon/steering_state.h
@@ -11,6 +11,7 @@
 #include "base/random.h"
 #include "base/refusal.h"
 #include "base/time.h"
+#include "daemon/attempt_history.h"
 #include "daemon/attempt_plan.h"
 #include "daemon/configuration.h"
 #include "daemon/node_identity.h"
@@ -35,9 +36,10 @@
   /// Counts a caller's request once, before its first attempt.
   auto OnRequest(const ServiceName& service, const RegionName& home, MonotonicTime now) -> void;
 
-  /// The next attempt, passing over zones that were tried; or why there is none.
+  /// The next attempt, passing over zones that were tried, and noted in the history; or why there
+  /// is none.
   auto PlanAttempt(const Configuration& configuration, const ServiceName& service,
-                   const RegionName& home, const std::vector<ZoneName>& tried, MonotonicTime now)
+                   const RegionName& home, AttemptHistory& history, MonotonicTime now)
       -> std::variant<AttemptPlan, Refusal>;
 
   auto OnAttemptEnd(const AttemptPlan& plan, const ServiceName& service, ZoneOutcome outcome,
@@ -57,6 +59,9 @@
   auto ForgetOld(MonotonicTime now) -> void;
 
  private:
+  /// Whether the shift limiter lets the request go to the region; asked once for each region.
+  auto AdmitShift(const ServiceName& service, const RegionName& home, const RegionName& serving,
+                  AttemptHistory& history, MonotonicTime now) -> std::optional<Refusal>;
   auto OwnRegion(const Configuration& configuration) const -> const RegionName*;
 
   NodeIdentity identity_;
--- a/src/daemon/target_exchange.cc
+++ b/src/daemon/target_exchange.cc
@@ -11,6 +11,7 @@
 namespace heatherspan {
 namespace {
 
+constexpr int kFirstServerError = 500;
 constexpr int kServiceUnavailable = 503;
 
 constexpr std::array<std::pair<std::string_view, TargetOutcome>, 3> kTargetRefusals = {{
@@ -35,7 +36,8 @@
     return {RefusedResponse(Verdict::kNotRun, reason), *refusal};
   }
   TargetVerdict verdict;
-  verdict.outcome = TargetOutcome::kAnswered;
+  verdict.outcome =
+      response.status >= kFirstServerError ? TargetOutcome::kServerError : TargetOutcome::kAnswered;
   verdict.response.verdict = Verdict::kRan;
   verdict.response.status = static_cast<std::uint32_t>(response.status);
   verdict.response.headers = std::move(response.headers);
