--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <string>
 #include <utility>
 #include <vector>
@@ -258,7 +259,7 @@
     ReadMore();
     return;
   }
-  // The reactor may report input that was read before the wait began.
+  // The wait may also end by the notice of input that has been read already.
   if (!ClosedByPeer()) {
     WaitForInput();
     return;
--- a/tests/wire/message_codec_test.cc
+++ b/tests/wire/message_codec_test.cc
@@ -67,6 +67,7 @@
   return {
       ForwardRequest{.request_id = RequestId("r"),
                      .service = ServiceName("ledger"),
+                     .home = RegionName("h"),
                      .zone = ZoneName("z"),
                      .ticket = "t",
                      .deadline_ms = 250,
