--- a/tests/membership/membership_scale_test.cc
+++ b/tests/membership/membership_scale_test.cc
@@ -24,6 +24,9 @@
   int dead_periods;       ///< Until every node holds it dead.
 };
 
+// Part of the test's name, which would otherwise contain addresses.
+auto PrintTo(const Scale& scale, std::ostream* out) -> void { *out << scale.nodes << " nodes"; }
+
 class MembershipScaleTest : public testing::TestWithParam<Scale> {};
 
 auto Seconds(Duration duration) -> double { return static_cast<double>(duration.count()) / 1e9; }
