--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -9,6 +9,7 @@
 #include "admin/admin_api.h"
 #include "daemon/caller_api.h"
 #include "daemon/config_service.h"
+#include "daemon/daemon_limits.h"
 #include "daemon/executor.h"
 #include "daemon/leave_state.h"
 #include "daemon/membership_service.h"
@@ -69,35 +70,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
 }
 
-auto CallerLimits(const Settings& settings) -> HttpServer::Limits {
-  HttpServer::Limits limits;
-  limits.max_header_bytes = static_cast<std::size_t>(settings.limits.max_header_bytes);
-  limits.max_body_bytes = static_cast<std::size_t>(settings.limits.max_body_bytes);
-  limits.max_connections = static_cast<std::size_t>(settings.limits.max_connections);
-  limits.request_timeout = settings.limits.request_timeout;
-  return limits;
-}
-
-auto AdminLimits() -> HttpServer::Limits {
-  HttpServer::Limits limits;
-  // A document with 110,000 client blocks.
-  limits.max_body_bytes = std::size_t{16} * 1024 * 1024;
-  limits.max_connections = 64;
-  return limits;
-}
-
-auto TargetLimits(const Settings& settings) -> HttpClient::Limits {
-  HttpClient::Limits limits;
-  limits.max_response_bytes = static_cast<std::size_t>(settings.limits.max_response_bytes);
-  return limits;
-}
-
-auto TicketLimitsOf(const Settings& settings) -> TicketLimits {
-  TicketLimits limits;
-  limits.max_records = static_cast<std::size_t>(settings.limits.ticket_records);
-  return limits;
-}
-
 }  // namespace
 
 class Daemon::Impl {
@@ -425,12 +397,6 @@
     return json;
   }
 
-  static auto PlatformOptions(const Settings& settings) -> PlatformCaller::Options {
-    PlatformCaller::Options options;
-    options.endpoint = settings.platform;
-    return options;
-  }
-
   auto Stop() -> void {
     timers.clear();
     if (membership.has_value()) membership->Stop();
--- /dev/null
+++ b/src/daemon/daemon_limits.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/platform_caller.h"
+#include "settings/settings.h"
+#include "tickets/ticket_limits.h"
+
+namespace heatherspan {
+
+/// The limits of the daemon's parts, as the settings give them.
+auto CallerLimits(const Settings& settings) -> HttpServer::Limits;
+auto AdminLimits() -> HttpServer::Limits;
+auto TargetLimits(const Settings& settings) -> HttpClient::Limits;
+auto TicketLimitsOf(const Settings& settings) -> TicketLimits;
+auto PlatformOptions(const Settings& settings) -> PlatformCaller::Options;
+
+}  // namespace heatherspan
--- a/src/document/canonical_reader.cc
+++ b/src/document/canonical_reader.cc
@@ -100,7 +100,7 @@
   }
 
  private:
-  auto AddFault(std::string message) -> void { faults_.Add(lines_.position(), std::move(message)); }
+  auto AddFault(const std::string& message) -> void { faults_.Add(lines_.position(), message); }
 
   /// Reads the section if it is present. `record_for` gives the record for a row of a parent, or
   /// null when the row has no place.
