daemon: don't say not-run for a ticket whose owner was not asked

Cause: a node that is refusing, has no configuration or doesn't know the service answered not-run to a repeat with a ticket, although the ticket's owner may have run an earlier try. Change: early refusals of requests with a ticket are may-have-run; the status follows from the refusal in one place. Measured: daemon tests pass.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -104,7 +104,7 @@
   };
   if (configuration == nullptr) {
     count("no-configuration");
-    return Refuse(RequestIdOf(request), 503,
+    return Refuse(RequestIdOf(request),
                   {Verdict::kNotRun, Reason::kNoConfiguration, std::chrono::seconds(1)}, responder);
   }
   const auto service = QueryParameter(request.target, "service");
@@ -124,7 +124,7 @@
   if (answer.reason != Reason::kNone) {
     count(ReasonText(answer.reason));
     const Refusal refusal{Verdict::kNotRun, answer.reason, std::chrono::seconds(1)};
-    return Refuse(RequestIdOf(request), StatusOf(refusal), refusal, responder);
+    return Refuse(RequestIdOf(request), refusal, responder);
   }
   count("answered");
   const bool wants_ticket = QueryParameter(request.target, "ticket") == "1";
@@ -157,8 +157,8 @@
   return RequestId(fmt::format("{:016x}-{}", instance_.value(), next_request_.fetch_add(1)));
 }
 
-auto CallerApi::Refuse(const RequestId& id, int status, const Refusal& refusal,
-                       const Responder& responder) -> void {
+auto CallerApi::Refuse(const RequestId& id, const Refusal& refusal, const Responder& responder)
+    -> void {
   metrics_.Increment(Metric::kRefusals, {{"reason", ReasonText(refusal.reason)},
                                          {"verdict", VerdictText(refusal.verdict)}});
   log_.Write(LogLevel::kInfo, "refused",
@@ -166,7 +166,7 @@
               {"reason", ReasonText(refusal.reason)},
               {"verdict", VerdictText(refusal.verdict)},
               {"config_version", Version().value()}});
-  auto response = RefusalResponse(status, id, refusal, Version());
+  auto response = RefusalResponse(StatusOf(refusal), id, refusal, Version());
   response.close = leaving_.is_refusing();
   responder(std::move(response));
 }
@@ -201,28 +201,29 @@
 auto CallerApi::HandleService(HttpRequest request, std::string_view rest, Responder responder)
     -> void {
   const auto configuration = configuration_.Current();
+  const std::string ticket(request.Header(kTicketHeader));
+  // Without asking the owner of the ticket, this node can't know of an earlier try.
+  const auto verdict = ticket.empty() ? Verdict::kNotRun : Verdict::kMayHaveRun;
   if (leaving_.is_refusing()) {
-    return Refuse(RequestIdOf(request), 503, {Verdict::kNotRun, Reason::kLeaving, {}}, responder);
+    return Refuse(RequestIdOf(request), {verdict, Reason::kLeaving, {}}, responder);
   }
   if (configuration == nullptr) {
-    return Refuse(RequestIdOf(request), 503,
-                  {Verdict::kNotRun, Reason::kNoConfiguration, std::chrono::seconds(1)}, responder);
+    return Refuse(RequestIdOf(request),
+                  {verdict, Reason::kNoConfiguration, std::chrono::seconds(1)}, responder);
   }
   const auto name = rest.substr(0, rest.find_first_of("/?"));
   const auto* table = configuration->view->FindService(name);
   if (table == nullptr) {
-    return Refuse(RequestIdOf(request), 404, {Verdict::kNotRun, Reason::kUnknownService, {}},
-                  responder);
+    return Refuse(RequestIdOf(request), {verdict, Reason::kUnknownService, {}}, responder);
   }
   std::string path(rest.substr(name.size()));
   if (path.empty() || path.front() != '/') path.insert(0, "/");
   const auto id = RequestIdOf(request);
-  const std::string ticket(request.Header(kTicketHeader));
   const auto received = clock_.Now();
   const auto home = HomeOf(request, *configuration);
   auto routed = ReadRequest(std::move(request), *table->service, std::move(path));
   if (!routed.ok()) {
-    return Refuse(id, 400, {Verdict::kNotRun, Reason::kBadRequest, {}}, responder);
+    return Refuse(id, {verdict, Reason::kBadRequest, {}}, responder);
   }
   routed->id = id;
   routed->home = home;
@@ -238,7 +239,7 @@
 auto CallerApi::RequireTicket(const RoutedRequest& routed, const Responder& responder) -> void {
   const Refusal refusal{Verdict::kNotRun, Reason::kTicketRequired, {}};
   if (!leaving_.issues_tickets()) {
-    return Refuse(routed.id, 503, {Verdict::kNotRun, Reason::kLeaving, {}}, responder);
+    return Refuse(routed.id, {Verdict::kNotRun, Reason::kLeaving, {}}, responder);
   }
   metrics_.Increment(Metric::kRefusals, {{"reason", ReasonText(refusal.reason)},
                                          {"verdict", VerdictText(refusal.verdict)}});
@@ -256,7 +257,7 @@
     if (response.retry_after_ms > 0) {
       refusal.retry_after = std::chrono::milliseconds(response.retry_after_ms);
     }
-    return Refuse(id, StatusOf(refusal), refusal, responder);
+    return Refuse(id, refusal, responder);
   }
   metrics_.Observe(Metric::kRequestSeconds, {{"service", service.value()}},
                    clock_.Now() - received);
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -45,8 +45,7 @@
   auto RequestIdOf(const HttpRequest& request) -> RequestId;
   auto Finish(const RequestId& id, const ServiceName& service, MonotonicTime received,
               ForwardResponse response, const Responder& responder) -> void;
-  auto Refuse(const RequestId& id, int status, const Refusal& refusal, const Responder& responder)
-      -> void;
+  auto Refuse(const RequestId& id, const Refusal& refusal, const Responder& responder) -> void;
   auto Version() const -> ConfigVersion;
 
   const PublishedConfiguration& configuration_;
