scripts: fail early when a process can't start; test: find the shared jq module

Cause: with another deployment on the same ports, the demo talked to that one and ended with a credential error; standins.demo_check did not pass the library path that demo-check.jq needs since the checks moved to scripts/lib. Change: every started process must run once the entry VMs answer; the test passes -L scripts/lib. Measured: standins.demo_check passes.

--- a/scripts/lib/deployment.sh
+++ b/scripts/lib/deployment.sh
@@ -207,6 +207,16 @@
   await 10 "the platform" http "http://$platform/v1/vms"
   start_entry_vms
   await_entry_vms /healthz
+  require_running
+}
+
+# Another deployment on the same ports would answer in place of processes that could not start.
+require_running() {
+  local name
+  for name in "${!pids[@]}"; do
+    kill -0 "${pids[$name]}" 2>/dev/null ||
+      fail "$name has ended: $(tail -1 "$folder/$name.log"); are its ports in use?"
+  done
 }
 
 # Waits until every entry VM applies a document and gives callers a choice.
--- a/tests/standins/demo_check_test.sh
+++ b/tests/standins/demo_check_test.sh
@@ -27,7 +27,7 @@
 
 # Prints the names of the broken invariants.
 broken() {
-  jq -n -f scripts/demo-check.jq \
+  jq -n -L scripts/lib -f scripts/demo-check.jq \
     --slurpfile failures "$folder/failures.jsonl" --slurpfile low_cap "$folder/low_cap.jsonl" \
     --slurpfile executions "$folder/executions.json" \
     --slurpfile zones <(echo '[{"zone":"z","region":"r","cap":10}]') \
