--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -234,7 +234,10 @@
     };
     every(workers, kRefreshInterval, [this] { OnRefreshTimer(); });
     every(workers, kShareInterval, [this] { OnShareTimer(); });
-    every(control, kControlInterval, [this] { config->RunReaderStep(); });
+    every(control, kControlInterval, [this] {
+      // A watch that is still waiting would hold up the end of a planned stop.
+      if (!leave_state.is_leaving()) config->RunReaderStep();
+    });
     every(control, kGrantorInterval,
           [this] { shares->RunGrantorStep(store, settings.environment); });
     every(control, kVmListInterval, [this] { vm_list->Poll(); });
--- a/src/daemon/executor.cc
+++ b/src/daemon/executor.cc
@@ -22,6 +22,7 @@
 constexpr double kShareBurst = 4;
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+constexpr std::chrono::milliseconds kRetryWithoutShare = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds kLongestRetryAfter = std::chrono::seconds(10);
 
 auto FindTeam(const Document& document, const TeamName& name) -> const Team* {
@@ -31,6 +32,8 @@
 }
 
 auto RetryAfter(Duration wait) -> std::chrono::milliseconds {
+  // Without a share there is no end to compute; shares come back within seconds.
+  if (wait == Duration::max()) return kRetryWithoutShare;
   if (wait > kLongestRetryAfter) return kLongestRetryAfter;
   return std::chrono::ceil<std::chrono::milliseconds>(wait);
 }
--- a/src/platform/call_pacer.h
+++ b/src/platform/call_pacer.h
@@ -11,8 +11,10 @@
 class CallPacer {
  public:
   struct Limits {
-    double calls_per_second = 20;
-    double burst = 20;  ///< Calls.
+    double calls_per_second = 50;
+    /// Calls. A put, a check and a promotion of a document of 110,000 blocks read and write about
+    /// 200 chunks each; at 20 calls/s without this burst they took 44 s.
+    double burst = 512;
     Duration backoff_min = std::chrono::milliseconds(100);
     Duration backoff_max = std::chrono::seconds(5);
   };
