--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <mutex>
@@ -338,14 +339,23 @@
     const auto now = clock.Now();
     membership->PublishMetrics();
     const auto load = executor->Load(now);
+    double free_slots = 0;
     for (const auto& service : load.services) {
       const auto& name = service.service.value();
+      free_slots += service.usable_slots - std::min(service.used_slots, service.usable_slots);
       metrics.Set(Metric::kQueued, {{"service", name}}, service.queued);
       metrics.Set(Metric::kSlotsUsable, {{"service", name}}, service.usable_slots);
       metrics.Set(Metric::kSlotsUsed, {{"service", name}}, service.used_slots);
     }
-    metrics.Set(Metric::kInFlight, {}, static_cast<double>(executor->active_requests()));
-    metrics.Set(Metric::kRegionShare, {}, shares->UsableShare(now).value());
+    const auto current = configuration.Current();
+    const auto* own_region = current == nullptr ? nullptr : current->view->RegionOf(identity.zone);
+    const std::string region = own_region == nullptr ? "" : own_region->value();
+    metrics.Set(Metric::kInFlight, {{"region", region}},
+                static_cast<double>(executor->active_requests()));
+    metrics.Set(Metric::kHeadroom, {{"region", region}}, free_slots);
+    metrics.Set(Metric::kRegionShare, {{"region", region}}, shares->UsableShare(now).value());
+    metrics.Set(Metric::kInputAgeSeconds, {{"source", "targets"}},
+                executor->MeasurementAgeSeconds(now));
     metrics.Set(Metric::kGrantorLease, {}, shares->is_grantor(now) ? 1 : 0);
     metrics.Set(Metric::kInputAgeSeconds, {{"source", "vm-list"}}, vm_list->AgeSeconds(now));
     metrics.Set(Metric::kInputAgeSeconds, {{"source", "store"}}, config->StoreAgeSeconds(now));
--- a/src/daemon/executor.cc
+++ b/src/daemon/executor.cc
@@ -160,6 +160,7 @@
   {
     const std::lock_guard lock(mutex_);
     pool_.Release(slot, {verdict.outcome, latency}, now);
+    if (verdict.outcome == TargetOutcome::kAnswered) measured_ = now;
     DrainQueue(now, work);
     verdict.response.load = LoadLocked(now);
   }
@@ -213,7 +214,9 @@
                  const bool healthy = result.status.ok() && result.response.status == 200;
                  {
                    const std::lock_guard lock(mutex_);
-                   pool_.OnProbe(target->name, healthy, clock_.Now());
+                   const auto now = clock_.Now();
+                   pool_.OnProbe(target->name, healthy, now);
+                   if (healthy) measured_ = now;
                  }
                  if (healthy) AskForReport(target);
                });
@@ -274,6 +277,12 @@
   return LoadLocked(now);
 }
 
+auto Executor::MeasurementAgeSeconds(MonotonicTime now) const -> double {
+  const std::lock_guard lock(mutex_);
+  if (!measured_.has_value()) return -1;
+  return std::chrono::duration<double>(now - *measured_).count();
+}
+
 auto Executor::active_requests() const -> std::size_t {
   const std::lock_guard lock(mutex_);
   return waiting_.size() + static_cast<std::size_t>(pool_.InFlight());
--- a/src/daemon/executor.h
+++ b/src/daemon/executor.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -50,6 +51,8 @@
   /// The rate of arriving requests, for the request of a leased share.
   auto Demand(MonotonicTime now) const -> RequestsPerSecond;
   auto Load(MonotonicTime now) const -> NodeLoad;
+  /// Seconds since a target last answered a request or a probe; -1 before the first answer.
+  auto MeasurementAgeSeconds(MonotonicTime now) const -> double;
   /// Requests that wait or are at a target.
   auto active_requests() const -> std::size_t;
 
@@ -98,6 +101,7 @@
   std::vector<ServiceName> services_;
   std::unordered_map<std::uint64_t, Waiting> waiting_;
   std::uint64_t next_id_ = 1;
+  std::optional<MonotonicTime> measured_;  ///< When a target last answered.
 };
 
 }  // namespace heatherspan
