daemon: release the flow of a retried request

Cause: the pause before a retry holds its timer, whose task holds the request's flow: each retried request stayed in memory. LeakSanitizer found 1.5 MB in 16,160 allocations after hs_daemon_test. Change: the task releases the timer before the next attempt, under a lock that orders it after the timer is stored.

--- a/src/daemon/request_router.cc
+++ b/src/daemon/request_router.cc
@@ -1,6 +1,7 @@
 #include "daemon/request_router.h"
 
 #include <chrono>
+#include <mutex>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -37,7 +38,8 @@
 
 }  // namespace
 
-/// The state of one request between its attempts. One attempt runs at a time, so it needs no lock.
+/// The state of one request between its attempts. One attempt runs at a time, so that only the
+/// timer of the pause between two of them needs a lock.
 class RequestRouter::Flow {
  public:
   Flow(RoutedRequest routed, ForwardCallback done)
@@ -50,7 +52,15 @@
   /// An earlier attempt may have run; then no later refusal may say otherwise.
   bool may_have_run = false;
   std::optional<ForwardResponse> last;
+
+  std::mutex backoff_mutex;  ///< A leaf: no other lock is taken while it is held.
   std::shared_ptr<WorkerPool::Timer> backoff;
+
+  /// Releases the timer, whose task holds this flow.
+  auto EndBackoff() -> void {
+    const std::lock_guard lock(backoff_mutex);
+    backoff.reset();
+  }
 };
 
 RequestRouter::RequestRouter(WorkerPool& workers, PeerClient& peers, Executor& executor,
@@ -142,7 +152,12 @@
               {"reason", ReasonText(response.reason)},
               {"attempt", flow->attempts}});
   flow->last = std::move(response);
-  flow->backoff = workers_.RunAfter(*pause, [this, flow] { StartAttempt(flow); });
+  // The lock keeps the task from running before the timer is stored.
+  const std::lock_guard lock(flow->backoff_mutex);
+  flow->backoff = workers_.RunAfter(*pause, [this, flow] {
+    flow->EndBackoff();
+    StartAttempt(flow);
+  });
 }
 
 }  // namespace heatherspan
