--- a/src/steering/client_map.cc
+++ b/src/steering/client_map.cc
@@ -1,9 +1,12 @@
 #include "steering/client_map.h"
 
+#include <tbb/parallel_sort.h>
+
 #include <algorithm>
 #include <compare>
 #include <limits>
 #include <string_view>
+#include <tuple>
 
 #include "absl/container/flat_hash_map.h"
 #include "base/stable_hash.h"
@@ -55,9 +58,10 @@
     spans.push_back({first, LastKey(first, length), length, number});
     map.blocks_.push_back({HashOf(block.block), block.one_way, numbers[block.zone]});
   }
-  // Outer blocks before the inner ones that start at the same address.
-  std::stable_sort(spans.begin(), spans.end(), [](const Span& a, const Span& b) {
-    return a.first != b.first ? a.first < b.first : a.length < b.length;
+  // Outer blocks before the inner ones that start at the same address; of equal blocks, the last
+  // one counts. The order is total, so that the parallel sort gives one result.
+  tbb::parallel_sort(spans.begin(), spans.end(), [](const Span& a, const Span& b) {
+    return std::tie(a.first, a.length, a.block) < std::tie(b.first, b.length, b.block);
   });
   map.Flatten(spans);
   return map;
