--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -10,6 +10,7 @@
 using EnvironmentName = StrongString<struct EnvironmentNameTag>;
 using NodeName = StrongString<struct NodeNameTag>;  ///< An entry VM.
 using RegionName = StrongString<struct RegionNameTag>;
+using RouteName = StrongString<struct RouteNameTag>;
 using RequestId = StrongString<struct RequestIdTag>;
 using ServiceName = StrongString<struct ServiceNameTag>;
 using TargetName = StrongString<struct TargetNameTag>;
--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -5,7 +5,7 @@
 namespace heatherspan {
 namespace {
 
-constexpr std::array<std::string_view, 34> kTexts = {
+constexpr std::array<std::string_view, 39> kTexts = {
     "none",
     "bad-request",
     "unknown-service",
@@ -39,14 +39,19 @@
     "drained",
     "team-limit",
     "cancelled",
+    "target-failed",
+    "target-replaced",
+    "timeout",
+    "unknown-route",
+    "caller-gone",
     "internal",
 };
 
 }  // namespace
 
-auto AllReasons() -> const std::array<Reason, 34>& {
-  static constexpr std::array<Reason, 34> kAll = [] {
-    std::array<Reason, 34> all{};
+auto AllReasons() -> const std::array<Reason, 39>& {
+  static constexpr std::array<Reason, 39> kAll = [] {
+    std::array<Reason, 39> all{};
     for (std::size_t i = 0; i < all.size(); ++i) all[i] = static_cast<Reason>(i);
     return all;
   }();
--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -41,11 +41,16 @@
   kDrained,
   kTeamLimit,
   kCancelled,
+  kTargetFailed,
+  kTargetReplaced,
+  kTimeout,
+  kUnknownRoute,
+  kCallerGone,
   kInternal,
 };
 
 /// Every reason, in the order of the enumeration.
-auto AllReasons() -> const std::array<Reason, 34>&;
+auto AllReasons() -> const std::array<Reason, 39>&;
 
 /// The reason as it stands in headers, logs and metric labels, for example "region-cap".
 auto ReasonText(Reason reason) -> std::string_view;
--- /dev/null
+++ b/src/edge/edge_node.h
@@ -0,0 +1,383 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "edge/edge_settings.h"
+#include "edge/platform_ports.h"
+#include "edge/request_carrier.h"
+#include "edge/store_follower.h"
+#include "edge/target_prober.h"
+#include "edge/vm_announcer.h"
+#include "gateway/gateway_core.h"
+#include "gateway/lapse_list.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+#include "observe/event_log.h"
+#include "observe/metrics_registry.h"
+
+namespace heatherspan {
+
+/// The gateway process of one entry VM. One worker runs all handlers, so that no state is locked.
+template <PlatformAdapter Platform>
+class EdgeNode {
+ public:
+  using Messages = typename Platform::MessageFormat;
+  using Formats = typename Platform::StoreFormat;
+  using Store = typename Platform::Store;
+
+  static constexpr Duration kTick = std::chrono::milliseconds(250);
+  /// A machine that does not acknowledge bytes for so long is gone; two retransmissions fit in.
+  static constexpr Duration kUnacknowledged = std::chrono::milliseconds(1500);
+  /// A lost packet is sent again after a second; another target is sooner.
+  static constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+  static constexpr std::size_t kConnectionsPerTarget = 40;
+  /// The process ends this long before it would be killed.
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(200);
+  /// Callers that still hold an old answer find the process for this part of the stop grace.
+  static constexpr double kLingerPartOfGrace = 0.45;
+
+  EdgeNode(EdgeSettings settings, EventLog& log, std::function<void()> on_stopped)
+      : settings_(std::move(settings)),
+        log_(log),
+        on_stopped_(std::move(on_stopped)),
+        core_(CoreOptions(settings_), std::random_device()()),
+        workers_(1),
+        target_client_(workers_, TargetLimits()),
+        store_client_(workers_, StoreLimits()),
+        store_(store_client_, settings_.store),
+        follower_(store_, workers_, log_, [this](const StoreChange& change) { OnChange(change); },
+                  [this] { OnBatch(); }),
+        announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
+                   Formats::WriteEntryVm({settings_.node, settings_.zone, settings_.region,
+                                          settings_.callers})),
+        carrier_(core_, target_client_, workers_, log_, metrics_),
+        prober_(core_, target_client_, log_),
+        callers_server_(workers_, CallerServerLimits(CallerLimits()),
+                        [this](HttpRequest request, HttpServer::Responder respond) {
+                          carrier_.Carry(std::move(request), std::move(respond));
+                        }),
+        readiness_server_(workers_, {}, Handler(&EdgeNode::Readiness)),
+        directory_server_(workers_, {}, Handler(&EdgeNode::Directory)),
+        metrics_server_(workers_, {}, Handler(&EdgeNode::Metrics)) {}
+
+  ~EdgeNode() { workers_.Stop(); }
+  EdgeNode(const EdgeNode&) = delete;
+  auto operator=(const EdgeNode&) -> EdgeNode& = delete;
+
+  auto Start() -> absl::Status {
+    for (const auto& [server, endpoint] :
+         {std::pair{&callers_server_, &settings_.callers},
+          std::pair{&readiness_server_, &settings_.readiness},
+          std::pair{&directory_server_, &settings_.directory},
+          std::pair{&metrics_server_, &settings_.metrics}}) {
+      const auto bound = server->Listen(*endpoint);
+      if (!bound.ok()) return bound.status();
+    }
+    log_.Write(LogLevel::kInfo, "started",
+               {{"node", settings_.node.value()},
+                {"zone", settings_.zone.value()},
+                {"callers", settings_.callers.Text()},
+                {"store", settings_.store.Text()}});
+    workers_.Post([this] {
+      follower_.Start();
+      tick_ = workers_.RunEvery(kTick, [this] { OnTick(); });
+    });
+    return absl::OkStatus();
+  }
+
+  /// SIGTERM. May be called from any thread.
+  auto BeginStop() -> void {
+    workers_.Post([this] { OnStop(); });
+  }
+
+  /// SIGHUP. Takes the settings that can change while the process runs.
+  auto Reload(EdgeSettings settings) -> void {
+    workers_.Post([this, settings = std::move(settings)]() mutable { OnReload(settings); });
+  }
+
+ private:
+  using Bounds = EdgeSettings::Bounds;
+
+  static auto Now() -> MonotonicTime { return SystemClock().Now(); }
+
+  static auto RetryLimits(const Bounds& bounds) -> RetryWindow::Limits {
+    return {bounds.retry_window, bounds.retry_ratio, bounds.retry_allowance};
+  }
+
+  static auto BalanceLimits(const Bounds& bounds) -> RegionBalance::Limits {
+    RegionBalance::Limits limits;
+    limits.max_change = bounds.max_shift;
+    return limits;
+  }
+
+  static auto CoreOptions(const EdgeSettings& settings) -> GatewayCore::Options {
+    GatewayCore::Options options;
+    options.node = settings.node;
+    options.place.zone = settings.zone;
+    options.place.region = settings.region;
+    options.zones = settings.zones;
+    options.heartbeat = settings.heartbeat;
+    options.retries = RetryLimits(settings.bounds);
+    options.balance = BalanceLimits(settings.bounds);
+    options.roster.answer_lifetime = settings.bounds.answer_lifetime;
+    return options;
+  }
+
+  static auto TargetLimits() -> HttpClient::Limits {
+    HttpClient::Limits limits;
+    limits.max_connections_per_endpoint = kConnectionsPerTarget;
+    limits.connect_timeout = kConnectTimeout;
+    limits.unacknowledged_timeout = kUnacknowledged;
+    limits.accept_unframed_responses = true;
+    limits.correlation_header = Messages::CorrelationHeader();
+    return limits;
+  }
+
+  static auto StoreLimits() -> HttpClient::Limits {
+    HttpClient::Limits limits;
+    limits.unacknowledged_timeout = kUnacknowledged;
+    return limits;
+  }
+
+  static auto CallerServerLimits(const CallerLimits& callers) -> HttpServer::Limits {
+    HttpServer::Limits limits;
+    limits.max_header_bytes = callers.header_bytes;
+    limits.max_body_bytes = callers.body_bytes;
+    limits.request_timeout = callers.header_timeout;
+    limits.idle_timeout = callers.idle_timeout;
+    limits.watch_disconnects = true;
+    return limits;
+  }
+
+  auto Handler(HttpResponse (EdgeNode::*method)(const HttpRequest&)) -> HttpServer::Handler {
+    return [this, method](const HttpRequest& request, const HttpServer::Responder& respond) {
+      respond((this->*method)(request));
+    };
+  }
+
+  static auto WithStatus(int status) -> HttpResponse {
+    HttpResponse response;
+    response.status = status;
+    return response;
+  }
+
+  auto IsReady() const -> bool {
+    return !stopping_ && core_.policy() != nullptr && follower_.mirror().synced();
+  }
+
+  auto Readiness(const HttpRequest& request) -> HttpResponse {
+    if (!Messages::IsReadyQuery(request)) return WithStatus(404);
+    return WithStatus(IsReady() ? 200 : 503);
+  }
+
+  auto Directory(const HttpRequest& request) -> HttpResponse {
+    const auto query = Messages::ReadDirectoryQuery(request);
+    if (!query.has_value()) return WithStatus(404);
+    const auto answer = core_.roster().Answer(query->zone, query->region,
+                                              AllowedRegions(query->host), Now());
+    metrics_.Increment(Metric::kLookups, {{"result", answer.callers.empty() ? "none" : "found"}});
+    return Messages::DirectoryAnswer(answer.callers, answer.lifetime);
+  }
+
+  /// The regions to which all routes of the host are restricted; empty if one of them is not.
+  auto AllowedRegions(const std::string& host) const -> std::vector<RegionName> {
+    std::vector<RegionName> regions;
+    for (const auto* route : core_.routes().RoutesOf(host)) {
+      if (route->allowed_regions.empty()) return {};
+      regions.insert(regions.end(), route->allowed_regions.begin(), route->allowed_regions.end());
+    }
+    return regions;
+  }
+
+  auto Metrics(const HttpRequest& request) -> HttpResponse {
+    if (request.target != "/metrics") return WithStatus(404);
+    auto response = WithStatus(200);
+    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    response.body = metrics_.Exposition();
+    return response;
+  }
+
+  auto OnChange(const StoreChange& change) -> void {
+    if (Formats::IsPolicyKey(change.key)) {
+      OnPolicy(change);
+    } else if (const auto zone = Formats::EvacuatedZone(change.key)) {
+      const bool evacuated = change.value.has_value();
+      core_.fleet().SetEvacuated(*zone, evacuated, Now());
+      log_.Write(LogLevel::kInfo, "evacuation",
+                 {{"zone", zone->value()},
+                  {"evacuated", evacuated ? 1 : 0},
+                  {"revision", change.revision}});
+    } else if (const auto target = Formats::TargetOf(change.key)) {
+      OnTarget(*target, change);
+    } else if (const auto node = Formats::EntryVmOf(change.key)) {
+      OnEntryVm(*node, change);
+    }
+  }
+
+  auto OnPolicy(const StoreChange& change) -> void {
+    // Without an item the last configuration stays in force.
+    if (!change.value.has_value()) return;
+    auto policy = Formats::ReadPolicy(*change.value);
+    if (!policy.ok()) {
+      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "policy"}});
+      log_.Write(LogLevel::kError, "configuration-rejected",
+                 {{"revision", change.revision}, {"error", std::string(policy.status().message())}});
+      return;
+    }
+    const auto version = policy->version.value();
+    const auto routes = policy->routes.size();
+    const auto limits = policy->limits;
+    const bool applied = core_.ApplyPolicy(*std::move(policy));
+    if (applied) callers_server_.SetLimits(CallerServerLimits(limits));
+    metrics_.Set(Metric::kConfigVersion, {}, static_cast<double>(core_.policy()->version.value()));
+    log_.Write(LogLevel::kInfo, applied ? "configuration-applied" : "configuration-ignored",
+               {{"version", version}, {"routes", routes}, {"revision", change.revision}});
+  }
+
+  auto OnTarget(const TargetName& name, const StoreChange& change) -> void {
+    if (!change.value.has_value()) {
+      const bool in_doubt = follower_.mirror().InDoubt(Now());
+      log_.Write(LogLevel::kInfo, "target-removed",
+                 {{"target", name.value()},
+                  {"in_doubt", in_doubt ? 1 : 0},
+                  {"revision", change.revision}});
+      if (in_doubt) {
+        lapses_.Add(name, Now());
+      } else {
+        core_.fleet().Unregister(name);
+      }
+      return;
+    }
+    lapses_.Remove(name);
+    const auto target = Formats::ReadTarget(name, *change.value);
+    if (!target.ok()) {
+      // An entry that can't be read names no target to use.
+      core_.fleet().Unregister(name);
+      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "target"}});
+      log_.Write(LogLevel::kWarning, "target-rejected",
+                 {{"target", name.value()},
+                  {"revision", change.revision},
+                  {"error", std::string(target.status().message())}});
+      return;
+    }
+    core_.fleet().Register(*target, Now());
+    log_.Write(LogLevel::kInfo, "target-registered",
+               {{"target", name.value()},
+                {"service", target->service.value()},
+                {"zone", target->zone.value()},
+                {"endpoint", target->endpoint.Text()},
+                {"state", target->draining ? "draining" : "ready"},
+                {"cold_ms", std::chrono::duration_cast<std::chrono::milliseconds>(target->cold_left)
+                                .count()},
+                {"revision", change.revision}});
+  }
+
+  auto OnEntryVm(const NodeName& name, const StoreChange& change) -> void {
+    if (!change.value.has_value()) {
+      const bool in_doubt = follower_.mirror().InDoubt(Now());
+      core_.roster().Withdraw(name, in_doubt, Now());
+      log_.Write(LogLevel::kInfo, "entry-vm-removed",
+                 {{"node", name.value()},
+                  {"in_doubt", in_doubt ? 1 : 0},
+                  {"revision", change.revision}});
+      if (name == settings_.node) announcer_.OnRemoved();
+      return;
+    }
+    const auto vm = Formats::ReadEntryVm(name, *change.value);
+    if (!vm.ok()) {
+      core_.roster().Withdraw(name, false, Now());
+      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "entry-vm"}});
+      return;
+    }
+    core_.roster().Announce(*vm, Now());
+    log_.Write(LogLevel::kInfo, "entry-vm",
+               {{"node", name.value()},
+                {"callers", vm->callers.Text()},
+                {"revision", change.revision}});
+  }
+
+  auto OnBatch() -> void {
+    if (IsReady()) announcer_.Start();
+  }
+
+  auto OnTick() -> void {
+    const auto now = Now();
+    for (const auto& name : lapses_.TakeExpired(now)) {
+      log_.Write(LogLevel::kInfo, "target-lapsed", {{"target", name.value()}});
+      core_.fleet().Unregister(name);
+    }
+    prober_.OnTick(now);
+    metrics_.Set(Metric::kInFlight, {{"region", settings_.region.value()}},
+                 static_cast<double>(carrier_.active()));
+    if (stopping_) CheckStopped(now);
+  }
+
+  auto OnStop() -> void {
+    if (stopping_) return;
+    stopping_ = true;
+    stop_began_ = Now();
+    log_.Write(LogLevel::kInfo, "stopping",
+               {{"in_flight", carrier_.active()},
+                {"grace_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                                 settings_.bounds.stop_grace)
+                                 .count()}});
+    announcer_.Withdraw();
+    callers_server_.BeginClosing();
+    carrier_.BeginStop(settings_.bounds.stop_grace);
+  }
+
+  auto CheckStopped(MonotonicTime now) -> void {
+    const auto grace = settings_.bounds.stop_grace;
+    const auto linger = Duration(static_cast<Duration::rep>(
+        static_cast<double>(grace.count()) * kLingerPartOfGrace));
+    const auto since = now - stop_began_;
+    if (since >= linger) callers_server_.StopListening();
+    const bool idle = carrier_.active() == 0 && callers_server_.active_requests() == 0;
+    if ((idle && since >= linger) || since >= grace - kStopMargin) {
+      log_.Write(LogLevel::kInfo, "stopped", {{"in_flight", carrier_.active()}});
+      tick_.reset();
+      on_stopped_();
+    }
+  }
+
+  auto OnReload(EdgeSettings& settings) -> void {
+    core_.SetBounds(RetryLimits(settings.bounds), BalanceLimits(settings.bounds));
+    const bool fixed_changed = settings.callers != settings_.callers ||
+                               settings.store != settings_.store ||
+                               settings.node != settings_.node || settings.zone != settings_.zone;
+    settings_.bounds = settings.bounds;
+    log_.Write(LogLevel::kInfo, "reloaded", {{"restart_needed", fixed_changed ? 1 : 0}});
+  }
+
+  EdgeSettings settings_;
+  EventLog& log_;
+  const std::function<void()> on_stopped_;
+  MetricsRegistry metrics_;
+  GatewayCore core_;
+  LapseList lapses_;
+  WorkerPool workers_;
+  HttpClient target_client_;
+  HttpClient store_client_;
+  Store store_;
+  StoreFollower<Store> follower_;
+  VmAnnouncer<Store> announcer_;
+  RequestCarrier<Messages> carrier_;
+  TargetProber<Messages> prober_;
+  HttpServer callers_server_;
+  HttpServer readiness_server_;
+  HttpServer directory_server_;
+  HttpServer metrics_server_;
+  std::shared_ptr<WorkerPool::Timer> tick_;
+  bool stopping_ = false;
+  MonotonicTime stop_began_{};
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/edge/edge_program.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include "base/file_text.h"
+#include "edge/edge_node.h"
+#include "edge/edge_settings.h"
+#include "observe/event_log.h"
+
+namespace heatherspan {
+
+/// The command line and the signals of the gateway process.
+template <PlatformAdapter Platform>
+class EdgeProgram {
+ public:
+  static constexpr int kExitDone = 0;
+  static constexpr int kExitFailure = 1;
+  static constexpr int kExitUsage = 2;
+  static constexpr int kExitUnsoundSettings = 3;
+
+  static auto Run(int argc, char** argv) -> int {
+    CLI::App app("heatherspan-gateway: carries requests on an entry VM of the users' platform");
+    std::string path;
+    bool check = false;
+    app.add_option("--settings", path, "Settings file (TOML)")->required();
+    app.add_flag("--check", check, "Check the settings and exit");
+    try {
+      app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+      return app.exit(error) == 0 ? kExitDone : kExitUsage;
+    }
+    const auto settings = Read(path);
+    if (!settings.ok()) {
+      std::cerr << settings.status().message() << '\n';
+      return absl::IsNotFound(settings.status()) ? kExitUsage : kExitUnsoundSettings;
+    }
+    if (check) {
+      std::cout << path << ": sound\n";
+      return kExitDone;
+    }
+    return Serve(path, *settings);
+  }
+
+ private:
+  static auto Read(const std::string& path) -> absl::StatusOr<EdgeSettings> {
+    const auto text = ReadFileText(path);
+    if (!text.has_value()) return absl::NotFoundError(path + ": cannot be read");
+    return ReadEdgeSettings(*text, path);
+  }
+
+  /// Blocks the signals in every thread; they are waited for instead.
+  static auto BlockSignals() -> sigset_t {
+    ::signal(SIGPIPE, SIG_IGN);
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) sigaddset(&signals, number);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+  }
+
+  static auto Serve(const std::string& path, const EdgeSettings& settings) -> int {
+    const auto signals = BlockSignals();
+    EventLog log(ParseLogLevel(settings.log_level).value_or(LogLevel::kInfo),
+                 settings.log_lines_per_second);
+    // SIGUSR1 from itself ends the wait for signals when the node has stopped.
+    EdgeNode<Platform> node(settings, log, [] { ::kill(::getpid(), SIGUSR1); });
+    if (const auto status = node.Start(); !status.ok()) {
+      log.Write(LogLevel::kError, "start-failed", {{"error", std::string(status.message())}});
+      log.Drain();
+      return kExitFailure;
+    }
+    while (true) {
+      int number = 0;
+      sigwait(&signals, &number);
+      if (number == SIGUSR1) break;
+      if (number == SIGHUP) {
+        Reload(path, node, log);
+      } else {
+        node.BeginStop();
+      }
+    }
+    log.Drain();
+    // Destructors would wait for the log's reader, which may have stopped reading.
+    std::_Exit(kExitDone);
+  }
+
+  static auto Reload(const std::string& path, EdgeNode<Platform>& node, EventLog& log) -> void {
+    auto settings = Read(path);
+    if (!settings.ok()) {
+      log.Write(LogLevel::kError, "reload-failed",
+                {{"error", std::string(settings.status().message())}});
+      return;
+    }
+    log.SetLevel(ParseLogLevel(settings->log_level).value_or(LogLevel::kInfo));
+    node.Reload(*std::move(settings));
+  }
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/edge/edge_settings.cc
@@ -0,0 +1,130 @@
+#include "edge/edge_settings.h"
+
+#include "fmt/format.h"
+#include "toml_table/toml_parser.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr auto kRequired = Presence::kRequired;
+constexpr auto kOptional = Presence::kOptional;
+constexpr const char* kZonesTable = "zones";
+
+template <class Member>
+auto Bound(Member EdgeSettings::Bounds::*member) {
+  return [member](auto& settings) -> auto& { return settings.bounds.*member; };
+}
+
+auto NodeKeys() -> KeyTable<EdgeSettings> {
+  return KeyTable<EdgeSettings>()
+      .Add("name", &EdgeSettings::node, kRequired, Name<NodeName>(),
+           "The entry VM's name; unique in the deployment.")
+      .Add("zone", &EdgeSettings::zone, kRequired, Name<ZoneName>(),
+           "The availability zone of the VM.")
+      .Add("region", &EdgeSettings::region, kRequired, Name<RegionName>(),
+           "The region of the VM.");
+}
+
+auto ListenKeys() -> KeyTable<EdgeSettings> {
+  return KeyTable<EdgeSettings>()
+      .Add("callers", &EdgeSettings::callers, kRequired, EndpointValue(0, false),
+           "Requests of callers (HTTP). Port 0 takes a free port.")
+      .Add("readiness", &EdgeSettings::readiness, kRequired, EndpointValue(0, true),
+           "Answers whether the process takes requests (HTTP).")
+      .Add("directory", &EdgeSettings::directory, kRequired, EndpointValue(0, true),
+           "Tells callers which entry VMs to use (HTTP).")
+      .Add("metrics", &EdgeSettings::metrics, kRequired, EndpointValue(0, true),
+           "Counters and latencies as text at /metrics (HTTP).");
+}
+
+auto StoreKeys() -> KeyTable<EdgeSettings> {
+  return KeyTable<EdgeSettings>()
+      .Add("address", &EdgeSettings::store, kRequired, EndpointValue(1, false),
+           "The platform's key-value service.")
+      .Add("heartbeat_s", &EdgeSettings::heartbeat, kOptional, Seconds(0.1, 60),
+           "How often targets renew their registration.");
+}
+
+auto BoundsKeys() -> KeyTable<EdgeSettings> {
+  using Bounds = EdgeSettings::Bounds;
+  return KeyTable<EdgeSettings>()
+      .Add("retry_ratio", Bound(&Bounds::retry_ratio), kOptional, Number<double>(0, 1),
+           "Repeats for each request of a service, of all entry VMs together.")
+      .Add("retry_window_s", Bound(&Bounds::retry_window), kOptional, Seconds(1, 600),
+           "The window over which repeats are counted.")
+      .Add("retry_allowance", Bound(&Bounds::retry_allowance), kOptional,
+           Number<double>(0, 1'000'000),
+           "Repeats in each window beside the ratio, of all entry VMs together.")
+      .Add("max_shift", Bound(&Bounds::max_shift), kOptional, Number<double>(0, 1),
+           "Largest change of the share of requests that leave their region, from one window of "
+           "2 s to the next.")
+      .Add("stop_grace_s", Bound(&Bounds::stop_grace), kOptional, Seconds(1, 600),
+           "Time from SIGTERM until the process is killed.")
+      .Add("answer_lifetime_s", Bound(&Bounds::answer_lifetime), kOptional, Seconds(0.1, 600),
+           "How long callers may keep a directory answer.");
+}
+
+auto LogKeys() -> KeyTable<EdgeSettings> {
+  return KeyTable<EdgeSettings>()
+      .Add("level", &EdgeSettings::log_level, kOptional,
+           Word({"debug", "info", "warning", "error"}), "The least severe events that are logged.")
+      .Add("lines_per_second", &EdgeSettings::log_lines_per_second, kOptional,
+           WholeNumber<int>(1, 1'000'000),
+           "Most lines per second; what is left out is counted in a line of its own.");
+}
+
+/// The zones are keys themselves: `ZONE = "REGION"`.
+auto ReadZones(const TomlValue& root, EdgeSettings& settings, TomlFaults& faults) -> void {
+  const auto* value = root.Find(kZonesTable);
+  const auto* table = value == nullptr ? nullptr : std::get_if<TomlValue::Table>(&value->value);
+  if (table == nullptr) {
+    faults.Add(root.position, "zones: the table is missing; expected ZONE = \"REGION\" for each "
+                              "availability zone");
+    return;
+  }
+  for (const auto& entry : *table) {
+    const auto region = value_format_internal::ReadText(entry.value);
+    if (!IsName(entry.key) || !region.has_value() || !IsName(*region)) {
+      faults.Add(entry.key_position, fmt::format("zones: found {} = {}, expected names of a zone "
+                                                 "and of its region",
+                                                 entry.key, entry.value.Shown()));
+      continue;
+    }
+    settings.zones[ZoneName(entry.key)] = RegionName(*region);
+  }
+}
+
+}  // namespace
+
+auto EdgeSettingsSections() -> const std::vector<EdgeSettingsSection>& {
+  static const std::vector<EdgeSettingsSection> kSections = {
+      {"node", NodeKeys(), true},      {"listen", ListenKeys(), true}, {"store", StoreKeys(), true},
+      {"bounds", BoundsKeys(), false}, {"log", LogKeys(), false},
+  };
+  return kSections;
+}
+
+auto ReadEdgeSettings(std::string_view text, const std::string& file)
+    -> absl::StatusOr<EdgeSettings> {
+  EdgeSettings settings;
+  TomlFaults faults(file);
+  const auto root = ParseToml(text, file, faults);
+  if (faults.faults().empty()) {
+    std::vector<std::string> known = {kZonesTable};
+    for (const auto& section : EdgeSettingsSections()) known.push_back(section.name);
+    KeyTable<EdgeSettings>().Read(root, "settings", known, settings, faults);
+    TomlValue empty;
+    empty.value = TomlValue::Table();
+    for (const auto& section : EdgeSettingsSections()) {
+      const auto* value = root.Find(section.name);
+      if (value == nullptr && !section.required) continue;
+      section.keys.Read(value == nullptr ? empty : *value, section.name, {}, settings, faults);
+    }
+    ReadZones(root, settings, faults);
+    faults.Sort();
+  }
+  if (auto status = FaultStatus(faults.faults()); !status.ok()) return status;
+  return settings;
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/edge/platform_ports.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/status/statusor.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/entry_roster.h"
+#include "gateway/registered_target.h"
+#include "gateway/store_changes.h"
+#include "gateway/traffic_policy.h"
+#include "net/http_request.h"
+#include "net/http_response.h"
+#include "net/http_result.h"
+
+namespace heatherspan {
+
+/// A key-value service with leases and watches. Every call reports once.
+template <class T>
+concept GatewayStore = requires(T& store, std::string key, std::uint64_t number, Duration wait,
+                                typename T::PageCallback on_page,
+                                typename T::ChangesCallback on_changes,
+                                typename T::LeaseCallback on_lease,
+                                typename T::StatusCallback on_status) {
+  store.List(key, on_page);
+  store.Watch(number, wait, on_changes);
+  store.Grant(wait, on_lease);
+  store.KeepAlive(number, on_status);
+  store.Revoke(number, on_status);
+  store.Put(key, key, number, on_status);
+};
+
+/// The formats of what is kept in the store.
+template <class T>
+concept StoreFormat = requires(std::string_view text, TargetName target, NodeName node,
+                               const EntryVm& vm) {
+  { T::ReadPolicy(text) } -> std::same_as<absl::StatusOr<TrafficPolicy>>;
+  { T::ReadTarget(target, text) } -> std::same_as<absl::StatusOr<RegisteredTarget>>;
+  { T::ReadEntryVm(node, text) } -> std::same_as<absl::StatusOr<EntryVm>>;
+  { T::WriteEntryVm(vm) } -> std::same_as<std::string>;
+  { T::IsPolicyKey(text) } -> std::same_as<bool>;
+  { T::EvacuatedZone(text) } -> std::same_as<std::optional<ZoneName>>;
+  { T::TargetOf(text) } -> std::same_as<std::optional<TargetName>>;
+  { T::EntryVmOf(text) } -> std::same_as<std::optional<NodeName>>;
+  { T::EntryVmKey(node) } -> std::same_as<std::string>;
+};
+
+/// The formats between callers, entry VMs and targets.
+template <class T>
+concept MessageFormat = requires(const HttpRequest& request, const HttpResponse& response,
+                                 const HttpResult& result, const RegisteredTarget& target,
+                                 Duration time, std::string path) {
+  { T::CorrelationHeader() } -> std::same_as<std::string>;
+  typename T::CallerFields;
+  { T::ReadCaller(request) } -> std::same_as<typename T::CallerFields>;
+  { T::ForTarget(request, target, time) } -> std::same_as<HttpRequest>;
+  { T::ReadReply(result) } -> std::same_as<typename T::Reply>;
+  { T::ForCaller(response) } -> std::same_as<HttpResponse>;
+  { T::Refused(time) } -> std::same_as<HttpResponse>;
+  { T::Failed() } -> std::same_as<HttpResponse>;
+  { T::Expired() } -> std::same_as<HttpResponse>;
+  { T::NoRoute() } -> std::same_as<HttpResponse>;
+  { T::HealthQuery(path) } -> std::same_as<HttpRequest>;
+  { T::ReadHealth(response) } -> std::same_as<typename T::HealthReply>;
+  { T::IsReadyQuery(request) } -> std::same_as<bool>;
+  { T::ReadDirectoryQuery(request) } -> std::same_as<std::optional<typename T::DirectoryQuery>>;
+};
+
+/// All that a platform says in its own way.
+template <class T>
+concept PlatformAdapter = GatewayStore<typename T::Store> && StoreFormat<typename T::StoreFormat> &&
+                          MessageFormat<typename T::MessageFormat>;
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/edge/target_prober.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+#include "edge/platform_ports.h"
+#include "gateway/gateway_core.h"
+#include "net/http_client.h"
+#include "observe/event_log.h"
+
+namespace heatherspan {
+
+/// Asks targets that can't be reached whether they are back, so that no caller's request has to
+/// find out. Targets that are in use are judged by their answers and not probed.
+template <MessageFormat Format>
+class TargetProber {
+ public:
+  /// A probe that takes longer counts as failed: targets answer in milliseconds.
+  static constexpr Duration kProbeTimeout = std::chrono::milliseconds(1000);
+
+  TargetProber(GatewayCore& core, HttpClient& client, EventLog& log)
+      : core_(core), client_(client), log_(log) {}
+
+  auto OnTick(MonotonicTime now) -> void {
+    if (core_.policy() == nullptr) return;
+    for (const auto& service : core_.policy()->services) {
+      for (const auto* target : core_.fleet().TargetsOf(service.name)) {
+        const bool due = target->health().OnProbation() && !target->health().IsBlocked(now);
+        if (due && core_.fleet().MayUse(*target) && target->load().own() == 0) {
+          Probe(*target, service.health_path);
+        }
+      }
+    }
+  }
+
+ private:
+  auto Probe(const FleetTarget& target, const std::string& path) -> void {
+    const auto name = target.entry().name;
+    if (path.empty() || !under_way_.insert(name).second) return;
+    client_.Send(target.entry().endpoint, Format::HealthQuery(path), kProbeTimeout,
+                 [this, name](const HttpResult& result) { OnResult(name, result); });
+  }
+
+  auto OnResult(const TargetName& name, const HttpResult& result) -> void {
+    under_way_.erase(name);
+    const auto now = SystemClock().Now();
+    auto* target = core_.fleet().Find(name);
+    if (target == nullptr) return;
+    const auto health = Format::ReadHealth(result.response);
+    const bool replaced = result.status.ok() && !health.instance.empty() && health.instance != name;
+    const bool healthy = result.status.ok() && health.healthy && !replaced;
+    if (!result.status.ok()) {
+      target->health().OnSign(TargetSign::kUnreachable, now);
+    } else if (replaced) {
+      target->health().OnSign(TargetSign::kReplaced, now);
+    } else if (healthy) {
+      if (health.cold_left > Duration::zero()) target->SetColdUntil(now + health.cold_left);
+    }
+    log_.Write(LogLevel::kInfo, "probe",
+               {{"target", name.value()},
+                {"healthy", healthy ? 1 : 0},
+                {"error", std::string(result.status.message())}});
+  }
+
+  GatewayCore& core_;
+  HttpClient& client_;
+  EventLog& log_;
+  absl::flat_hash_set<TargetName> under_way_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/edge/vm_announcer.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "edge/platform_ports.h"
+#include "net/worker_pool.h"
+#include "observe/event_log.h"
+
+namespace heatherspan {
+
+/// Keeps this entry VM's announcement in the store under a lease, so that it goes when the process
+/// does.
+template <GatewayStore Store>
+class VmAnnouncer {
+ public:
+  /// A lost VM is named to callers for at most this time and the delay of a watch.
+  static constexpr Duration kLifetime = std::chrono::seconds(3);
+  /// Two renewals may be lost.
+  static constexpr Duration kRenewal = std::chrono::milliseconds(900);
+
+  VmAnnouncer(Store& store, WorkerPool& workers, EventLog& log, std::string key, std::string value)
+      : store_(store),
+        workers_(workers),
+        log_(log),
+        key_(std::move(key)),
+        value_(std::move(value)) {}
+
+  auto Start() -> void {
+    if (state_ == State::kIdle) Step();
+  }
+
+  /// Ends the announcement for good.
+  auto Withdraw() -> void {
+    state_ = State::kWithdrawn;
+    timer_.reset();
+    if (lease_ == 0) return;
+    store_.Revoke(std::exchange(lease_, 0), [this](const absl::Status& status) {
+      log_.Write(LogLevel::kInfo, "withdrawn", {{"result", std::string(status.message())}});
+    });
+  }
+
+  /// The announcement was seen to be gone although this process has not withdrawn it.
+  auto OnRemoved() -> void {
+    if (state_ != State::kAnnounced) return;
+    log_.Write(LogLevel::kWarning, "announcement-lost", {{"key", key_}});
+    lease_ = 0;
+    Step();
+  }
+
+ private:
+  enum class State { kIdle, kCalling, kAnnounced, kWithdrawn };
+
+  auto Step() -> void {
+    if (state_ == State::kCalling || state_ == State::kWithdrawn) return;
+    timer_.reset();
+    if (lease_ != 0) {
+      state_ = State::kCalling;
+      store_.KeepAlive(lease_, [this](const absl::Status& status) { OnKept(status); });
+      return;
+    }
+    state_ = State::kCalling;
+    store_.Grant(kLifetime, [this](absl::StatusOr<StoreLease> lease) {
+      if (!lease.ok()) {
+        Later("grant", lease.status());
+        return;
+      }
+      if (state_ == State::kWithdrawn) return;
+      const auto id = lease->id;
+      store_.Put(key_, value_, id, [this, id](const absl::Status& status) {
+        if (!status.ok()) {
+          Later("put", status);
+          return;
+        }
+        if (state_ == State::kWithdrawn) {
+          store_.Revoke(id, [](const absl::Status&) {});
+          return;
+        }
+        lease_ = id;
+        state_ = State::kAnnounced;
+        log_.Write(LogLevel::kInfo, "announced", {{"key", key_}, {"lease", id}});
+        Arm();
+      });
+    });
+  }
+
+  auto OnKept(const absl::Status& status) -> void {
+    if (state_ == State::kWithdrawn) return;
+    if (absl::IsNotFound(status)) {
+      lease_ = 0;
+      state_ = State::kIdle;
+      Step();
+      return;
+    }
+    if (!status.ok()) {
+      Later("renewal", status);
+      return;
+    }
+    state_ = State::kAnnounced;
+    Arm();
+  }
+
+  auto Later(const char* call, const absl::Status& status) -> void {
+    if (state_ == State::kWithdrawn) return;
+    log_.Write(LogLevel::kWarning, "announcement-failed",
+               {{"call", call}, {"error", std::string(status.message())}});
+    state_ = State::kIdle;
+    Arm();
+  }
+
+  auto Arm() -> void {
+    timer_ = workers_.RunAfter(kRenewal, [this] { Step(); });
+  }
+
+  Store& store_;
+  WorkerPool& workers_;
+  EventLog& log_;
+  const std::string key_;
+  const std::string value_;
+  State state_ = State::kIdle;
+  std::uint64_t lease_ = 0;
+  std::shared_ptr<WorkerPool::Timer> timer_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/gateway/fleet.cc
@@ -0,0 +1,72 @@
+#include "gateway/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace heatherspan {
+
+Fleet::Fleet(Regions regions, Duration recheck)
+    : regions_(std::move(regions)), recheck_(recheck) {}
+
+auto Fleet::RegionOf(const ZoneName& zone) const -> RegionName {
+  const auto found = regions_.find(zone);
+  return found == regions_.end() ? RegionName() : found->second;
+}
+
+auto Fleet::Register(const RegisteredTarget& entry, MonotonicTime now) -> void {
+  auto& known = targets_[entry.name];
+  if (known != nullptr && known->entry().service == entry.service &&
+      known->entry().zone == entry.zone) {
+    known->Update(entry, now);
+    return;
+  }
+  if (known != nullptr) Unlist(*known);
+  known = std::make_unique<FleetTarget>(entry, RegionOf(entry.zone), now);
+  auto& list = by_service_[entry.service];
+  const auto position =
+      std::lower_bound(list.begin(), list.end(), entry.name,
+                       [](const FleetTarget* target, const TargetName& name) {
+                         return target->entry().name < name;
+                       });
+  list.insert(position, known.get());
+}
+
+auto Fleet::Unregister(const TargetName& name) -> void {
+  const auto found = targets_.find(name);
+  if (found == targets_.end()) return;
+  Unlist(*found->second);
+  targets_.erase(found);
+}
+
+auto Fleet::Unlist(const FleetTarget& target) -> void {
+  auto& list = by_service_[target.entry().service];
+  list.erase(std::remove(list.begin(), list.end(), &target), list.end());
+}
+
+auto Fleet::SetEvacuated(const ZoneName& zone, bool evacuated, MonotonicTime now) -> void {
+  if (evacuated) {
+    evacuated_.insert(zone);
+    return;
+  }
+  if (evacuated_.erase(zone) == 0) return;
+  for (const auto& [name, target] : targets_) {
+    if (target->entry().zone == zone) target->SetColdUntil(now + recheck_);
+  }
+}
+
+auto Fleet::Find(const TargetName& name) -> FleetTarget* {
+  const auto found = targets_.find(name);
+  return found == targets_.end() ? nullptr : found->second.get();
+}
+
+auto Fleet::TargetsOf(const ServiceName& service) const -> const std::vector<FleetTarget*>& {
+  static const std::vector<FleetTarget*> kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
+}
+
+auto Fleet::MayUse(const FleetTarget& target) const -> bool {
+  return !target.entry().draining && !evacuated_.contains(target.entry().zone);
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/gateway/fleet_target.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <optional>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/object_memory.h"
+#include "gateway/registered_target.h"
+#include "gateway/target_health.h"
+#include "gateway/target_load.h"
+
+namespace heatherspan {
+
+/// What this node knows of one target: its registration, load, health, warmth and speed.
+class FleetTarget {
+ public:
+  FleetTarget(RegisteredTarget entry, RegionName region, MonotonicTime now);
+
+  auto entry() const -> const RegisteredTarget& { return entry_; }
+  auto region() const -> const RegionName& { return region_; }
+
+  /// Takes a newer registration. A new start of the target makes all that was learned void.
+  auto Update(RegisteredTarget entry, MonotonicTime now) -> void;
+  /// Treats the target as cold until then, if that is later than what is known.
+  auto SetColdUntil(MonotonicTime until) -> void;
+  auto IsCold(MonotonicTime now) const -> bool { return now < cold_until_; }
+  /// Whether a cold target may get a request now, at one request in each spacing.
+  auto ColdTurn(Duration spacing, MonotonicTime now) const -> bool;
+
+  auto Begin(AttemptNumber attempt, Duration expected_wait, Duration expected_work,
+             ObjectHash object, MonotonicTime now) -> void;
+  /// The attempt is over; `sign` says what it has shown, if anything.
+  auto End(AttemptNumber attempt, ObjectHash object, std::optional<TargetSign> sign,
+           MonotonicTime now) -> Duration;
+  /// An attempt that met no queue took that many times the expected work.
+  auto LearnSpeed(double ratio) -> void;
+
+  /// How many times the usual work a request takes here.
+  auto Slowness(MonotonicTime now) const -> double;
+  /// Whether it has been sent anything since it registered or started.
+  auto used() const -> bool { return used_; }
+  auto known_since() const -> MonotonicTime { return known_since_; }
+
+  auto load() -> TargetLoad& { return load_; }
+  auto load() const -> const TargetLoad& { return load_; }
+  auto health() -> TargetHealth& { return health_; }
+  auto health() const -> const TargetHealth& { return health_; }
+  auto objects() const -> const ObjectMemory& { return objects_; }
+
+ private:
+  RegisteredTarget entry_;
+  RegionName region_;
+  TargetLoad load_;
+  TargetHealth health_;
+  ObjectMemory objects_;
+  double slowness_ = 1;
+  MonotonicTime known_since_;
+  MonotonicTime cold_until_;
+  MonotonicTime last_cold_send_{};
+  bool used_ = false;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/gateway/lapse_list.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "base/ids.h"
+#include "base/time.h"
+
+namespace heatherspan {
+
+/// Targets whose registration has ended while the store was away. One that lives registers again
+/// within two seconds of the store's return; until then it is still used.
+class LapseList {
+ public:
+  static constexpr Duration kReturnTime = std::chrono::seconds(2);
+
+  auto Add(const TargetName& name, MonotonicTime now) -> void {
+    until_.try_emplace(name, now + kReturnTime);
+  }
+  auto Remove(const TargetName& name) -> void { until_.erase(name); }
+  /// The targets that have not come back in time.
+  auto TakeExpired(MonotonicTime now) -> std::vector<TargetName> {
+    std::vector<TargetName> expired;
+    for (const auto& [name, until] : until_) {
+      if (until <= now) expired.push_back(name);
+    }
+    for (const auto& name : expired) until_.erase(name);
+    return expired;
+  }
+
+ private:
+  absl::flat_hash_map<TargetName, MonotonicTime> until_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/gateway/placement.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/random.h"
+#include "base/time.h"
+#include "gateway/fleet.h"
+#include "gateway/object_memory.h"
+#include "gateway/route.h"
+#include "gateway/work_estimates.h"
+
+namespace heatherspan {
+
+/// Where an entry VM stands, and what the distance to others costs.
+struct NodePlace {
+  ZoneName zone;
+  RegionName region;
+  /// Round trips; the largest that the users' deployments state.
+  Duration zone_round_trip = std::chrono::milliseconds(2);
+  Duration region_round_trip = std::chrono::milliseconds(70);
+};
+
+/// A request that is to be placed.
+struct PlacementQuery {
+  const Route* route = nullptr;
+  ServiceName service;
+  ObjectHash object = 0;
+  Duration time_left{};       ///< Until the request is given up.
+  Duration objective_left{};  ///< Until it is late; negative if it is.
+  bool returning = false;     ///< Its caller has been refused before.
+  /// Share of cold targets that this node feeds; see ColdFeeders.
+  Duration cold_spacing = std::chrono::seconds(1);
+  const std::vector<TargetName>* tried = nullptr;
+  bool may_leave_region = true;
+  bool must_leave_region = false;
+};
+
+/// A target and what is expected of it.
+struct Placement {
+  FleetTarget* target = nullptr;
+  bool warm = false;   ///< It is expected to know the object.
+  Duration wait{};     ///< Until it begins to work.
+  Duration work{};
+  Duration network{};
+
+  auto completion() const -> Duration { return wait + work + network; }
+};
+
+/// Why no target was chosen.
+enum class NoPlacement { kNoTarget, kNoRoom };
+
+struct PlacementResult {
+  std::optional<Placement> placement;
+  NoPlacement cause = NoPlacement::kNoTarget;  ///< Without a placement.
+  Duration retry_after{};                      ///< Until there may be room.
+};
+
+/// Tells whether this node is one of those that send requests to a target while it is cold.
+template <class T>
+concept ColdFeederRule = requires(const T& rule, const FleetTarget& target) {
+  { rule(target) } -> std::same_as<bool>;
+};
+
+/// Chooses targets by predicted completion. Load pattern: objects are asked for again and again, a
+/// target that has handled one before is several times faster, and requests come in waves. So an
+/// object's requests go to the target that knows it until the wait there costs more than the work
+/// elsewhere; the second choice is stable as well, by rendezvous hashing, so that a spill or a lost
+/// target finds the same, warm, replacement.
+class Placer {
+ public:
+  Placer(NodePlace place, const Fleet& fleet, const WorkEstimates& estimates)
+      : place_(std::move(place)), fleet_(fleet), estimates_(estimates) {}
+
+  template <ColdFeederRule Rule>
+  auto Choose(const PlacementQuery& query, const Rule& feeds_cold, MonotonicTime now,
+              Random& random) const -> PlacementResult {
+    std::vector<FleetTarget*> candidates;
+    for (auto* target : fleet_.TargetsOf(query.service)) {
+      if (!IsCandidate(*target, query, now)) continue;
+      if (target->IsCold(now) &&
+          (!feeds_cold(*target) || !target->ColdTurn(query.cold_spacing, now))) {
+        continue;
+      }
+      candidates.push_back(target);
+    }
+    return ChooseAmong(std::move(candidates), query, now, random);
+  }
+
+  auto place() const -> const NodePlace& { return place_; }
+
+ private:
+  struct Ranked;
+
+  auto IsCandidate(const FleetTarget& target, const PlacementQuery& query, MonotonicTime now) const
+      -> bool;
+  auto ChooseAmong(std::vector<FleetTarget*> candidates, const PlacementQuery& query,
+                   MonotonicTime now, Random& random) const -> PlacementResult;
+  auto Predict(FleetTarget& target, const PlacementQuery& query, double warm_guess,
+               MonotonicTime now) const -> Ranked;
+  auto Neglected(const std::vector<FleetTarget*>& candidates, MonotonicTime now) const
+      -> FleetTarget*;
+  auto Network(const FleetTarget& target) const -> Duration;
+
+  NodePlace place_;
+  const Fleet& fleet_;
+  const WorkEstimates& estimates_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/gateway/region_balance.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <deque>
+
+#include "base/time.h"
+
+namespace heatherspan {
+
+/// Limits how fast the share of requests that this node sends to other regions changes, in both
+/// directions. Load pattern: a region short of room spills over; without the limit the spill would
+/// flap between all and nothing and meet cold targets each time.
+class RegionBalance {
+ public:
+  struct Limits {
+    Duration window = std::chrono::seconds(2);
+    double max_change = 0.15;  ///< Of the share, from one window to the next.
+  };
+
+  explicit RegionBalance(Limits limits) : limits_(limits) {}
+
+  auto SetLimits(Limits limits) -> void { limits_ = limits; }
+  /// Whether one more request may leave the region.
+  auto MayLeave(MonotonicTime now) -> bool;
+  /// Whether too few requests leave it, compared with the window before.
+  auto MustLeave(MonotonicTime now) -> bool;
+  auto OnSent(bool left_region, MonotonicTime now) -> void;
+
+ private:
+  struct Sent {
+    MonotonicTime at;
+    bool left;
+  };
+  struct Share {
+    int sent = 0;
+    int left = 0;
+  };
+
+  auto Count(MonotonicTime from, MonotonicTime to) const -> Share;
+  auto Expire(MonotonicTime now) -> void;
+
+  Limits limits_;
+  std::deque<Sent> sent_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/gateway/traffic_policy.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/route.h"
+
+namespace heatherspan {
+
+/// What holds for all targets of a service.
+struct ServicePolicy {
+  ServiceName name;
+  std::string health_path;
+  int max_connections = 1;  ///< Of one target, from all callers together.
+  Duration cold_time{};     ///< How long a target is cold after its start.
+  double cold_requests_per_second = 0;  ///< What a cold target bears.
+};
+
+/// What a caller may send, and how long it may take.
+struct CallerLimits {
+  std::size_t header_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{1024} * 1024;
+  Duration header_timeout = std::chrono::seconds(10);
+  Duration idle_timeout = std::chrono::seconds(60);
+};
+
+/// The operators' configuration as the entry VMs apply it.
+struct TrafficPolicy {
+  ConfigVersion version;
+  std::vector<Route> routes;
+  std::vector<ServicePolicy> services;
+  CallerLimits limits;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/gateway/work_estimates.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "base/ids.h"
+#include "base/time.h"
+#include "gateway/route.h"
+
+namespace heatherspan {
+
+/// How long a target of usual speed works on a request of one route and service.
+struct WorkEstimate {
+  Duration warm{};  ///< The target has handled the request's object recently.
+  Duration cold{};  ///< It has not.
+};
+
+/// Learns the work of requests from answers. It follows the median, so that a slow target or a few
+/// failures among many answers don't move the estimate far.
+class WorkEstimates {
+ public:
+  /// Before the first sample of either kind it is derived from the route's objective.
+  auto Estimate(const Route& route, const ServiceName& service) const -> WorkEstimate;
+  auto Learn(const Route& route, const ServiceName& service, bool warm, Duration work) -> void;
+
+ private:
+  struct Median {
+    Duration value{};
+    std::uint32_t samples = 0;
+    auto Add(Duration sample) -> void;
+  };
+  struct Entry {
+    Median warm;
+    Median cold;
+  };
+
+  absl::flat_hash_map<std::pair<RouteName, ServiceName>, Entry> entries_;
+};
+
+}  // namespace heatherspan
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -49,13 +49,13 @@
   Impl(const Impl&) = delete;
   auto operator=(const Impl&) -> Impl& = delete;
 
-  auto Send(const Endpoint& endpoint, HttpRequest request, Duration timeout, Callback callback)
-      -> std::shared_ptr<Exchange> {
+  auto Send(const Endpoint& endpoint, HttpRequest request, Duration timeout,
+            const SendOptions& options, Callback callback) -> std::shared_ptr<Exchange> {
     if (auto status = CheckRequestText(request); !status.ok()) {
       return FailLater(std::move(status), std::move(callback));
     }
     auto connection = state_->Take(
-        endpoint, [&] { return HttpClientConnection::Create(workers_, endpoint, state_); });
+        endpoint, options.max_idle, [&] { return HttpClientConnection::Create(workers_, endpoint, state_); });
     if (connection == nullptr) {
       return FailLater(absl::ResourceExhaustedError(fmt::format(
                            "all {} connections to {} are in use",
@@ -87,7 +87,12 @@
 
 auto HttpClient::Send(const Endpoint& endpoint, HttpRequest request, Duration timeout,
                       Callback callback) -> std::shared_ptr<Exchange> {
-  return impl_->Send(endpoint, std::move(request), timeout, std::move(callback));
+  return Send(endpoint, std::move(request), timeout, SendOptions{}, std::move(callback));
+}
+
+auto HttpClient::Send(const Endpoint& endpoint, HttpRequest request, Duration timeout,
+                      const SendOptions& options, Callback callback) -> std::shared_ptr<Exchange> {
+  return impl_->Send(endpoint, std::move(request), timeout, options, std::move(callback));
 }
 
 auto HttpClient::SendAndWait(const Endpoint& endpoint, HttpRequest request, Duration timeout)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "base/endpoint.h"
 #include "base/time.h"
@@ -31,7 +32,23 @@
     std::size_t max_connections_per_endpoint = 64;  ///< Further requests fail at once.
     std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
     Duration connect_timeout = std::chrono::seconds(1);
+    /// A shorter time in a response's Keep-Alive field goes first.
     Duration idle_timeout = std::chrono::seconds(30);
+    /// A connection with bytes that the peer's machine has not acknowledged for so long, or that is
+    /// silent to probes, fails. Zero leaves it to the operating system.
+    Duration unacknowledged_timeout = Duration::zero();
+    /// Takes a response whose end is the orderly end of the connection for complete.
+    bool accept_unframed_responses = false;
+    /// A header field whose value a response has to repeat. A response with another value belongs to
+    /// another request: it is dropped, and the connection is closed after the exchange.
+    std::string correlation_header;
+  };
+
+  /// What differs from one request to the next.
+  struct SendOptions {
+    /// Leaves out connections that have been idle for longer. A peer may drop an idle connection at
+    /// any time, and a request that was written on it may or may not have run.
+    Duration max_idle = Duration::max();
   };
 
   /// Abandons the exchange and closes its connection; the callback gets a cancelled status.
@@ -49,6 +66,8 @@
   /// Calls back exactly once, on a worker. The timeout covers connecting, too.
   auto Send(const Endpoint& endpoint, HttpRequest request, Duration timeout, Callback callback)
       -> std::shared_ptr<Exchange>;
+  auto Send(const Endpoint& endpoint, HttpRequest request, Duration timeout,
+            const SendOptions& options, Callback callback) -> std::shared_ptr<Exchange>;
 
   /// Sends and waits, for programs with no other work. Must not be called on a worker.
   auto SendAndWait(const Endpoint& endpoint, HttpRequest request, Duration timeout) -> HttpResult;
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -1,5 +1,6 @@
 #include "net/http_client_connection.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/number_text.h"
 #include "fmt/format.h"
 #include "net/http_client_state.h"
 #include "net/http_reader.h"
@@ -31,6 +33,8 @@
 using ErrorCode = boost::system::error_code;
 using SteadyClock = std::chrono::steady_clock;
 
+// The peer counts the idle time from when it sent its response, and closes without a warning.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
 constexpr std::size_t kInitialBufferBytes = std::size_t{4} * 1024;
 // Long bodies are read in pieces of this size; a header has to fit in.
 constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
@@ -47,7 +51,8 @@
         timer_(strand_),
         endpoint_(std::move(endpoint)),
         client_(std::move(client)),
-        reader_(client_->limits().max_response_bytes) {}
+        reader_(client_->limits().max_response_bytes,
+                client_->limits().accept_unframed_responses) {}
 
   auto Begin(std::uint64_t exchange, HttpRequest request, Duration timeout,
              HttpClient::Callback callback) -> void override {
@@ -76,6 +81,7 @@
                HttpClient::Callback callback) -> void;
   auto OnClose() -> void;
   auto Connect() -> void;
+  auto SetPathTimeouts(bool is_v6) -> void;
   auto OnConnected(const ErrorCode& error) -> void;
   auto ClosedByPeer() -> bool;
   auto WriteRequest(bool reused) -> void;
@@ -86,6 +92,8 @@
   auto OnRead(const ErrorCode& error, std::size_t size) -> void;
   auto OnReadError(const ErrorCode& error) -> void;
   auto ParseInput() -> void;
+  auto DropForeignResponse() -> bool;
+  auto IdleTimeout(const HttpResponse& response) const -> Duration;
   auto FinishIfComplete() -> void;
   auto Fail(absl::Status status) -> void;
   auto CloseSocket() -> void;
@@ -112,6 +120,7 @@
   bool write_done_ = false;
   bool write_failed_ = false;
   bool response_started_ = false;
+  bool out_of_step_ = false;  ///< A response to another request came: nothing more may be sent.
   SteadyClock::time_point exchange_deadline_;
 
   SteadyClock::time_point deadline_ = SteadyClock::time_point::max();
@@ -154,6 +163,7 @@
   SetDeadline(
       std::min(exchange_deadline_,
                SteadyClock::time_point(SteadyClock::now() + client_->limits().connect_timeout)));
+  SetPathTimeouts(address.is_v6());
   socket_.async_connect(
       {address, endpoint_.port},
       [self = shared_from_this(), number = socket_number_](const ErrorCode& connect_error) {
@@ -161,6 +171,27 @@
       });
 }
 
+/// Lets the operating system find out that the peer's machine has gone, which closes no connection.
+auto Connection::SetPathTimeouts(bool is_v6) -> void {
+  const auto timeout = client_->limits().unacknowledged_timeout;
+  if (timeout == Duration::zero()) return;
+  ErrorCode error;
+  if (!socket_.is_open()) socket_.open(is_v6 ? asio::ip::tcp::v6() : asio::ip::tcp::v4(), error);
+  if (error) return;
+  using std::chrono::duration_cast;
+  const auto milliseconds =
+      static_cast<unsigned>(duration_cast<std::chrono::milliseconds>(timeout).count());
+  const int on = 1;
+  const int probe_seconds = 1;  // The shortest that the option can express.
+  const int probes = 2;         // One may be lost.
+  const int descriptor = socket_.native_handle();
+  ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, sizeof milliseconds);
+  ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &probe_seconds, sizeof probe_seconds);
+  ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probe_seconds, sizeof probe_seconds);
+  ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 auto Connection::OnConnected(const ErrorCode& error) -> void {
   if (error) {
     Fail(absl::UnavailableError(
@@ -171,6 +202,7 @@
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   buffer_.resize(kInitialBufferBytes);
   end_ = 0;
+  out_of_step_ = false;
   WriteRequest(false);
   // The socket may have failed at the first write.
   if (state_ == State::kExchange) ReadMore();
@@ -281,6 +313,13 @@
 }
 
 auto Connection::OnReadError(const ErrorCode& error) -> void {
+  if (error == asio::error::eof) {
+    reader_.OnEndOfInput();
+    if (reader_.done() && reader_.error() == HttpReadError::kNone && !DropForeignResponse()) {
+      FinishIfComplete();
+      return;
+    }
+  }
   if (response_started_) {
     Fail(absl::DataLossError(
         fmt::format("truncated response from {}: {}", endpoint_.Text(), error.message())));
@@ -315,16 +354,45 @@
       Fail(absl::DataLossError(fmt::format("malformed response from {}", endpoint_.Text())));
       return;
   }
-  if (reader_.done()) {
-    FinishIfComplete();
-  } else {
+  if (!reader_.done()) {
     ReadMore();
+  } else if (DropForeignResponse()) {
+    end_ > 0 ? ParseInput() : ReadMore();
+  } else {
+    FinishIfComplete();
   }
 }
 
+/// A late second response to an earlier request stands where the response to this one is due.
+auto Connection::DropForeignResponse() -> bool {
+  const auto& name = client_->limits().correlation_header;
+  if (name.empty()) return false;
+  const auto expected = request_.Header(name);
+  const auto found = reader_.response().Header(name);
+  if (expected.empty() || found.empty() || expected == found) return false;
+  out_of_step_ = true;
+  reader_.Start(request_.method == "HEAD");
+  return true;
+}
+
+auto Connection::IdleTimeout(const HttpResponse& response) const -> Duration {
+  const auto own = client_->limits().idle_timeout;
+  constexpr std::string_view kKey = "timeout=";
+  const auto field = response.Header("Keep-Alive");
+  const auto start = field.find(kKey);
+  if (start == std::string_view::npos) return own;
+  const auto text = field.substr(start + kKey.size());
+  const auto digits = text.substr(0, std::min(text.find_first_not_of("0123456789"), text.size()));
+  const auto seconds = ParseNumber<std::int32_t>(digits);
+  if (!seconds.has_value()) return own;
+  return std::min<Duration>(own, std::chrono::seconds(*seconds) - kIdleMargin);
+}
+
 auto Connection::FinishIfComplete() -> void {
   if (!reader_.done()) return;
-  const bool reusable = write_done_ && !write_failed_ && reader_.keep_alive() && end_ == 0;
+  const auto idle_timeout = IdleTimeout(reader_.response());
+  const bool reusable = write_done_ && !write_failed_ && reader_.keep_alive() && end_ == 0 &&
+                        !out_of_step_ && idle_timeout > Duration::zero();
   // A complete response that overtakes the notice of the write waits for it; one that came before
   // the whole request was sent costs the connection.
   if (!write_done_ && output_.size() + request_.body.size() <= kMaxCopiedBodyBytes) return;
@@ -336,7 +404,7 @@
   if (reusable) {
     state_ = State::kIdle;
     if (buffer_.size() > kInitialBufferBytes) buffer_ = std::vector<char>(kInitialBufferBytes);
-    SetDeadline(SteadyClock::now() + client_->limits().idle_timeout);
+    SetDeadline(SteadyClock::now() + idle_timeout);
     WaitForInput();
     if (!client_->GiveBack(endpoint_, shared_from_this())) CloseSocket();
   } else {
--- a/src/net/http_client_state.cc
+++ b/src/net/http_client_state.cc
@@ -4,14 +4,14 @@
 
 namespace heatherspan {
 
-auto HttpClientState::Take(const Endpoint& endpoint,
+auto HttpClientState::Take(const Endpoint& endpoint, Duration max_idle,
                            const std::function<std::shared_ptr<HttpClientConnection>()>& create)
     -> std::shared_ptr<HttpClientConnection> {
   const std::lock_guard lock(mutex_);
   if (stopped_) return nullptr;
   auto& pool = pools_[endpoint];
-  if (!pool.idle.empty()) {
-    auto connection = std::move(pool.idle.back());
+  if (!pool.idle.empty() && SystemClock().Now() - pool.idle.back().since <= max_idle) {
+    auto connection = std::move(pool.idle.back().connection);
     pool.idle.pop_back();
     return connection;
   }
@@ -25,7 +25,7 @@
                                const std::shared_ptr<HttpClientConnection>& connection) -> bool {
   const std::lock_guard lock(mutex_);
   if (stopped_) return false;
-  pools_[endpoint].idle.push_back(connection);
+  pools_[endpoint].idle.push_back({connection, SystemClock().Now()});
   return true;
 }
 
@@ -44,7 +44,9 @@
   const auto found = pools_.find(endpoint);
   if (found == pools_.end()) return true;
   auto& [open, idle] = found->second;
-  const auto position = std::find(idle.begin(), idle.end(), connection);
+  const auto position = std::find_if(idle.begin(), idle.end(), [&](const Idle& candidate) {
+    return candidate.connection == connection;
+  });
   if (position == idle.end()) return false;
   idle.erase(position);
   open.erase(connection);
--- a/src/net/http_client_state.h
+++ b/src/net/http_client_state.h
@@ -23,8 +23,9 @@
 
   auto limits() const -> const HttpClient::Limits& { return limits_; }
 
-  /// An idle connection, or a new one from the function; null at the limit or after Stop.
-  auto Take(const Endpoint& endpoint,
+  /// A connection that has been idle for at most that time, or a new one from the function; null at
+  /// the limit or after Stop.
+  auto Take(const Endpoint& endpoint, Duration max_idle,
             const std::function<std::shared_ptr<HttpClientConnection>()>& create)
       -> std::shared_ptr<HttpClientConnection>;
   /// Takes back a connection whose exchange is over. False after Stop: the connection must close.
@@ -42,9 +43,14 @@
  private:
   using Connections = std::unordered_set<std::shared_ptr<HttpClientConnection>>;
 
+  struct Idle {
+    std::shared_ptr<HttpClientConnection> connection;
+    MonotonicTime since;
+  };
+
   struct Pool {
     Connections open;
-    std::vector<std::shared_ptr<HttpClientConnection>> idle;  ///< The last one was used last.
+    std::vector<Idle> idle;  ///< The last one was used last.
   };
 
   const HttpClient::Limits limits_;
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -1,5 +1,7 @@
 #include "net/http_connection.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -10,6 +12,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <cstdint>
 #include <limits>
 #include <mutex>
@@ -47,12 +50,13 @@
         socket_(std::move(socket)),
         remote_(std::move(remote)),
         server_(std::move(server)),
-        reader_(server_->limits.max_header_bytes, server_->limits.max_body_bytes),
+        limits_(server_->limits.load()),
+        reader_(limits_->max_header_bytes, limits_->max_body_bytes),
         buffer_(kInitialBufferBytes) {}
 
   auto Start() -> void override {
     Post([](Connection& self) {
-      self.SetDeadline(self.server_->limits.idle_timeout);
+      self.SetDeadline(self.server_->limits.load()->idle_timeout);
       self.ReadMore();
     });
   }
@@ -111,6 +115,8 @@
   auto MakeRoom() -> void;
   auto SendContinue() -> void;
   auto HandOver() -> void;
+  auto WatchDisconnect() -> void;
+  auto OnWatched() -> void;
   auto Refuse(int status) -> void;
   auto OnResponse(HttpResponse response) -> void;
   auto Write(HttpResponse response) -> void;
@@ -122,6 +128,7 @@
   Socket socket_;
   const Endpoint remote_;
   const std::shared_ptr<HttpServerState> server_;
+  const std::shared_ptr<const HttpServer::Limits> limits_;  ///< In force when it was accepted.
   HttpRequestReader reader_;
   std::vector<char> buffer_;
   std::size_t begin_ = 0;  ///< Start of the bytes that are not read yet.
@@ -134,6 +141,8 @@
   bool keep_alive_ = true;
   bool http_1_0_ = false;
   bool head_ = false;
+  bool watching_ = false;  ///< A wait for input is pending while the request is handled.
+  std::shared_ptr<DisconnectHook> disconnect_;
   bool active_ = false;  ///< Counted among the active requests of the server.
   std::atomic<std::int64_t> deadline_{std::numeric_limits<std::int64_t>::max()};
 };
@@ -250,14 +259,14 @@
     return;
   }
   // The reader leaves only incomplete lines in the buffer, of a header or between chunks.
-  if (end_ - begin_ > server_->limits.max_header_bytes) {
+  if (end_ - begin_ > limits_->max_header_bytes) {
     server_->header_too_large.fetch_add(1);
     Refuse(431);
     return;
   }
   if (!request_started_) {
     request_started_ = true;
-    SetDeadline(server_->limits.request_timeout);
+    SetDeadline(server_->limits.load()->request_timeout);
   }
   if (reader_.expects_continue() && !continue_sent_) {
     SendContinue();
@@ -296,10 +305,39 @@
   request.remote = remote_;
   active_ = true;
   server_->active.fetch_add(1);
+  if (limits_->watch_disconnects) {
+    disconnect_ = std::make_shared<DisconnectHook>();
+    request.disconnect = disconnect_;
+  }
   auto pending = std::make_shared<PendingResponse>(shared_from_this());
   server_->handler(std::move(request), [pending = std::move(pending)](HttpResponse response) {
     pending->Answer(std::move(response));
   });
+  if (disconnect_ != nullptr && state_ == State::kHandling) WatchDisconnect();
+}
+
+auto Connection::WatchDisconnect() -> void {
+  // Bytes of a pipelined request are in the way of the end of the connection.
+  if (begin_ < end_ || watching_) return;
+  watching_ = true;
+  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](const ErrorCode& /*error*/) {
+    self->watching_ = false;
+    self->OnWatched();
+  });
+}
+
+auto Connection::OnWatched() -> void {
+  if (state_ != State::kHandling || disconnect_ == nullptr) return;
+  char byte = 0;
+  const auto size = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size > 0) return;
+  if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    WatchDisconnect();
+    return;
+  }
+  const auto hook = std::exchange(disconnect_, nullptr);
+  CloseNow();
+  if (hook->on_disconnect) hook->on_disconnect();
 }
 
 auto Connection::Refuse(int status) -> void {
@@ -312,13 +350,15 @@
 }
 
 auto Connection::OnResponse(HttpResponse response) -> void {
-  if (state_ == State::kHandling) Write(std::move(response));
+  if (state_ != State::kHandling) return;
+  disconnect_ = nullptr;
+  Write(std::move(response));
 }
 
 auto Connection::Write(HttpResponse response) -> void {
   state_ = State::kWriting;
-  SetDeadline(server_->limits.write_timeout);
-  keep_alive_ = keep_alive_ && !response.close && !server_->draining.load();
+  SetDeadline(server_->limits.load()->write_timeout);
+  keep_alive_ = keep_alive_ && !response.close && !server_->closing.load();
   const ResponseContext context{.keep_alive = keep_alive_, .http_1_0 = http_1_0_, .head = head_};
   output_.clear();
   AppendResponseHead(response, context, output_);
@@ -350,7 +390,7 @@
     return;
   }
   state_ = State::kReading;
-  SetDeadline(server_->limits.idle_timeout);
+  SetDeadline(server_->limits.load()->idle_timeout);
   if (begin_ < end_) {
     ParseInput();
     return;
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -186,7 +186,15 @@
 
 class HttpResponseReader::Impl : public Reader<false, HttpResponse> {
  public:
-  using Reader::Reader;
+  Impl(std::size_t max_header_bytes, std::size_t max_body_bytes, bool accept_unframed)
+      : Reader(max_header_bytes, max_body_bytes), accept_unframed_(accept_unframed) {}
+
+  auto OnEndOfInput() -> void {
+    if (!accept_unframed_ || done() || !parser().is_header_done() || !parser().need_eof()) return;
+    boost::beast::error_code error;
+    parser().put_eof(error);
+    if (error) SetError(ReadErrorOf(error));
+  }
 
   auto Start(bool head_request) -> void {
     head_request_ = head_request;
@@ -205,17 +213,18 @@
         if (used < input.size()) continue;
         return used;
       }
-      if (!done() && parser().need_eof()) SetError(HttpReadError::kNoLength);
+      if (!done() && parser().need_eof() && !accept_unframed_) SetError(HttpReadError::kNoLength);
       return used;
     }
   }
 
  private:
+  const bool accept_unframed_;
   bool head_request_ = false;
 };
 
-HttpResponseReader::HttpResponseReader(std::size_t max_body_bytes)
-    : impl_(std::make_unique<Impl>(kMaxResponseHeaderBytes, max_body_bytes)) {}
+HttpResponseReader::HttpResponseReader(std::size_t max_body_bytes, bool accept_unframed)
+    : impl_(std::make_unique<Impl>(kMaxResponseHeaderBytes, max_body_bytes, accept_unframed)) {}
 
 HttpResponseReader::~HttpResponseReader() = default;
 
@@ -225,9 +234,14 @@
   return impl_->ReadAll(input);
 }
 
+auto HttpResponseReader::OnEndOfInput() -> void { impl_->OnEndOfInput(); }
+
 auto HttpResponseReader::done() const -> bool { return impl_->done(); }
 auto HttpResponseReader::error() const -> HttpReadError { return impl_->error(); }
 auto HttpResponseReader::keep_alive() const -> bool { return impl_->parser().keep_alive(); }
+auto HttpResponseReader::response() const -> const HttpResponse& {
+  return impl_->parser().message;
+}
 auto HttpResponseReader::Take() -> HttpResponse { return impl_->Take(); }
 
 }  // namespace heatherspan
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -48,7 +48,7 @@
 /// skipped.
 class HttpResponseReader {
  public:
-  explicit HttpResponseReader(std::size_t max_body_bytes);
+  explicit HttpResponseReader(std::size_t max_body_bytes, bool accept_unframed = false);
   ~HttpResponseReader();
   HttpResponseReader(const HttpResponseReader&) = delete;
   auto operator=(const HttpResponseReader&) -> HttpResponseReader& = delete;
@@ -56,10 +56,14 @@
   /// Starts with a new response. That to a HEAD request has no body, whatever its header says.
   auto Start(bool head_request) -> void;
   auto Read(std::string_view input) -> std::size_t;
+  /// The peer has ended the connection in an orderly way. Completes a response without a length, if
+  /// those are accepted.
+  auto OnEndOfInput() -> void;
 
   auto done() const -> bool;
   auto error() const -> HttpReadError;
   auto keep_alive() const -> bool;
+  auto response() const -> const HttpResponse&;
   auto Take() -> HttpResponse;
 
  private:
--- a/src/net/http_request.h
+++ b/src/net/http_request.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -9,6 +11,12 @@
 
 namespace heatherspan {
 
+/// Lets the handler of a request learn that its sender has closed the connection.
+struct DisconnectHook {
+  /// Set by the handler before it returns; called at most once, before any response is written.
+  std::function<void()> on_disconnect;
+};
+
 /// A whole HTTP request, body included.
 struct HttpRequest {
   std::string method = "GET";
@@ -16,6 +24,8 @@
   std::vector<HeaderField> headers;
   std::string body;
   Endpoint remote;  ///< The sender; set by the server.
+  /// Set by a server that watches for disconnects; else null.
+  std::shared_ptr<DisconnectHook> disconnect = nullptr;
 
   /// The first field of that name, compared without case; empty if there is none.
   auto Header(std::string_view name) const -> std::string_view;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -27,10 +27,11 @@
   {
     const std::lock_guard lock(state->mutex);
     const auto open = state->connections.size();
-    refused = open >= state->limits.max_connections;
+    const auto limits = state->limits.load();
+    refused = open >= limits->max_connections;
     if (refused) state->too_many_connections.fetch_add(1);
     // Stop empties the set under this mutex; a connection added later would stay open.
-    if (state->stopped.load() || open >= state->limits.max_connections + kMaxRefusedConnections) {
+    if (state->stopped.load() || open >= limits->max_connections + kMaxRefusedConnections) {
       ::close(socket.descriptor);
       return;
     }
@@ -65,7 +66,7 @@
         acceptor_(workers, [&workers, state = state_](AcceptedSocket socket) {
           Open(workers, state, std::move(socket));
         }) {
-    state_->limits = limits;
+    SetLimits(limits);
     state_->handler = std::move(handler);
   }
 
@@ -73,12 +74,21 @@
     auto bound = acceptor_.Listen(endpoint);
     if (!bound.ok()) return bound;
     // One timer serves the deadlines of all connections, so that a request arms none.
-    sweep_ = workers_.RunEvery(SweepInterval(state_->limits),
+    sweep_ = workers_.RunEvery(SweepInterval(*state_->limits.load()),
                                [state = state_] { CloseOverdue(*state); });
     return bound;
   }
 
+  auto SetLimits(const Limits& limits) -> void {
+    state_->limits.store(std::make_shared<const Limits>(limits));
+  }
+
+  auto StopListening() -> void { acceptor_.Stop(); }
+
+  auto BeginClosing() -> void { state_->closing.store(true); }
+
   auto BeginDrain() -> void {
+    state_->closing.store(true);
     state_->draining.store(true);
     const std::lock_guard lock(state_->mutex);
     for (const auto& connection : state_->connections) connection->CloseIfIdle();
@@ -112,6 +122,12 @@
   return impl_->Listen(endpoint);
 }
 
+auto HttpServer::SetLimits(const Limits& limits) -> void { impl_->SetLimits(limits); }
+
+auto HttpServer::StopListening() -> void { impl_->StopListening(); }
+
+auto HttpServer::BeginClosing() -> void { impl_->BeginClosing(); }
+
 auto HttpServer::BeginDrain() -> void { impl_->BeginDrain(); }
 
 auto HttpServer::Stop() -> void { impl_->Stop(); }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -29,6 +29,8 @@
     Duration request_timeout = std::chrono::seconds(10);  ///< To read one whole request.
     Duration idle_timeout = std::chrono::seconds(60);     ///< Between two requests.
     Duration write_timeout = std::chrono::seconds(30);
+    /// Watch for callers that close their connection while their request is handled.
+    bool watch_disconnects = false;
   };
 
   /// Requests that the server answered itself, by cause.
@@ -47,6 +49,13 @@
 
   /// Starts to accept. Port 0 takes a free port; the result names the port taken.
   auto Listen(const Endpoint& endpoint) -> absl::StatusOr<Endpoint>;
+  /// Applies to connections that are accepted from now on, and to timeouts that start from now on.
+  auto SetLimits(const Limits& limits) -> void;
+  /// Closes the listening socket; open connections go on.
+  auto StopListening() -> void;
+  /// Answers each further request with "Connection: close" but leaves idle connections open, so
+  /// that a request which is already on its way is answered.
+  auto BeginClosing() -> void;
   /// Answers each further request with "Connection: close" and closes idle connections.
   auto BeginDrain() -> void;
   /// Stops to accept and closes every connection.
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -14,9 +14,10 @@
 
 /// What the connections of an HttpServer share with it.
 struct HttpServerState {
-  HttpServer::Limits limits;
+  std::atomic<std::shared_ptr<const HttpServer::Limits>> limits;
   HttpServer::Handler handler;
-  std::atomic<bool> draining{false};
+  std::atomic<bool> closing{false};   ///< Each response closes its connection.
+  std::atomic<bool> draining{false};  ///< Idle connections are closed as well.
   std::atomic<bool> stopped{false};
   std::atomic<std::size_t> active{0};
   std::atomic<std::size_t> bad_request{0};
--- a/src/net/http_text.cc
+++ b/src/net/http_text.cc
@@ -12,7 +12,7 @@
 namespace heatherspan {
 namespace {
 
-constexpr std::array<std::pair<int, std::string_view>, 22> kPhrases{{
+constexpr std::array<std::pair<int, std::string_view>, 24> kPhrases{{
     {200, "OK"},
     {201, "Created"},
     {202, "Accepted"},
@@ -26,7 +26,9 @@
     {408, "Request Timeout"},
     {409, "Conflict"},
     {412, "Precondition Failed"},
+    {410, "Gone"},
     {413, "Content Too Large"},
+    {421, "Misdirected Request"},
     {422, "Unprocessable Content"},
     {428, "Precondition Required"},
     {429, "Too Many Requests"},
@@ -114,7 +116,8 @@
 
 auto AppendRequestHead(const HttpRequest& request, const Endpoint& host, std::string& out) -> void {
   out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-  AppendField("Host", host.Text(), out);
+  const auto own_host = request.Header("Host");
+  AppendField("Host", own_host.empty() ? host.Text() : std::string(own_host), out);
   for (const auto& field : request.headers) {
     if (SetByWriter(field.name) || EqualHeaderNames(field.name, "Host")) continue;
     AppendField(field.name, field.value, out);
--- a/src/net/http_text.h
+++ b/src/net/http_text.h
@@ -19,8 +19,9 @@
 /// Fails if the request line or a header would break the framing of the message.
 auto CheckRequestText(const HttpRequest& request) -> absl::Status;
 
-/// Appends the request line and the header. Content-Length, Connection, Transfer-Encoding and Host
-/// are set here, and the request's own fields of these names are left out.
+/// Appends the request line and the header. Content-Length, Connection and
+/// Transfer-Encoding are set here, and the request's own fields of these names are left out. Host is
+/// that of the request, or the endpoint if it has none.
 auto AppendRequestHead(const HttpRequest& request, const Endpoint& host, std::string& out) -> void;
 
 /// Appends the status line and the header. Content-Length, Connection and Transfer-Encoding are set
--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -1,5 +1,6 @@
 #include "observe/event_log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/ostream_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -7,8 +8,14 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <cstdio>
+#include <limits>
+#include <thread>
 #include <utility>
 
+#include "observe/line_budget.h"
+
 namespace heatherspan {
 namespace {
 
@@ -67,25 +74,66 @@
 
 class EventLog::Impl {
  public:
-  explicit Impl(spdlog::sink_ptr sink) : logger("heatherspan", std::move(sink)) {
-    logger.set_level(spdlog::level::trace);
-    logger.flush_on(spdlog::level::info);
+  /// Writes in the calling thread.
+  explicit Impl(spdlog::sink_ptr sink)
+      : logger(std::make_shared<spdlog::logger>("heatherspan", std::move(sink))),
+        budget(std::numeric_limits<int>::max()) {
+    Configure();
+  }
+
+  Impl(spdlog::sink_ptr sink, int lines_per_second)
+      : pool(std::make_shared<spdlog::details::thread_pool>(kQueueLines, 1)),
+        logger(std::make_shared<spdlog::async_logger>(
+            "heatherspan", std::move(sink), pool, spdlog::async_overflow_policy::overrun_oldest)),
+        budget(lines_per_second) {
+    Configure();
   }
 
-  spdlog::logger logger;
+  auto Log(LogLevel level, const std::string& line) -> void {
+    const auto verdict = budget.Take(std::chrono::steady_clock::now(), Lost());
+    if (!verdict.notice.empty()) logger->log(spdlog::level::warn, verdict.notice);
+    if (verdict.write) logger->log(SpdlogLevel(level), line);
+  }
+
+  std::shared_ptr<spdlog::details::thread_pool> pool;  ///< Null: the calling thread writes.
+  std::shared_ptr<spdlog::logger> logger;
+
+ private:
+  auto Configure() -> void {
+    logger->set_level(spdlog::level::trace);
+    if (pool == nullptr) logger->flush_on(spdlog::level::info);
+  }
+
+  auto Lost() const -> std::size_t { return pool == nullptr ? 0 : pool->overrun_counter(); }
+
+  LineBudget budget;
 };
 
-EventLog::EventLog(LogLevel threshold)
-    : threshold_(threshold),
-      impl_(std::make_unique<Impl>(std::make_shared<spdlog::sinks::stderr_sink_mt>())) {
-  impl_->logger.set_formatter(
+EventLog::EventLog(LogLevel threshold, int lines_per_second) : threshold_(threshold) {
+  // One write for each line.
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
+  impl_ = std::make_unique<Impl>(std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+                                 lines_per_second);
+  impl_->logger->set_formatter(
       std::make_unique<spdlog::pattern_formatter>(kPattern, spdlog::pattern_time_type::utc));
 }
 
 EventLog::EventLog(LogLevel threshold, std::ostream& stream)
     : threshold_(threshold),
       impl_(std::make_unique<Impl>(std::make_shared<spdlog::sinks::ostream_sink_mt>(stream))) {
-  impl_->logger.set_pattern("%v");
+  impl_->logger->set_pattern("%v");
+}
+
+auto EventLog::Drain() -> void {
+  if (impl_->pool == nullptr) return;
+  constexpr auto kLongest = std::chrono::milliseconds(200);
+  constexpr auto kPause = std::chrono::milliseconds(5);
+  const auto end = std::chrono::steady_clock::now() + kLongest;
+  while (impl_->pool->queue_size() > 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kPause);
+  }
+  // The line that the thread has taken last may not be written yet.
+  std::this_thread::sleep_for(kPause);
 }
 
 EventLog::~EventLog() = default;
@@ -101,7 +149,7 @@
     line += '=';
     AppendValue(line, field.value);
   }
-  impl_->logger.log(SpdlogLevel(level), line);
+  impl_->Log(level, line);
 }
 
 }  // namespace heatherspan
