gateway: give objects one home target for the whole region; divide objects between regions by capacity

Cause: objects are asked for from both zones of a region, and each zone warmed a target of its own; targets of small regions were overloaded while others idled. Each change of the store cost every VM a call. Change: rendezvous hashing over the region, a part of the objects stays according to capacity and demand, odds of warmth are learned, changes are read in batches. Ruled out: zone-first hashing (one in two requests met a cold target).

--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -22,6 +22,9 @@
 
   /// A waiting watch counts as a call; a shorter wait finds a silent connection sooner.
   static constexpr Duration kWatchTime = std::chrono::milliseconds(2500);
+  /// Changes that come close together are read in one call. A tenth of the time within which a
+  /// configuration has to be in force at full size.
+  static constexpr Duration kBatchTime = std::chrono::milliseconds(900);
   static constexpr Duration kFirstPause = std::chrono::milliseconds(100);
   static constexpr Duration kLongestPause = std::chrono::milliseconds(800);
 
@@ -69,7 +72,11 @@
     pause_ = kFirstPause;
     for (const auto& change : news) on_change_(change);
     on_batch_();
-    CallNext();
+    if (news.empty() || mirror_.Next().list) {
+      CallNext();
+    } else {
+      timer_ = workers_.RunAfter(kBatchTime, [this] { CallNext(); });
+    }
   }
 
   auto OnFailure(const absl::Status& status) -> void {
--- a/src/gateway/carried_request.cc
+++ b/src/gateway/carried_request.cc
@@ -8,6 +8,8 @@
 
 /// Most targets that are asked, run or not: each refusal costs the caller a round trip.
 constexpr std::size_t kMaxAttempts = 4;
+/// The caller began to wait before its request arrived, and the answer takes its way back.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(30);
 /// A repeat needs at least this part of the objective, or it would be an attempt in name only.
 constexpr double kLeastTimeForRepeat = 0.25;
 
@@ -65,7 +67,7 @@
 
 CarriedRequest::CarriedRequest(Facts facts)
     : facts_(std::move(facts)),
-      give_up_at_(facts_.arrived + std::min(facts_.caller_patience, facts_.route.timeout)) {}
+      give_up_at_(facts_.arrived + std::min(facts_.caller_patience - kAnswerTime, facts_.route.timeout)) {}
 
 auto CarriedRequest::ObjectiveLeft(MonotonicTime now) const -> Duration {
   return facts_.route.objective - (now - facts_.arrived);
--- a/src/gateway/fleet_target.cc
+++ b/src/gateway/fleet_target.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/stable_hash.h"
+
 namespace heatherspan {
 namespace {
 
@@ -18,6 +20,7 @@
 FleetTarget::FleetTarget(RegisteredTarget entry, RegionName region, MonotonicTime now)
     : entry_(std::move(entry)),
       region_(std::move(region)),
+      hash_(StableHash(entry_.name.value())),
       load_(entry_.slots),
       known_since_(now),
       cold_until_(now + entry_.cold_left) {}
--- a/src/gateway/fleet_target.h
+++ b/src/gateway/fleet_target.h
@@ -18,6 +18,8 @@
 
   auto entry() const -> const RegisteredTarget& { return entry_; }
   auto region() const -> const RegionName& { return region_; }
+  /// Of its name, for rendezvous hashing.
+  auto hash() const -> std::uint64_t { return hash_; }
 
   /// Takes a newer registration. A new start of the target makes all that was learned void.
   auto Update(RegisteredTarget entry, MonotonicTime now) -> void;
@@ -50,6 +52,7 @@
  private:
   RegisteredTarget entry_;
   RegionName region_;
+  std::uint64_t hash_;
   TargetLoad load_;
   TargetHealth health_;
   ObjectMemory objects_;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -43,8 +43,9 @@
       fleet_(options_.zones,
              Duration(static_cast<Duration::rep>(
                  static_cast<double>(options_.heartbeat.count()) * kRecheckHeartbeats))),
-      placer_(options_.place, fleet_, estimates_),
+      placer_(options_.place, fleet_, estimates_, odds_),
       balance_(options_.balance),
+      split_(options_.place.region),
       roster_(options_.roster) {}
 
 auto GatewayCore::ApplyPolicy(TrafficPolicy policy) -> bool {
@@ -93,6 +94,7 @@
     facts.returning = Ratio(*patience, usual) < kFullPatience;
   }
   Retries(facts.service).OnRequest(now);
+  split_.OnRequest(facts.service, estimates_.Estimate(route, facts.service).warm, now);
   return CarriedRequest(std::move(facts));
 }
 
@@ -109,6 +111,11 @@
   query.may_leave_region = balance_.MayLeave(now);
   const int feeders = ColdFeeders(facts.service);
   const auto vms = roster_.Live(now);
+  const auto sharing = std::count_if(vms.begin(), vms.end(), [&](const EntryVm& vm) {
+    return vm.region == options_.place.region;
+  });
+  query.home = split_.HomeOf(facts.service, facts.object, placer_.Capacities(query),
+                             std::max<int>(1, static_cast<int>(sharing)), now);
   const auto feeds_cold = [&](const FleetTarget& target) {
     return IsColdFeeder(vms, options_.node, target.entry().name, target.entry().zone, feeders);
   };
@@ -156,13 +163,9 @@
   if (work < kLeastWork || attempt.expected.wait > Duration::zero() || target.IsCold(now)) return;
   const auto& facts = request.facts();
   const auto estimate = estimates_.Estimate(facts.route, facts.service);
-  const bool known = attempt.expected.warm || !facts.route.session_affinity;
-  if (known) {
-    target.LearnSpeed(Ratio(work, estimate.warm));
-  } else if (work > estimate.cold) {
-    target.LearnSpeed(Ratio(work, estimate.cold));
-  }
-  const bool warm = known || LooksWarm(work, estimate);
+  const bool warm = !facts.route.session_affinity || LooksWarm(work, estimate);
+  target.LearnSpeed(Ratio(work, warm ? estimate.warm : estimate.cold));
+  odds_.Learn(facts.route.name, attempt.expected.hint, warm);
   estimates_.Learn(facts.route, facts.service, warm, work);
 }
 
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -14,11 +14,13 @@
 #include "gateway/fleet.h"
 #include "gateway/placement.h"
 #include "gateway/region_balance.h"
+#include "gateway/region_split.h"
 #include "gateway/retry_window.h"
 #include "gateway/route_table.h"
 #include "gateway/split_picker.h"
 #include "gateway/target_load.h"
 #include "gateway/traffic_policy.h"
+#include "gateway/warm_odds.h"
 #include "gateway/work_estimates.h"
 
 namespace heatherspan {
@@ -55,6 +57,9 @@
   auto ServiceOf(const ServiceName& name) const -> const ServicePolicy*;
   auto SetBounds(RetryWindow::Limits retries, RegionBalance::Limits balance) -> void;
 
+  /// The part of the service's objects that stays in this node's region.
+  auto KeptPart(const ServiceName& service) const -> double { return split_.KeptPart(service); }
+
   auto fleet() -> Fleet& { return fleet_; }
   auto fleet() const -> const Fleet& { return fleet_; }
   auto roster() -> EntryRoster& { return roster_; }
@@ -89,8 +94,10 @@
   SplitPicker splits_;
   Fleet fleet_;
   WorkEstimates estimates_;
+  WarmOdds odds_;
   Placer placer_;
   RegionBalance balance_;
+  RegionSplit split_;
   EntryRoster roster_;
   absl::flat_hash_map<ServiceName, RetryWindow> retries_;
   /// By route: the longest patience seen. A caller that was refused before has less left.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -10,12 +10,6 @@
 
 using std::chrono::milliseconds;
 
-/// Chance that a target knows an object that this node has not sent it: other nodes of the zone or
-/// region hash alike, so that the first choices probably do.
-constexpr double kWarmSent = 0.7;
-constexpr double kWarmFirstOfZone = 0.5;
-constexpr double kWarmSecondOfZone = 0.2;
-constexpr double kWarmFirstOfRegion = 0.3;
 /// Work at a cold target against that at a warm one, at most, as far as the deployments state.
 constexpr double kColdFactor = 2;
 /// Bytes between zones and regions are paid for, and links bear little: a target further away must
@@ -51,9 +45,29 @@
   return std::min(Scale(least, spread), std::max(Scale(time_left, kRetryPart), Duration::zero()));
 }
 
-auto HashOf(const FleetTarget& target) -> std::uint64_t {
-  return StableHash(target.entry().name.value());
-}
+/// The best and second-best targets of a region for an object.
+class TopTwo {
+ public:
+  auto Add(double score, const FleetTarget* target) -> void {
+    if (first_ == nullptr || score > first_score_) {
+      second_ = first_;
+      second_score_ = first_score_;
+      first_ = target;
+      first_score_ = score;
+    } else if (second_ == nullptr || score > second_score_) {
+      second_ = target;
+      second_score_ = score;
+    }
+  }
+  auto first() const -> const FleetTarget* { return first_; }
+  auto second() const -> const FleetTarget* { return second_; }
+
+ private:
+  const FleetTarget* first_ = nullptr;
+  const FleetTarget* second_ = nullptr;
+  double first_score_ = 0;
+  double second_score_ = 0;
+};
 
 }  // namespace
 
@@ -66,33 +80,54 @@
   return target.region() == place_.region ? place_.zone_round_trip : place_.region_round_trip;
 }
 
+auto Placer::IsAllowed(const FleetTarget& target, const PlacementQuery& query) const -> bool {
+  const auto& allowed = query.route->allowed_regions;
+  return fleet_.MayUse(target) &&
+         (allowed.empty() ||
+          std::find(allowed.begin(), allowed.end(), target.region()) != allowed.end());
+}
+
 auto Placer::IsCandidate(const FleetTarget& target, const PlacementQuery& query,
                          MonotonicTime now) const -> bool {
-  if (!fleet_.MayUse(target) || target.health().IsBlocked(now)) return false;
+  if (!IsAllowed(target, query) || target.health().IsBlocked(now)) return false;
   if (target.health().OnProbation() && target.load().own() > 0) return false;
-  const auto& allowed = query.route->allowed_regions;
-  if (!allowed.empty() &&
-      std::find(allowed.begin(), allowed.end(), target.region()) == allowed.end()) {
-    return false;
-  }
   const auto* tried = query.tried;
   return tried == nullptr ||
          std::find(tried->begin(), tried->end(), target.entry().name) == tried->end();
 }
 
-auto Placer::Predict(FleetTarget& target, const PlacementQuery& query, double warm_guess,
+auto Placer::Capacities(const PlacementQuery& query) const -> std::vector<RegionCapacity> {
+  std::vector<RegionCapacity> capacities;
+  for (const auto* target : fleet_.TargetsOf(query.service)) {
+    if (!IsAllowed(*target, query)) continue;
+    const auto position = std::lower_bound(
+        capacities.begin(), capacities.end(), target->region(),
+        [](const RegionCapacity& capacity, const RegionName& name) {
+          return capacity.region < name;
+        });
+    if (position != capacities.end() && position->region == target->region()) {
+      position->slots += target->entry().slots;
+    } else {
+      capacities.insert(position, {target->region(), target->entry().slots});
+    }
+  }
+  return capacities;
+}
+
+auto Placer::Predict(FleetTarget& target, const PlacementQuery& query, WarmHint hint,
                      MonotonicTime now) const -> Ranked {
   const auto estimate = estimates_.Estimate(*query.route, query.service);
   const auto knowledge = target.objects().Find(query.object);
-  double warm = query.route->session_affinity ? warm_guess : 1;
-  if (knowledge == ObjectMemory::Knowledge::kHandled) warm = 1;
-  if (knowledge == ObjectMemory::Knowledge::kSent) warm = std::max(warm, kWarmSent);
+  if (knowledge == ObjectMemory::Knowledge::kHandled) hint = WarmHint::kHandled;
+  if (knowledge == ObjectMemory::Knowledge::kSent) hint = WarmHint::kSent;
+  const double warm =
+      query.route->session_affinity ? odds_.Odds(query.route->name, hint) : 1;
   auto work = Scale(estimate.warm, warm) + Scale(estimate.cold, 1 - warm);
   work = Scale(work, target.Slowness(now));
   if (target.IsCold(now)) work = Scale(work, kColdFactor);
   Ranked ranked;
   ranked.placement = {.target = &target,
-                      .warm = knowledge == ObjectMemory::Knowledge::kHandled,
+                      .hint = hint,
                       .wait = target.load().Wait(now),
                       .work = work,
                       .network = Network(target)};
@@ -101,7 +136,7 @@
   const double failure_cost = target.health().FailureRate(now) *
                               (once ? kFailureCostOnce : kFailureCostIdempotent);
   ranked.cost = ranked.placement.completion() + Scale(objective, failure_cost);
-  if (target.region() != place_.region) {
+  if (target.region() != place_.region && target.region() != query.home) {
     ranked.cost += Scale(objective, kRegionCost);
   } else if (target.entry().zone != place_.zone) {
     ranked.cost += Scale(objective, kZoneCost);
@@ -120,34 +155,31 @@
   return nullptr;
 }
 
-auto Placer::ChooseAmong(std::vector<FleetTarget*> candidates, const PlacementQuery& query,
+auto Placer::ChooseAmong(const std::vector<FleetTarget*>& candidates, const PlacementQuery& query,
                          MonotonicTime now, Random& random) const -> PlacementResult {
   PlacementResult result;
-  if (candidates.empty()) {
-    result.retry_after = RetryAfter(kShortestRetryAfter, query.time_left, random);
-    return result;
-  }
-  const auto score = [&](const FleetTarget* target) {
-    return RendezvousScore(query.object, HashOf(*target));
+  std::vector<std::pair<RegionName, TopTwo>> tops;
+  const auto top_of = [&](const RegionName& region) -> TopTwo& {
+    for (auto& [name, top] : tops) {
+      if (name == region) return top;
+    }
+    return tops.emplace_back(region, TopTwo()).second;
   };
-  std::sort(candidates.begin(), candidates.end(),
-            [&](const auto* a, const auto* b) { return score(a) > score(b); });
-  int zone_rank = 0;
-  int region_rank = 0;
+  for (const auto* target : candidates) {
+    top_of(target->region()).Add(RendezvousScore(query.object, target->hash(),
+                                                 target->entry().slots),
+                                 target);
+  }
   std::optional<Ranked> best;
   for (auto* target : candidates) {
-    const bool in_zone = target->entry().zone == place_.zone;
-    const bool in_region = target->region() == place_.region;
-    if (in_region ? query.must_leave_region : !query.may_leave_region) continue;
-    double guess = 0;
-    if (in_zone) {
-      guess = zone_rank == 0 ? kWarmFirstOfZone : zone_rank == 1 ? kWarmSecondOfZone : 0;
-      ++zone_rank;
-    } else {
-      guess = region_rank == 0 ? kWarmFirstOfRegion : 0;
-      ++region_rank;
-    }
-    const auto ranked = Predict(*target, query, guess, now);
+    const bool stays = target->region() == place_.region || target->region() == query.home;
+    if (!stays && !query.may_leave_region) continue;
+    const auto& top = top_of(target->region());
+    const bool at_home = target->region() == query.home;
+    auto hint = WarmHint::kNone;
+    if (target == top.first()) hint = at_home ? WarmHint::kHomeFirst : WarmHint::kOtherFirst;
+    if (target == top.second() && at_home) hint = WarmHint::kHomeSecond;
+    const auto ranked = Predict(*target, query, hint, now);
     if (!best.has_value() || ranked.cost < best->cost) best = ranked;
   }
   if (!best.has_value()) {
@@ -156,7 +188,7 @@
   }
   if (query.tried == nullptr || query.tried->empty()) {
     if (auto* neglected = Neglected(candidates, now)) {
-      const auto ranked = Predict(*neglected, query, 0, now);
+      const auto ranked = Predict(*neglected, query, WarmHint::kNone, now);
       if (ranked.placement.completion() <= Scale(query.time_left, kUsableTime)) best = ranked;
     }
   }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -9,6 +9,8 @@
 #include "gateway/fleet.h"
 #include "gateway/object_memory.h"
 #include "gateway/route.h"
+#include "gateway/region_split.h"
+#include "gateway/warm_odds.h"
 #include "gateway/work_estimates.h"
 
 namespace heatherspan {
@@ -34,13 +36,13 @@
   Duration cold_spacing = std::chrono::seconds(1);
   const std::vector<TargetName>* tried = nullptr;
   bool may_leave_region = true;
-  bool must_leave_region = false;
+  RegionName home;  ///< Where the object's home target is.
 };
 
 /// A target and what is expected of it.
 struct Placement {
   FleetTarget* target = nullptr;
-  bool warm = false;   ///< It is expected to know the object.
+  WarmHint hint = WarmHint::kNone;  ///< Why it may know the object.
   Duration wait{};     ///< Until it begins to work.
   Duration work{};
   Duration network{};
@@ -66,12 +68,15 @@
 /// Chooses targets by predicted completion. Load pattern: objects are asked for again and again, a
 /// target that has handled one before is several times faster, and requests come in waves. So an
 /// object's requests go to the target that knows it until the wait there costs more than the work
-/// elsewhere; the second choice is stable as well, by rendezvous hashing, so that a spill or a lost
-/// target finds the same, warm, replacement.
+/// elsewhere. All entry VMs of a region find the same home target, and the same second choice, by
+/// rendezvous hashing, so that a spill or a lost target finds a replacement that is warm.
 class Placer {
  public:
-  Placer(NodePlace place, const Fleet& fleet, const WorkEstimates& estimates)
-      : place_(std::move(place)), fleet_(fleet), estimates_(estimates) {}
+  Placer(NodePlace place, const Fleet& fleet, const WorkEstimates& estimates, const WarmOdds& odds)
+      : place_(std::move(place)), fleet_(fleet), estimates_(estimates), odds_(odds) {}
+
+  /// The slots of the service's usable targets by region, in the order of the regions' names.
+  auto Capacities(const PlacementQuery& query) const -> std::vector<RegionCapacity>;
 
   template <ColdFeederRule Rule>
   auto Choose(const PlacementQuery& query, const Rule& feeds_cold, MonotonicTime now,
@@ -85,7 +90,7 @@
       }
       candidates.push_back(target);
     }
-    return ChooseAmong(std::move(candidates), query, now, random);
+    return ChooseAmong(candidates, query, now, random);
   }
 
   auto place() const -> const NodePlace& { return place_; }
@@ -93,11 +98,12 @@
  private:
   struct Ranked;
 
+  auto IsAllowed(const FleetTarget& target, const PlacementQuery& query) const -> bool;
   auto IsCandidate(const FleetTarget& target, const PlacementQuery& query, MonotonicTime now) const
       -> bool;
-  auto ChooseAmong(std::vector<FleetTarget*> candidates, const PlacementQuery& query,
+  auto ChooseAmong(const std::vector<FleetTarget*>& candidates, const PlacementQuery& query,
                    MonotonicTime now, Random& random) const -> PlacementResult;
-  auto Predict(FleetTarget& target, const PlacementQuery& query, double warm_guess,
+  auto Predict(FleetTarget& target, const PlacementQuery& query, WarmHint hint,
                MonotonicTime now) const -> Ranked;
   auto Neglected(const std::vector<FleetTarget*>& candidates, MonotonicTime now) const
       -> FleetTarget*;
@@ -106,6 +112,7 @@
   NodePlace place_;
   const Fleet& fleet_;
   const WorkEstimates& estimates_;
+  const WarmOdds& odds_;
 };
 
 }  // namespace heatherspan
--- a/src/gateway/region_balance.cc
+++ b/src/gateway/region_balance.cc
@@ -35,19 +35,12 @@
   Expire(now);
   const auto before = Count(now - 2 * limits_.window, now - limits_.window);
   const auto current = Count(now - limits_.window, now + Duration(1));
+  // Without a window before there is nothing that could change.
+  if (before.sent < kFewestRequests) return true;
   const double most = Fraction(before.left, before.sent) + kUsedPart * limits_.max_change;
   return Fraction(current.left + 1, std::max(current.sent + 1, kFewestRequests)) <= most;
 }
 
-auto RegionBalance::MustLeave(MonotonicTime now) -> bool {
-  Expire(now);
-  const auto before = Count(now - 2 * limits_.window, now - limits_.window);
-  const auto current = Count(now - limits_.window, now + Duration(1));
-  if (before.sent < kFewestRequests || current.sent < kFewestRequests) return false;
-  const double least = Fraction(before.left, before.sent) - limits_.max_change;
-  return Fraction(current.left, current.sent) < least;
-}
-
 auto RegionBalance::OnSent(bool left_region, MonotonicTime now) -> void {
   Expire(now);
   sent_.push_back({now, left_region});
--- a/src/gateway/region_balance.h
+++ b/src/gateway/region_balance.h
@@ -6,9 +6,9 @@
 
 namespace heatherspan {
 
-/// Limits how fast the share of requests that this node sends to other regions changes, in both
-/// directions. Load pattern: a region short of room spills over; without the limit the spill would
-/// flap between all and nothing and meet cold targets each time.
+/// Limits how fast the share of requests that this node sends to other regions grows. Load pattern:
+/// a region short of room spills over; without the limit the spill would flap between all and
+/// nothing and meet cold targets each time.
 class RegionBalance {
  public:
   struct Limits {
@@ -21,8 +21,6 @@
   auto SetLimits(Limits limits) -> void { limits_ = limits; }
   /// Whether one more request may leave the region.
   auto MayLeave(MonotonicTime now) -> bool;
-  /// Whether too few requests leave it, compared with the window before.
-  auto MustLeave(MonotonicTime now) -> bool;
   auto OnSent(bool left_region, MonotonicTime now) -> void;
 
  private:
