gateway: return to an object's home target; count the cost of a cold copy

Change: targets other than the home carry a cost, and a miss counts for those whose object is forgotten. Ruled out: concurrent first requests being cold too: the log shows the second one of an object at warm speed while the first runs.

--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -15,6 +15,13 @@
 /// Bytes between zones and regions are paid for, and links bear little: a target further away must
 /// be better by these shares of the objective.
 constexpr double kZoneCost = 0.05;
+/// A target that has to learn an object is busy longer and forgets another one, which others pay
+/// for: the extra work counts once more.
+constexpr double kMissCost = 1.0;
+/// Requests come back to an object's home target, or each entry VM would keep a target of its own
+/// warm after a spill.
+constexpr double kSecondCost = 0.1;
+constexpr double kAwayCost = 0.25;
 constexpr double kRegionCost = 0.3;
 /// A failure costs the caller of a request that can't be repeated all it hoped for, twice over.
 constexpr double kFailureCostOnce = 2;
@@ -114,10 +121,13 @@
   return capacities;
 }
 
-auto Placer::Predict(FleetTarget& target, const PlacementQuery& query, WarmHint hint,
+auto Placer::Predict(FleetTarget& target, const PlacementQuery& query, Role role,
                      MonotonicTime now) const -> Ranked {
   const auto estimate = estimates_.Estimate(*query.route, query.service);
   const auto knowledge = target.objects().Find(query.object);
+  auto hint = role == Role::kHome     ? WarmHint::kHomeFirst
+              : role == Role::kSecond ? WarmHint::kHomeSecond
+                                      : WarmHint::kNone;
   if (knowledge == ObjectMemory::Knowledge::kHandled) hint = WarmHint::kHandled;
   if (knowledge == ObjectMemory::Knowledge::kSent) hint = WarmHint::kSent;
   const double warm =
@@ -136,6 +146,11 @@
   const double failure_cost = target.health().FailureRate(now) *
                               (once ? kFailureCostOnce : kFailureCostIdempotent);
   ranked.cost = ranked.placement.completion() + Scale(objective, failure_cost);
+  if (query.route->session_affinity) {
+    ranked.cost += Scale(estimate.cold - estimate.warm, (1 - warm) * kMissCost);
+    if (role == Role::kSecond) ranked.cost += Scale(objective, kSecondCost);
+    if (role == Role::kAway) ranked.cost += Scale(objective, kAwayCost);
+  }
   if (target.region() != place_.region && target.region() != query.home) {
     ranked.cost += Scale(objective, kRegionCost);
   } else if (target.entry().zone != place_.zone) {
@@ -176,10 +191,11 @@
     if (!stays && !query.may_leave_region) continue;
     const auto& top = top_of(target->region());
     const bool at_home = target->region() == query.home;
-    auto hint = WarmHint::kNone;
-    if (target == top.first()) hint = at_home ? WarmHint::kHomeFirst : WarmHint::kOtherFirst;
-    if (target == top.second() && at_home) hint = WarmHint::kHomeSecond;
-    const auto ranked = Predict(*target, query, hint, now);
+    // The second choice out of the home region stands beside the one in it.
+    auto role = Role::kAway;
+    if (target == top.first()) role = at_home ? Role::kHome : Role::kSecond;
+    if (target == top.second() && at_home) role = Role::kSecond;
+    const auto ranked = Predict(*target, query, role, now);
     if (!best.has_value() || ranked.cost < best->cost) best = ranked;
   }
   if (!best.has_value()) {
@@ -188,7 +204,7 @@
   }
   if (query.tried == nullptr || query.tried->empty()) {
     if (auto* neglected = Neglected(candidates, now)) {
-      const auto ranked = Predict(*neglected, query, WarmHint::kNone, now);
+      const auto ranked = Predict(*neglected, query, Role::kAway, now);
       if (ranked.placement.completion() <= Scale(query.time_left, kUsableTime)) best = ranked;
     }
   }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -97,13 +97,15 @@
 
  private:
   struct Ranked;
+  /// What a target is to an object.
+  enum class Role { kHome, kSecond, kAway };
 
   auto IsAllowed(const FleetTarget& target, const PlacementQuery& query) const -> bool;
   auto IsCandidate(const FleetTarget& target, const PlacementQuery& query, MonotonicTime now) const
       -> bool;
   auto ChooseAmong(const std::vector<FleetTarget*>& candidates, const PlacementQuery& query,
                    MonotonicTime now, Random& random) const -> PlacementResult;
-  auto Predict(FleetTarget& target, const PlacementQuery& query, WarmHint hint,
+  auto Predict(FleetTarget& target, const PlacementQuery& query, Role role,
                MonotonicTime now) const -> Ranked;
   auto Neglected(const std::vector<FleetTarget*>& candidates, MonotonicTime now) const
       -> FleetTarget*;
--- a/src/gateway/warm_odds.h
+++ b/src/gateway/warm_odds.h
@@ -13,8 +13,7 @@
   kHandled,       ///< It has answered this node about it.
   kSent,          ///< This node has sent it there and waits for the answer.
   kHomeFirst,     ///< First choice for the object in its home region.
-  kHomeSecond,    ///< Second choice there.
-  kOtherFirst,    ///< First choice in another region.
+  kHomeSecond,    ///< Second choice there, or first choice in another region.
   kNone,
   kCount,
 };
@@ -29,7 +28,7 @@
  private:
   using Table = std::array<double, static_cast<std::size_t>(WarmHint::kCount)>;
   /// Before anything is learned, in the order of WarmHint.
-  static constexpr Table kInitial = {0.95, 0.7, 0.5, 0.2, 0.2, 0.02};
+  static constexpr Table kInitial = {0.95, 0.9, 0.7, 0.2, 0.02};
 
   absl::flat_hash_map<RouteName, Table> tables_;
 };
