gateway: try out only targets that joined and are home to nothing; fixed odds for home targets

Cause: each VM sent a request to each target of the registry that it had not used, 27 times over; learned odds of warmth stayed low after the cold start and kept copies apart. Attempts on a cold target looked overdue and the target slow. Ruled out: waits at the home targets as the cause (use was below 0.4).

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -257,7 +257,8 @@
       return;
     }
     lapses_.Remove(name);
-    const auto target = Formats::ReadTarget(name, *change.value);
+    auto target = Formats::ReadTarget(name, *change.value);
+    if (target.ok()) target->joined = announced_;
     if (!target.ok()) {
       // An entry that can't be read names no target to use.
       core_.fleet().Unregister(name);
@@ -305,7 +306,9 @@
   }
 
   auto OnBatch() -> void {
-    if (IsReady()) announcer_.Start();
+    if (!IsReady()) return;
+    announced_ = true;
+    announcer_.Start();
   }
 
   auto OnTick() -> void {
@@ -376,6 +379,7 @@
   HttpServer directory_server_;
   HttpServer metrics_server_;
   std::shared_ptr<WorkerPool::Timer> tick_;
+  bool announced_ = false;
   bool stopping_ = false;
   MonotonicTime stop_began_{};
 };
--- a/src/gateway/fleet_target.cc
+++ b/src/gateway/fleet_target.cc
@@ -52,11 +52,11 @@
   return now - last_cold_send_ >= spacing;
 }
 
-auto FleetTarget::Begin(AttemptNumber attempt, Duration expected_wait, Duration expected_work,
+auto FleetTarget::Begin(AttemptNumber attempt, Duration longest, Duration expected_work,
                         ObjectHash object, MonotonicTime now) -> void {
   used_ = true;
   if (IsCold(now)) last_cold_send_ = now;
-  load_.Begin(attempt, expected_wait, expected_work, now);
+  load_.Begin(attempt, longest, expected_work, now);
   objects_.OnSent(object);
 }
 
--- a/src/gateway/fleet_target.h
+++ b/src/gateway/fleet_target.h
@@ -29,7 +29,7 @@
   /// Whether a cold target may get a request now, at one request in each spacing.
   auto ColdTurn(Duration spacing, MonotonicTime now) const -> bool;
 
-  auto Begin(AttemptNumber attempt, Duration expected_wait, Duration expected_work,
+  auto Begin(AttemptNumber attempt, Duration longest, Duration expected_work,
              ObjectHash object, MonotonicTime now) -> void;
   /// The attempt is over; `sign` says what it has shown, if anything.
   auto End(AttemptNumber attempt, ObjectHash object, std::optional<TargetSign> sign,
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -43,7 +43,7 @@
       fleet_(options_.zones,
              Duration(static_cast<Duration::rep>(
                  static_cast<double>(options_.heartbeat.count()) * kRecheckHeartbeats))),
-      placer_(options_.place, fleet_, estimates_, odds_),
+      placer_(options_.place, fleet_, estimates_),
       balance_(options_.balance),
       split_(options_.place.region),
       roster_(options_.roster) {}
@@ -126,7 +126,8 @@
                                MonotonicTime now) -> Attempt {
   auto& target = *placement.target;
   Attempt attempt{++last_attempt_, target.entry().name, placement};
-  target.Begin(attempt.number, placement.wait, placement.work, request.facts().object, now);
+  target.Begin(attempt.number, placement.wait + placement.longest_work, placement.work,
+               request.facts().object, now);
   balance_.OnSent(target.region() != options_.place.region, now);
   request.OnSent(attempt.target);
   return attempt;
@@ -165,7 +166,6 @@
   const auto estimate = estimates_.Estimate(facts.route, facts.service);
   const bool warm = !facts.route.session_affinity || LooksWarm(work, estimate);
   target.LearnSpeed(Ratio(work, warm ? estimate.warm : estimate.cold));
-  odds_.Learn(facts.route.name, attempt.expected.hint, warm);
   estimates_.Learn(facts.route, facts.service, warm, work);
 }
 
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -20,7 +20,6 @@
 #include "gateway/split_picker.h"
 #include "gateway/target_load.h"
 #include "gateway/traffic_policy.h"
-#include "gateway/warm_odds.h"
 #include "gateway/work_estimates.h"
 
 namespace heatherspan {
@@ -94,7 +93,6 @@
   SplitPicker splits_;
   Fleet fleet_;
   WorkEstimates estimates_;
-  WarmOdds odds_;
   Placer placer_;
   RegionBalance balance_;
   RegionSplit split_;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -10,6 +10,13 @@
 
 using std::chrono::milliseconds;
 
+/// Chance that a target knows an object. A target knows it as soon as it begins the first request
+/// for it. That for the home target is fixed, not learned: it holds because all entry VMs act on
+/// it, and one that doubted it after a cold start would keep a copy of its own elsewhere.
+constexpr double kWarmKnown = 0.95;
+constexpr double kWarmHome = 0.9;
+constexpr double kWarmSecond = 0.2;
+constexpr double kWarmAway = 0.02;
 /// Work at a cold target against that at a warm one, at most, as far as the deployments state.
 constexpr double kColdFactor = 2;
 /// Bytes between zones and regions are paid for, and links bear little: a target further away must
@@ -33,9 +40,9 @@
 constexpr double kReturningWait = 1.5;
 /// Part of the time left that a prediction may use, since predictions err.
 constexpr double kUsableTime = 0.85;
-/// A target that has had nothing for so long after its registration gets the next request that
-/// bears it, so that it warms up and its part of the load can be seen.
-constexpr Duration kNeglectTime = milliseconds(1200);
+/// A target that has joined and is home to no object that is asked for gets a request after this
+/// time from the VMs that feed it, so that it is found sound or not before it is needed.
+constexpr Duration kNeglectTime = milliseconds(1500);
 constexpr Duration kShortestRetryAfter = milliseconds(100);
 /// Spread of Retry-After, so that refused callers don't come back together.
 constexpr double kRetrySpread = 0.5;
@@ -121,25 +128,32 @@
   return capacities;
 }
 
+auto Placer::WarmOdds(Role role, ObjectMemory::Knowledge knowledge) -> double {
+  if (knowledge != ObjectMemory::Knowledge::kUnknown) return kWarmKnown;
+  switch (role) {
+    case Role::kHome:
+      return kWarmHome;
+    case Role::kSecond:
+      return kWarmSecond;
+    case Role::kAway:
+      return kWarmAway;
+  }
+  return kWarmAway;
+}
+
 auto Placer::Predict(FleetTarget& target, const PlacementQuery& query, Role role,
                      MonotonicTime now) const -> Ranked {
   const auto estimate = estimates_.Estimate(*query.route, query.service);
   const auto knowledge = target.objects().Find(query.object);
-  auto hint = role == Role::kHome     ? WarmHint::kHomeFirst
-              : role == Role::kSecond ? WarmHint::kHomeSecond
-                                      : WarmHint::kNone;
-  if (knowledge == ObjectMemory::Knowledge::kHandled) hint = WarmHint::kHandled;
-  if (knowledge == ObjectMemory::Knowledge::kSent) hint = WarmHint::kSent;
-  const double warm =
-      query.route->session_affinity ? odds_.Odds(query.route->name, hint) : 1;
+  const double warm = query.route->session_affinity ? WarmOdds(role, knowledge) : 1;
   auto work = Scale(estimate.warm, warm) + Scale(estimate.cold, 1 - warm);
   work = Scale(work, target.Slowness(now));
   if (target.IsCold(now)) work = Scale(work, kColdFactor);
   Ranked ranked;
   ranked.placement = {.target = &target,
-                      .hint = hint,
                       .wait = target.load().Wait(now),
                       .work = work,
+                      .longest_work = std::max(work, Scale(estimate.cold, target.Slowness(now))),
                       .network = Network(target)};
   const auto objective = query.route->objective;
   const bool once = query.route->repeat == RepeatRule::kAtMostOnce;
@@ -162,15 +176,15 @@
 auto Placer::Neglected(const std::vector<FleetTarget*>& candidates, MonotonicTime now) const
     -> FleetTarget* {
   for (auto* target : candidates) {
-    if (!target->used() && target->region() == place_.region &&
-        now - target->known_since() >= kNeglectTime) {
+    if (!target->used() && target->entry().joined && now - target->known_since() >= kNeglectTime) {
       return target;
     }
   }
   return nullptr;
 }
 
-auto Placer::ChooseAmong(const std::vector<FleetTarget*>& candidates, const PlacementQuery& query,
+auto Placer::ChooseAmong(const std::vector<FleetTarget*>& candidates,
+                         const std::vector<FleetTarget*>& fed, const PlacementQuery& query,
                          MonotonicTime now, Random& random) const -> PlacementResult {
   PlacementResult result;
   std::vector<std::pair<RegionName, TopTwo>> tops;
@@ -203,7 +217,7 @@
     return result;
   }
   if (query.tried == nullptr || query.tried->empty()) {
-    if (auto* neglected = Neglected(candidates, now)) {
+    if (auto* neglected = Neglected(fed, now)) {
       const auto ranked = Predict(*neglected, query, Role::kAway, now);
       if (ranked.placement.completion() <= Scale(query.time_left, kUsableTime)) best = ranked;
     }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -10,7 +10,6 @@
 #include "gateway/object_memory.h"
 #include "gateway/route.h"
 #include "gateway/region_split.h"
-#include "gateway/warm_odds.h"
 #include "gateway/work_estimates.h"
 
 namespace heatherspan {
@@ -42,9 +41,9 @@
 /// A target and what is expected of it.
 struct Placement {
   FleetTarget* target = nullptr;
-  WarmHint hint = WarmHint::kNone;  ///< Why it may know the object.
   Duration wait{};     ///< Until it begins to work.
-  Duration work{};
+  Duration work{};          ///< Expected; between that of a warm and of a cold target.
+  Duration longest_work{};  ///< If it does not know the object.
   Duration network{};
 
   auto completion() const -> Duration { return wait + work + network; }
@@ -72,8 +71,8 @@
 /// rendezvous hashing, so that a spill or a lost target finds a replacement that is warm.
 class Placer {
  public:
-  Placer(NodePlace place, const Fleet& fleet, const WorkEstimates& estimates, const WarmOdds& odds)
-      : place_(std::move(place)), fleet_(fleet), estimates_(estimates), odds_(odds) {}
+  Placer(NodePlace place, const Fleet& fleet, const WorkEstimates& estimates)
+      : place_(std::move(place)), fleet_(fleet), estimates_(estimates) {}
 
   /// The slots of the service's usable targets by region, in the order of the regions' names.
   auto Capacities(const PlacementQuery& query) const -> std::vector<RegionCapacity>;
@@ -82,15 +81,16 @@
   auto Choose(const PlacementQuery& query, const Rule& feeds_cold, MonotonicTime now,
               Random& random) const -> PlacementResult {
     std::vector<FleetTarget*> candidates;
+    std::vector<FleetTarget*> fed;
     for (auto* target : fleet_.TargetsOf(query.service)) {
       if (!IsCandidate(*target, query, now)) continue;
-      if (target->IsCold(now) &&
-          (!feeds_cold(*target) || !target->ColdTurn(query.cold_spacing, now))) {
-        continue;
-      }
+      const bool untried = target->entry().joined && !target->used();
+      const bool feeds = (target->IsCold(now) || untried) && feeds_cold(*target);
+      if (target->IsCold(now) && (!feeds || !target->ColdTurn(query.cold_spacing, now))) continue;
       candidates.push_back(target);
+      if (untried && feeds) fed.push_back(target);
     }
-    return ChooseAmong(candidates, query, now, random);
+    return ChooseAmong(candidates, fed, query, now, random);
   }
 
   auto place() const -> const NodePlace& { return place_; }
@@ -103,18 +103,20 @@
   auto IsAllowed(const FleetTarget& target, const PlacementQuery& query) const -> bool;
   auto IsCandidate(const FleetTarget& target, const PlacementQuery& query, MonotonicTime now) const
       -> bool;
-  auto ChooseAmong(const std::vector<FleetTarget*>& candidates, const PlacementQuery& query,
+  /// `fed`: the candidates that this node is to try although no object has its home there.
+  auto ChooseAmong(const std::vector<FleetTarget*>& candidates,
+                   const std::vector<FleetTarget*>& fed, const PlacementQuery& query,
                    MonotonicTime now, Random& random) const -> PlacementResult;
   auto Predict(FleetTarget& target, const PlacementQuery& query, Role role,
                MonotonicTime now) const -> Ranked;
   auto Neglected(const std::vector<FleetTarget*>& candidates, MonotonicTime now) const
       -> FleetTarget*;
+  static auto WarmOdds(Role role, ObjectMemory::Knowledge knowledge) -> double;
   auto Network(const FleetTarget& target) const -> Duration;
 
   NodePlace place_;
   const Fleet& fleet_;
   const WorkEstimates& estimates_;
-  const WarmOdds& odds_;
 };
 
 }  // namespace heatherspan
--- a/src/gateway/target_load.cc
+++ b/src/gateway/target_load.cc
@@ -17,9 +17,9 @@
 
 }  // namespace
 
-auto TargetLoad::Begin(AttemptNumber attempt, Duration expected_wait, Duration expected_work,
+auto TargetLoad::Begin(AttemptNumber attempt, Duration longest, Duration expected_work,
                        MonotonicTime now) -> void {
-  attempts_.push_back({attempt, now, expected_wait + expected_work});
+  attempts_.push_back({attempt, now, longest, expected_work});
   mean_work_ = mean_work_ == Duration::zero()
                    ? expected_work
                    : FromSeconds(Seconds(mean_work_) * (1 - kMeanWeight) +
@@ -72,8 +72,8 @@
 auto TargetLoad::Overdue(MonotonicTime now) const -> double {
   double most = 1;
   for (const auto& attempt : attempts_) {
-    if (attempt.expected <= Duration::zero()) continue;
-    most = std::max(most, Seconds(now - attempt.begin) / Seconds(attempt.expected));
+    if (attempt.longest <= Duration::zero()) continue;
+    most = std::max(most, Seconds(now - attempt.begin) / Seconds(attempt.longest));
   }
   return most;
 }
--- a/src/gateway/target_load.h
+++ b/src/gateway/target_load.h
@@ -24,8 +24,9 @@
   explicit TargetLoad(int slots) : slots_(slots) {}
 
   auto SetSlots(int slots) -> void { slots_ = slots; }
-  auto Begin(AttemptNumber attempt, Duration expected_wait, Duration expected_work,
-             MonotonicTime now) -> void;
+  /// `longest` is how long the attempt takes at most if all is well.
+  auto Begin(AttemptNumber attempt, Duration longest, Duration expected_work, MonotonicTime now)
+      -> void;
   /// Returns how long the attempt took; zero if it is not known.
   auto End(AttemptNumber attempt, MonotonicTime now) -> Duration;
   auto OnReport(const LoadReport& report, MonotonicTime now) -> void;
@@ -37,14 +38,15 @@
   /// Requests at the target, own and others', as far as known.
   auto Total(MonotonicTime now) const -> double;
   auto Wait(MonotonicTime now) const -> Duration;
-  /// How many times the expected work the longest attempt has taken so far; at least 1.
+  /// How many times its longest time an attempt has taken so far, at most; at least 1.
   auto Overdue(MonotonicTime now) const -> double;
 
  private:
   struct Attempt {
     AttemptNumber number;
     MonotonicTime begin;
-    Duration expected;  ///< Wait and work.
+    Duration longest;
+    Duration expected;
   };
 
   auto Others(MonotonicTime now) const -> double;
