gateway: final answers before the end of a stop; capacity decides what a region keeps

Varna kept 0.75 of the mean although it has half of it. Change: a timer ends a stop 0.5 s before the grace does and answers what is left; requests whose longest work would outlast the stop go to another VM. The kept part starts at the region's share of capacity and falls only when targets queue.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -39,8 +39,10 @@
   /// A lost packet is sent again after a second; another target is sooner.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
   static constexpr std::size_t kConnectionsPerTarget = 40;
-  /// The process ends this long before it would be killed.
-  static constexpr Duration kStopMargin = std::chrono::milliseconds(200);
+  /// What is still under way gets its answer this long before the process would be killed.
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+  /// For those answers to leave the machine.
+  static constexpr Duration kFlushTime = std::chrono::milliseconds(100);
   /// Callers that still hold an old answer find the process for this part of the stop grace.
   static constexpr double kLingerPartOfGrace = 0.45;
 
@@ -335,20 +337,25 @@
     announcer_.Withdraw();
     callers_server_.BeginClosing();
     carrier_.BeginStop(settings_.bounds.stop_grace);
+    last_call_ = workers_.RunAfter(settings_.bounds.stop_grace - kStopMargin, [this] {
+      carrier_.EndAll();
+      last_call_ = workers_.RunAfter(kFlushTime, [this] { OnStopped(); });
+    });
+  }
+
+  auto OnStopped() -> void {
+    log_.Write(LogLevel::kInfo, "stopped", {{"in_flight", carrier_.active()}});
+    tick_.reset();
+    on_stopped_();
   }
 
   auto CheckStopped(MonotonicTime now) -> void {
-    const auto grace = settings_.bounds.stop_grace;
     const auto linger = Duration(static_cast<Duration::rep>(
-        static_cast<double>(grace.count()) * kLingerPartOfGrace));
+        static_cast<double>(settings_.bounds.stop_grace.count()) * kLingerPartOfGrace));
     const auto since = now - stop_began_;
     if (since >= linger) callers_server_.StopListening();
     const bool idle = carrier_.active() == 0 && callers_server_.active_requests() == 0;
-    if ((idle && since >= linger) || since >= grace - kStopMargin) {
-      log_.Write(LogLevel::kInfo, "stopped", {{"in_flight", carrier_.active()}});
-      tick_.reset();
-      on_stopped_();
-    }
+    if (idle && since >= linger) OnStopped();
   }
 
   auto OnReload(EdgeSettings& settings) -> void {
@@ -379,6 +386,7 @@
   HttpServer directory_server_;
   HttpServer metrics_server_;
   std::shared_ptr<WorkerPool::Timer> tick_;
+  std::shared_ptr<WorkerPool::Timer> last_call_;  ///< Of a stop that its requests outlast.
   bool announced_ = false;
   bool stopping_ = false;
   MonotonicTime stop_began_{};
--- a/src/edge/request_carrier.h
+++ b/src/edge/request_carrier.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_set.h"
 #include "base/reason.h"
@@ -76,6 +77,16 @@
     end_by_ = now + Scale(grace, kUsablePartOfGrace);
   }
 
+  /// The process ends now: what is still under way gets its final answer.
+  auto EndAll() -> void {
+    const auto remaining = std::vector<ActivePtr>(active_.begin(), active_.end());
+    for (const auto& active : remaining) {
+      const auto step = active->life.OnGiveUp();
+      Abandon(active);
+      Conclude(active, step, Reason::kLeaving, kRetryElsewhere, HttpResponse());
+    }
+  }
+
   auto active() const -> std::size_t { return active_.size(); }
 
  private:
@@ -135,7 +146,7 @@
       Conclude(active, life.OnNoTarget(), reason, result.retry_after, HttpResponse());
       return;
     }
-    if (now >= serve_until_ || now + result.placement->completion() > end_by_) {
+    if (now >= serve_until_ || now + result.placement->longest() > end_by_) {
       Conclude(active, life.OnNoTarget(), Reason::kLeaving, kRetryElsewhere, HttpResponse());
       return;
     }
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -43,9 +43,9 @@
       fleet_(options_.zones,
              Duration(static_cast<Duration::rep>(
                  static_cast<double>(options_.heartbeat.count()) * kRecheckHeartbeats))),
+      split_(options_.place.region),
       placer_(options_.place, fleet_, estimates_),
       balance_(options_.balance),
-      split_(options_.place.region),
       roster_(options_.roster) {}
 
 auto GatewayCore::ApplyPolicy(TrafficPolicy policy) -> bool {
@@ -94,7 +94,6 @@
     facts.returning = Ratio(*patience, usual) < kFullPatience;
   }
   Retries(facts.service).OnRequest(now);
-  split_.OnRequest(facts.service, estimates_.Estimate(route, facts.service).warm, now);
   return CarriedRequest(std::move(facts));
 }
 
@@ -111,11 +110,7 @@
   query.may_leave_region = balance_.MayLeave(now);
   const int feeders = ColdFeeders(facts.service);
   const auto vms = roster_.Live(now);
-  const auto sharing = std::count_if(vms.begin(), vms.end(), [&](const EntryVm& vm) {
-    return vm.region == options_.place.region;
-  });
-  query.home = split_.HomeOf(facts.service, facts.object, placer_.Capacities(query),
-                             std::max<int>(1, static_cast<int>(sharing)), now);
+  query.home = split_.HomeOf(facts.service, facts.object, placer_.Capacities(query), now);
   const auto feeds_cold = [&](const FleetTarget& target) {
     return IsColdFeeder(vms, options_.node, target.entry().name, target.entry().zone, feeders);
   };
@@ -141,6 +136,7 @@
     if (end == AttemptEnd::kAnswered) Learn(request, attempt, *target, took, now);
     if (load.has_value()) {
       target->load().OnReport(*load, now);
+      split_.OnReport(request.facts().service, target->region(), *load, now);
     } else if (end == AttemptEnd::kRefused) {
       target->load().OnFull(now);
     }
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -93,9 +93,9 @@
   SplitPicker splits_;
   Fleet fleet_;
   WorkEstimates estimates_;
+  RegionSplit split_;
   Placer placer_;
   RegionBalance balance_;
-  RegionSplit split_;
   EntryRoster roster_;
   absl::flat_hash_map<ServiceName, RetryWindow> retries_;
   /// By route: the longest patience seen. A caller that was refused before has less left.
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -47,6 +47,7 @@
   Duration network{};
 
   auto completion() const -> Duration { return wait + work + network; }
+  auto longest() const -> Duration { return wait + longest_work + network; }
 };
 
 /// Why no target was chosen.
--- a/src/gateway/region_split.cc
+++ b/src/gateway/region_split.cc
@@ -2,25 +2,31 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "base/stable_hash.h"
 
 namespace heatherspan {
 namespace {
 
-/// Time constant of the demand, seconds: several requests of each service at the smallest nodes,
-/// and much shorter than a wave of traffic.
-constexpr double kDemandSeconds = 5;
-/// Beyond this part of the slots in use, waits at single targets grow steeply (M/D/3).
-constexpr double kHighUse = 0.6;
+/// Time constant of the reported use, seconds: several responses of each service at the smallest
+/// nodes, and much shorter than a wave of traffic.
+constexpr double kUseSeconds = 3;
+/// One overloaded target must not stand for its whole region.
+constexpr double kMostUse = 2;
+/// Beyond this, requests queue at most targets of the region; single busy ones have second choices.
+constexpr double kHighUse = 1.2;
 /// Below this, objects come back: bytes between regions cost more than room does.
-constexpr double kLowUse = 0.35;
-/// Before demand is known: a region keeps all objects unless its capacity is below this part of the
-/// mean.
-constexpr double kInitialRoom = 1.5;
-/// Largest change of the kept part for each second. A tenth of the limit that operators set for
-/// shifts of traffic, and each object that moves meets a cold target once.
-constexpr double kChangePerSecond = 0.02;
+constexpr double kLowUse = 0.3;
+/// Largest change of the kept part for each second. The fall is under half of what operators allow
+/// as a shift of traffic; each object that comes back meets a cold target once, so that the return
+/// is slower.
+constexpr double kFallPerSecond = 0.06;
+constexpr double kReturnPerSecond = 0.005;
+/// Least weight of one report, or a burst of them would count as one.
+constexpr double kLeastWeight = 0.02;
+/// Least weight of a region that is fully used.
+constexpr double kLeastRoom = 0.1;
 /// Seeds that make the draws for region and target independent of each other.
 constexpr std::uint64_t kKeepSeed = 0x6b656570;
 constexpr std::uint64_t kRemoteSeed = 0x72656d6f;
@@ -39,63 +45,83 @@
   return 0;
 }
 
+/// Before any use is known: callers are taken to be alike in all regions, so that a region keeps as
+/// much as its capacity is of the mean.
 auto InitialPart(const std::vector<RegionCapacity>& capacities, int own_slots) -> double {
   double total = 0;
   for (const auto& capacity : capacities) total += capacity.slots;
   const double mean = total / static_cast<double>(std::max<std::size_t>(1, capacities.size()));
-  return mean == 0 ? 1 : std::min(1.0, kInitialRoom * own_slots / mean);
+  return mean == 0 ? 1 : std::min(1.0, own_slots / mean);
 }
 
 }  // namespace
 
-auto RegionSplit::OnRequest(const ServiceName& service, Duration work, MonotonicTime now) -> void {
-  auto& demand = demands_[service];
-  const double elapsed = std::max(0.0, Seconds(now - demand.updated));
-  demand.busy_slots *= std::exp(-elapsed / kDemandSeconds);
-  demand.busy_slots += Seconds(work) / kDemandSeconds;
-  demand.updated = now;
+auto RegionSplit::OnReport(const ServiceName& service, const RegionName& region,
+                           const LoadReport& report, MonotonicTime now) -> void {
+  if (report.slots <= 0) return;
+  const double sample =
+      std::min(kMostUse, static_cast<double>(report.running + report.waiting) / report.slots);
+  auto& use = uses_[{service, region}];
+  const double elapsed = std::max(0.0, Seconds(now - use.updated));
+  // The more reports come, the less each counts.
+  const double weight = use.updated == MonotonicTime{} ? 1 : 1 - std::exp(-elapsed / kUseSeconds);
+  use.value += (sample - use.value) * std::max(weight, kLeastWeight);
+  use.updated = now;
 }
 
-auto RegionSplit::Adapt(Demand& demand, const std::vector<RegionCapacity>& capacities,
-                        int entry_vms, MonotonicTime now) const -> void {
+auto RegionSplit::Use(const ServiceName& service, const RegionName& region,
+                      MonotonicTime now) const -> double {
+  const auto found = uses_.find({service, region});
+  if (found == uses_.end()) return 0;
+  // Without reports nothing is sent there, or nothing is known any more.
+  const double age = std::max(0.0, Seconds(now - found->second.updated));
+  return found->second.value * std::exp(-age / kUseSeconds);
+}
+
+auto RegionSplit::Adapt(const ServiceName& service, const std::vector<RegionCapacity>& capacities,
+                        MonotonicTime now) -> double {
   const int own_slots = SlotsOf(capacities, own_);
-  if (demand.kept < 0) {
-    demand.kept = InitialPart(capacities, own_slots);
-    demand.adapted = now;
-    return;
+  const auto [entry, is_new] = kept_.try_emplace(service);
+  auto& kept = entry->second;
+  if (is_new) {
+    kept.part = InitialPart(capacities, own_slots);
+    kept.adapted = now;
+    return kept.part;
   }
-  const double most = kChangePerSecond * Seconds(now - demand.adapted);
-  demand.adapted = now;
-  if (own_slots == 0) return;
-  const double use = demand.kept * demand.busy_slots * entry_vms / own_slots;
-  if (use > kHighUse) demand.kept -= most;
-  if (use < kLowUse) demand.kept += most;
-  demand.kept = std::clamp(demand.kept, 0.0, 1.0);
+  const double elapsed = Seconds(now - std::exchange(kept.adapted, now));
+  if (own_slots == 0) return kept.part;
+  const double use = Use(service, own_, now);
+  if (use > kHighUse) kept.part -= kFallPerSecond * elapsed;
+  if (use < kLowUse) kept.part += kReturnPerSecond * elapsed;
+  kept.part = std::clamp(kept.part, 0.0, 1.0);
+  return kept.part;
 }
 
 auto RegionSplit::HomeOf(const ServiceName& service, ObjectHash object,
-                         const std::vector<RegionCapacity>& capacities, int entry_vms,
-                         MonotonicTime now) -> RegionName {
-  auto& demand = demands_[service];
-  Adapt(demand, capacities, entry_vms, now);
+                         const std::vector<RegionCapacity>& capacities, MonotonicTime now)
+    -> RegionName {
+  const double kept = Adapt(service, capacities, now);
   const int own_slots = SlotsOf(capacities, own_);
-  double remote_slots = 0;
-  for (const auto& capacity : capacities) {
-    if (capacity.region != own_) remote_slots += capacity.slots;
-  }
-  if (remote_slots == 0 || (own_slots > 0 && Uniform(object, kKeepSeed) < demand.kept)) return own_;
-  double draw = Uniform(object, kRemoteSeed) * remote_slots;
+  if (own_slots > 0 && Uniform(object, kKeepSeed) < kept) return own_;
+  const RegionName* best = &own_;
+  double best_score = 0;
   for (const auto& capacity : capacities) {
     if (capacity.region == own_) continue;
-    draw -= capacity.slots;
-    if (draw < 0) return capacity.region;
+    const double room =
+        capacity.slots * std::max(kLeastRoom, 1 - Use(service, capacity.region, now));
+    const double score = RendezvousScore(CombineHash(object, kRemoteSeed),
+                                         StableHash(capacity.region.value()), room);
+    if (score > best_score) {
+      best = &capacity.region;
+      best_score = score;
+    }
   }
-  return own_;
+  return *best;
 }
 
 auto RegionSplit::KeptPart(const ServiceName& service) const -> double {
-  const auto found = demands_.find(service);
-  return found == demands_.end() ? 1 : found->second.kept;
+  const auto found = kept_.find(service);
+  return found == kept_.end() ? 1 : found->second.part;
 }
 
 }  // namespace heatherspan
--- a/src/gateway/region_split.h
+++ b/src/gateway/region_split.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "gateway/object_memory.h"
+#include "gateway/target_load.h"
 
 namespace heatherspan {
 
@@ -17,38 +19,43 @@
 
 /// Decides, for each service, which objects of this node's region have their home target there and
 /// which in another region. Load pattern: traffic is alike in all regions, targets are not, so that
-/// the targets of a small region are overloaded at the crest of a wave although others idle. The
-/// part that stays follows the capacity and the demand slowly, and objects are divided by their
-/// hash, so that all entry VMs of a region agree on nearly all objects without a message and an
-/// object keeps its warm target.
+/// the targets of a small region are overloaded at the crest of a wave, or when one of its zones is
+/// evacuated, although others idle. The part that stays follows the use that targets report, at a
+/// bounded pace, and objects are divided by their hash, so that all entry VMs of a region agree on
+/// nearly all objects without a message and an object keeps its warm target.
 class RegionSplit {
  public:
   explicit RegionSplit(RegionName own) : own_(std::move(own)) {}
 
-  /// A request of the region arrived here; `work` is what it takes at a warm target.
-  auto OnRequest(const ServiceName& service, Duration work, MonotonicTime now) -> void;
+  /// A target of the service in that region has reported its load.
+  auto OnReport(const ServiceName& service, const RegionName& region, const LoadReport& report,
+                MonotonicTime now) -> void;
 
-  /// The region of an object's home target. `entry_vms` is how many share the region's requests.
+  /// The region of an object's home target.
   auto HomeOf(const ServiceName& service, ObjectHash object,
-              const std::vector<RegionCapacity>& capacities, int entry_vms, MonotonicTime now)
-      -> RegionName;
+              const std::vector<RegionCapacity>& capacities, MonotonicTime now) -> RegionName;
 
-  /// The part of the objects that stays; for logs.
+  /// Requests for each slot of the service's targets in a region, as lately reported; 0 if unknown.
+  auto Use(const ServiceName& service, const RegionName& region, MonotonicTime now) const -> double;
+  /// The part of the objects that stays; 1 before the first request.
   auto KeptPart(const ServiceName& service) const -> double;
 
  private:
-  struct Demand {
-    double busy_slots = 0;  ///< Slots that this node's requests keep busy, smoothed.
-    double kept = -1;       ///< Part of the objects that stays; negative before the first request.
+  struct RegionUse {
+    double value = 0;
     MonotonicTime updated{};
+  };
+  struct Kept {
+    double part = 1;
     MonotonicTime adapted{};
   };
 
-  auto Adapt(Demand& demand, const std::vector<RegionCapacity>& capacities, int entry_vms,
-             MonotonicTime now) const -> void;
+  auto Adapt(const ServiceName& service, const std::vector<RegionCapacity>& capacities,
+             MonotonicTime now) -> double;
 
   RegionName own_;
-  absl::flat_hash_map<ServiceName, Demand> demands_;
+  absl::flat_hash_map<std::pair<ServiceName, RegionName>, RegionUse> uses_;
+  absl::flat_hash_map<ServiceName, Kept> kept_;
 };
 
 }  // namespace heatherspan
--- a/src/gateway/target_load.cc
+++ b/src/gateway/target_load.cc
@@ -48,14 +48,12 @@
 
 auto TargetLoad::Others(MonotonicTime now) const -> double {
   if (others_ == 0 || mean_work_ == Duration::zero()) return others_;
-  // A report fades at the pace at which requests end; without new ones the target may be idle.
+  // A report fades at the pace at which requests end.
   return others_ * std::exp(-Seconds(now - reported_at_) / Seconds(mean_work_));
 }
 
-auto TargetLoad::Total(MonotonicTime now) const -> double { return own() + Others(now); }
-
 auto TargetLoad::Wait(MonotonicTime now) const -> Duration {
-  const double ahead = Total(now) - slots_;
+  const double ahead = own() + Others(now) - slots_;
   if (ahead <= -0.5) return Duration::zero();
   // The next slot is free when the attempt that is due first ends.
   auto first = FromSeconds(Seconds(mean_work_) / (slots_ + 1));
--- a/src/gateway/target_load.h
+++ b/src/gateway/target_load.h
@@ -35,8 +35,7 @@
 
   auto own() const -> int { return static_cast<int>(attempts_.size()); }
   auto slots() const -> int { return slots_; }
-  /// Requests at the target, own and others', as far as known.
-  auto Total(MonotonicTime now) const -> double;
+  /// How long a new request would wait.
   auto Wait(MonotonicTime now) const -> Duration;
   /// How many times its longest time an attempt has taken so far, at most; at least 1.
   auto Overdue(MonotonicTime now) const -> double;
