gateway: try out only targets that join while requests are carried

Cause: the registry fills after the entry VMs have listed it, so that every target counted as joined and each VM tried out each one: two cold copies for each object in the first four seconds. Ruled out: waits at the home targets (the log shows idle home targets passed over), different hashes (same later on), cold targets (few registered as cold).

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -259,8 +259,7 @@
       return;
     }
     lapses_.Remove(name);
-    auto target = Formats::ReadTarget(name, *change.value);
-    if (target.ok()) target->joined = announced_;
+    const auto target = Formats::ReadTarget(name, *change.value);
     if (!target.ok()) {
       // An entry that can't be read names no target to use.
       core_.fleet().Unregister(name);
@@ -308,9 +307,7 @@
   }
 
   auto OnBatch() -> void {
-    if (!IsReady()) return;
-    announced_ = true;
-    announcer_.Start();
+    if (IsReady()) announcer_.Start();
   }
 
   auto OnTick() -> void {
@@ -387,7 +384,6 @@
   HttpServer metrics_server_;
   std::shared_ptr<WorkerPool::Timer> tick_;
   std::shared_ptr<WorkerPool::Timer> last_call_;  ///< Of a stop that its requests outlast.
-  bool announced_ = false;
   bool stopping_ = false;
   MonotonicTime stop_began_{};
 };
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -21,7 +21,7 @@
     return;
   }
   if (known != nullptr) Unlist(*known);
-  known = std::make_unique<FleetTarget>(entry, RegionOf(entry.zone), now);
+  known = std::make_unique<FleetTarget>(entry, RegionOf(entry.zone), has_traffic_, now);
   auto& list = by_service_[entry.service];
   const auto position =
       std::lower_bound(list.begin(), list.end(), entry.name,
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -21,6 +21,8 @@
   /// although it has become cold meanwhile: somewhat more than a heartbeat.
   Fleet(Regions regions, Duration recheck);
 
+  /// Requests are being carried from now on.
+  auto OnTraffic() -> void { has_traffic_ = true; }
   auto Register(const RegisteredTarget& entry, MonotonicTime now) -> void;
   auto Unregister(const TargetName& name) -> void;
   auto SetEvacuated(const ZoneName& zone, bool evacuated, MonotonicTime now) -> void;
@@ -42,6 +44,7 @@
   absl::flat_hash_map<TargetName, std::unique_ptr<FleetTarget>> targets_;
   absl::flat_hash_map<ServiceName, std::vector<FleetTarget*>> by_service_;
   absl::flat_hash_set<ZoneName> evacuated_;
+  bool has_traffic_ = false;
 };
 
 }  // namespace heatherspan
--- a/src/gateway/fleet_target.cc
+++ b/src/gateway/fleet_target.cc
@@ -17,13 +17,15 @@
 
 }  // namespace
 
-FleetTarget::FleetTarget(RegisteredTarget entry, RegionName region, MonotonicTime now)
+FleetTarget::FleetTarget(RegisteredTarget entry, RegionName region, bool joined,
+                         MonotonicTime now)
     : entry_(std::move(entry)),
       region_(std::move(region)),
       hash_(StableHash(entry_.name.value())),
       load_(entry_.slots),
       known_since_(now),
-      cold_until_(now + entry_.cold_left) {}
+      cold_until_(now + entry_.cold_left),
+      joined_(joined) {}
 
 auto FleetTarget::Update(RegisteredTarget entry, MonotonicTime now) -> void {
   const bool restarted = entry.start_id != entry_.start_id || entry.endpoint != entry_.endpoint;
@@ -31,6 +33,7 @@
     health_.Reset();
     objects_.Clear();
     slowness_ = 1;
+    joined_ = true;
     used_ = false;
     known_since_ = now;
     cold_until_ = now;
--- a/src/gateway/fleet_target.h
+++ b/src/gateway/fleet_target.h
@@ -14,7 +14,8 @@
 /// What this node knows of one target: its registration, load, health, warmth and speed.
 class FleetTarget {
  public:
-  FleetTarget(RegisteredTarget entry, RegionName region, MonotonicTime now);
+  /// `joined`: it has registered while requests were being carried.
+  FleetTarget(RegisteredTarget entry, RegionName region, bool joined, MonotonicTime now);
 
   auto entry() const -> const RegisteredTarget& { return entry_; }
   auto region() const -> const RegionName& { return region_; }
@@ -41,6 +42,7 @@
   auto Slowness(MonotonicTime now) const -> double;
   /// Whether it has been sent anything since it registered or started.
   auto used() const -> bool { return used_; }
+  auto joined() const -> bool { return joined_; }
   auto known_since() const -> MonotonicTime { return known_since_; }
 
   auto load() -> TargetLoad& { return load_; }
@@ -60,6 +62,7 @@
   MonotonicTime known_since_;
   MonotonicTime cold_until_;
   MonotonicTime last_cold_send_{};
+  bool joined_;
   bool used_ = false;
 };
 
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -94,6 +94,7 @@
     facts.returning = Ratio(*patience, usual) < kFullPatience;
   }
   Retries(facts.service).OnRequest(now);
+  fleet_.OnTraffic();
   return CarriedRequest(std::move(facts));
 }
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -176,7 +176,7 @@
 auto Placer::Neglected(const std::vector<FleetTarget*>& candidates, MonotonicTime now) const
     -> FleetTarget* {
   for (auto* target : candidates) {
-    if (!target->used() && target->entry().joined && now - target->known_since() >= kNeglectTime) {
+    if (now - target->known_since() >= kNeglectTime) {
       return target;
     }
   }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -85,7 +85,7 @@
     std::vector<FleetTarget*> fed;
     for (auto* target : fleet_.TargetsOf(query.service)) {
       if (!IsCandidate(*target, query, now)) continue;
-      const bool untried = target->entry().joined && !target->used();
+      const bool untried = target->joined() && !target->used();
       const bool feeds = (target->IsCold(now) || untried) && feeds_cold(*target);
       if (target->IsCold(now) && (!feeds || !target->ColdTurn(query.cold_spacing, now))) continue;
       candidates.push_back(target);
--- a/src/gateway/registered_target.h
+++ b/src/gateway/registered_target.h
@@ -17,7 +17,6 @@
   int slots = 1;             ///< Requests that it works on at the same time.
   bool draining = false;     ///< It is about to stop and must get no new requests.
   Duration cold_left{};      ///< How much longer it is slow after its start, when it registered.
-  bool joined = false;       ///< It registered after this node had read the whole registry.
   std::int64_t start_id = 0; ///< Differs from one start to the next of the same instance.
 
   friend auto operator==(const RegisteredTarget&, const RegisteredTarget&) -> bool = default;
