--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -55,11 +55,12 @@
         target_client_(workers_, TargetLimits()),
         store_client_(workers_, StoreLimits()),
         store_(store_client_, settings_.store),
-        follower_(store_, workers_, log_, [this](const StoreChange& change) { OnChange(change); },
-                  [this] { OnBatch(); }),
+        follower_(
+            store_, workers_, log_, [this](const StoreChange& change) { OnChange(change); },
+            [this] { OnBatch(); }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
-                   Formats::WriteEntryVm({settings_.node, settings_.zone, settings_.region,
-                                          settings_.callers})),
+                   Formats::WriteEntryVm(
+                       {settings_.node, settings_.zone, settings_.region, settings_.callers})),
         carrier_(core_, target_client_, workers_, log_, metrics_),
         prober_(core_, target_client_, log_),
         callers_server_(workers_, CallerServerLimits(CallerLimits()),
@@ -75,11 +76,10 @@
   auto operator=(const EdgeNode&) -> EdgeNode& = delete;
 
   auto Start() -> absl::Status {
-    for (const auto& [server, endpoint] :
-         {std::pair{&callers_server_, &settings_.callers},
-          std::pair{&readiness_server_, &settings_.readiness},
-          std::pair{&directory_server_, &settings_.directory},
-          std::pair{&metrics_server_, &settings_.metrics}}) {
+    for (const auto& [server, endpoint] : {std::pair{&callers_server_, &settings_.callers},
+                                           std::pair{&readiness_server_, &settings_.readiness},
+                                           std::pair{&directory_server_, &settings_.directory},
+                                           std::pair{&metrics_server_, &settings_.metrics}}) {
       const auto bound = server->Listen(*endpoint);
       if (!bound.ok()) return bound.status();
     }
@@ -184,8 +184,8 @@
   auto Directory(const HttpRequest& request) -> HttpResponse {
     const auto query = Messages::ReadDirectoryQuery(request);
     if (!query.has_value()) return WithStatus(404);
-    const auto answer = core_.roster().Answer(query->zone, query->region,
-                                              AllowedRegions(query->host), Now());
+    const auto answer =
+        core_.roster().Answer(query->zone, query->region, AllowedRegions(query->host), Now());
     metrics_.Increment(Metric::kLookups, {{"result", answer.callers.empty() ? "none" : "found"}});
     return Messages::DirectoryAnswer(answer.callers, answer.lifetime);
   }
@@ -231,8 +231,9 @@
     auto policy = Formats::ReadPolicy(*change.value);
     if (!policy.ok()) {
       metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "policy"}});
-      log_.Write(LogLevel::kError, "configuration-rejected",
-                 {{"revision", change.revision}, {"error", std::string(policy.status().message())}});
+      log_.Write(
+          LogLevel::kError, "configuration-rejected",
+          {{"revision", change.revision}, {"error", std::string(policy.status().message())}});
       return;
     }
     const auto version = policy->version.value();
@@ -278,8 +279,8 @@
                 {"zone", target->zone.value()},
                 {"endpoint", target->endpoint.Text()},
                 {"state", target->draining ? "draining" : "ready"},
-                {"cold_ms", std::chrono::duration_cast<std::chrono::milliseconds>(target->cold_left)
-                                .count()},
+                {"cold_ms",
+                 std::chrono::duration_cast<std::chrono::milliseconds>(target->cold_left).count()},
                 {"revision", change.revision}});
   }
 
@@ -287,10 +288,9 @@
     if (!change.value.has_value()) {
       const bool in_doubt = follower_.mirror().InDoubt(Now());
       core_.roster().Withdraw(name, in_doubt, Now());
-      log_.Write(LogLevel::kInfo, "entry-vm-removed",
-                 {{"node", name.value()},
-                  {"in_doubt", in_doubt ? 1 : 0},
-                  {"revision", change.revision}});
+      log_.Write(
+          LogLevel::kInfo, "entry-vm-removed",
+          {{"node", name.value()}, {"in_doubt", in_doubt ? 1 : 0}, {"revision", change.revision}});
       if (name == settings_.node) announcer_.OnRemoved();
       return;
     }
@@ -301,10 +301,9 @@
       return;
     }
     core_.roster().Announce(*vm, Now());
-    log_.Write(LogLevel::kInfo, "entry-vm",
-               {{"node", name.value()},
-                {"callers", vm->callers.Text()},
-                {"revision", change.revision}});
+    log_.Write(
+        LogLevel::kInfo, "entry-vm",
+        {{"node", name.value()}, {"callers", vm->callers.Text()}, {"revision", change.revision}});
   }
 
   auto OnBatch() -> void {
@@ -329,9 +328,9 @@
     stop_began_ = Now();
     log_.Write(LogLevel::kInfo, "stopping",
                {{"in_flight", carrier_.active()},
-                {"grace_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                                 settings_.bounds.stop_grace)
-                                 .count()}});
+                {"grace_ms",
+                 std::chrono::duration_cast<std::chrono::milliseconds>(settings_.bounds.stop_grace)
+                     .count()}});
     announcer_.Withdraw();
     callers_server_.BeginClosing();
     carrier_.BeginStop(settings_.bounds.stop_grace);
--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -21,8 +21,7 @@
            "The entry VM's name; unique in the deployment.")
       .Add("zone", &EdgeSettings::zone, kRequired, Name<ZoneName>(),
            "The availability zone of the VM.")
-      .Add("region", &EdgeSettings::region, kRequired, Name<RegionName>(),
-           "The region of the VM.");
+      .Add("region", &EdgeSettings::region, kRequired, Name<RegionName>(), "The region of the VM.");
 }
 
 auto ListenKeys() -> KeyTable<EdgeSettings> {
@@ -78,8 +77,9 @@
   const auto* value = root.Find(kZonesTable);
   const auto* table = value == nullptr ? nullptr : std::get_if<TomlValue::Table>(&value->value);
   if (table == nullptr) {
-    faults.Add(root.position, "zones: the table is missing; expected ZONE = \"REGION\" for each "
-                              "availability zone");
+    faults.Add(root.position,
+               "zones: the table is missing; expected ZONE = \"REGION\" for each "
+               "availability zone");
     return;
   }
   for (const auto& entry : *table) {
@@ -97,11 +97,11 @@
 }  // namespace
 
 auto EdgeSettingsSections() -> const std::vector<EdgeSettingsSection>& {
-  static const std::vector<EdgeSettingsSection> kSections = {
+  static const std::vector<EdgeSettingsSection> sections = {
       {"node", NodeKeys(), true},      {"listen", ListenKeys(), true}, {"store", StoreKeys(), true},
       {"bounds", BoundsKeys(), false}, {"log", LogKeys(), false},
   };
-  return kSections;
+  return sections;
 }
 
 auto ReadEdgeSettings(std::string_view text, const std::string& file)
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -72,6 +72,6 @@
 /// All that a platform says in its own way.
 template <class T>
 concept PlatformAdapter = GatewayStore<typename T::Store> && StoreFormat<typename T::StoreFormat> &&
-                          MessageFormat<typename T::MessageFormat>;
+    MessageFormat<typename T::MessageFormat>;
 
 }  // namespace heatherspan
--- a/src/edge/request_carrier.h
+++ b/src/edge/request_carrier.h
@@ -54,9 +54,9 @@
       Reject(id, Format::NoRoute(), Reason::kUnknownRoute, respond);
       return;
     }
-    auto active = std::make_shared<Active>(
-        core_.Admit(id, *route, fields.object, fields.patience, now), std::move(request),
-        std::move(respond));
+    auto active =
+        std::make_shared<Active>(core_.Admit(id, *route, fields.object, fields.patience, now),
+                                 std::move(request), std::move(respond));
     if (active->request.disconnect != nullptr) {
       active->request.disconnect->on_disconnect = [this, weak = std::weak_ptr(active)] {
         if (const auto held = weak.lock()) OnCallerGone(held);
@@ -92,9 +92,7 @@
  private:
   struct Active {
     Active(CarriedRequest carried, HttpRequest original, HttpServer::Responder responder)
-        : life(std::move(carried)),
-          request(std::move(original)),
-          respond(std::move(responder)) {}
+        : life(std::move(carried)), request(std::move(original)), respond(std::move(responder)) {}
 
     CarriedRequest life;
     HttpRequest request;
@@ -110,8 +108,7 @@
   static auto Now() -> MonotonicTime { return SystemClock().Now(); }
 
   static auto Scale(Duration duration, double factor) -> Duration {
-    return Duration(
-        static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
   }
 
   static auto Milliseconds(Duration duration) -> std::int64_t {
@@ -141,8 +138,8 @@
     auto& life = active->life;
     const auto result = core_.Place(life, now);
     if (!result.placement.has_value()) {
-      const auto reason = result.cause == NoPlacement::kNoTarget ? Reason::kNoTarget
-                                                                 : Reason::kOverload;
+      const auto reason =
+          result.cause == NoPlacement::kNoTarget ? Reason::kNoTarget : Reason::kOverload;
       Conclude(active, life.OnNoTarget(), reason, result.retry_after, HttpResponse());
       return;
     }
@@ -163,10 +160,9 @@
     if (active->life.facts().route.repeat == RepeatRule::kAtMostOnce) {
       options.max_idle = kMaxIdleForOnce;
     }
-    active->exchange = client_.Send(endpoint, std::move(request), time_left + kClientMargin,
-                                    options, [this, active](HttpResult result) {
-                                      OnResult(active, std::move(result));
-                                    });
+    active->exchange =
+        client_.Send(endpoint, std::move(request), time_left + kClientMargin, options,
+                     [this, active](HttpResult result) { OnResult(active, std::move(result)); });
   }
 
   auto OnResult(const ActivePtr& active, HttpResult result) -> void {
--- a/src/experiment/load_model.cc
+++ b/src/experiment/load_model.cc
@@ -21,7 +21,9 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
-auto Seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+auto Seconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
 
 auto PolicyOf(const LoadScenario& scenario) -> TrafficPolicy {
   Route route;
@@ -290,8 +292,7 @@
   if (call->over || call->job != job) return;
   jobs_.erase(job);
   call->job = 0;
-  const auto step =
-      call->vm->core->EndAttempt(*call->life, *call->attempt, end, load, time_.now());
+  const auto step = call->vm->core->EndAttempt(*call->life, *call->attempt, end, load, time_.now());
   if (step == RequestStep::kPlace) {
     Place(call);
     return;
--- a/src/experiment/load_outcome.h
+++ b/src/experiment/load_outcome.h
@@ -28,11 +28,11 @@
   OutcomeCounts total;
   std::map<ZoneName, OutcomeCounts> by_zone;
   std::vector<OutcomeCounts> by_second;  ///< By the second in which the caller first asked.
-  int cold_runs = 0;      ///< Requests that met a target which did not know their object.
+  int cold_runs = 0;  ///< Requests that met a target which did not know their object.
   int distinct_objects = 0;
-  int target_refusals = 0;  ///< Attempts that a target refused.
-  int arrivals = 0;         ///< Attempts that reached a target.
-  int left_region = 0;      ///< Attempts at targets of another region.
+  int target_refusals = 0;              ///< Attempts that a target refused.
+  int arrivals = 0;                     ///< Attempts that reached a target.
+  int left_region = 0;                  ///< Attempts at targets of another region.
   std::map<TargetName, int> by_target;  ///< Arrivals.
 
   /// All requests first asked in that span of seconds.
--- a/src/experiment/load_scenario.h
+++ b/src/experiment/load_scenario.h
@@ -48,7 +48,7 @@
 
   // Targets.
   int slots = 3;
-  int queue = 9;              ///< Requests that a target keeps waiting; it refuses more.
+  int queue = 9;  ///< Requests that a target keeps waiting; it refuses more.
   int remembered_objects = 12;
   bool reports_load = true;
   Duration cold_time = std::chrono::seconds(3);
--- a/src/experiment/model_target.cc
+++ b/src/experiment/model_target.cc
@@ -34,10 +34,9 @@
     const bool known = Knows(job.object);
     const double factor = slowness_ * (known ? warm_factor_ : 1);
     ++running_;
-    started.push_back({job,
-                       Duration(static_cast<Duration::rep>(
-                           static_cast<double>(job.work.count()) * factor)),
-                       !known});
+    started.push_back(
+        {job, Duration(static_cast<Duration::rep>(static_cast<double>(job.work.count()) * factor)),
+         !known});
   }
   return started;
 }
--- a/src/experiment/model_target.h
+++ b/src/experiment/model_target.h
@@ -41,8 +41,8 @@
 
   /// False: refused for want of room.
   auto Offer(const Job& job) -> bool;
-  /// The next job that can start now, if any; the caller ends it after the time it takes. Jobs whose
-  /// deadline has passed are given to the function and dropped.
+  /// The next job that can start now, if any; the caller ends it after the time it takes. Jobs
+  /// whose deadline has passed are given to the function and dropped.
   auto StartNext(MonotonicTime now, const std::function<void(const Job&)>& expired)
       -> std::vector<Started>;
   auto OnEnd() -> void { --running_; }
--- a/src/gateway/carried_request.cc
+++ b/src/gateway/carried_request.cc
@@ -67,7 +67,8 @@
 
 CarriedRequest::CarriedRequest(Facts facts)
     : facts_(std::move(facts)),
-      give_up_at_(facts_.arrived + std::min(facts_.caller_patience - kAnswerTime, facts_.route.timeout)) {}
+      give_up_at_(facts_.arrived +
+                  std::min(facts_.caller_patience - kAnswerTime, facts_.route.timeout)) {}
 
 auto CarriedRequest::ObjectiveLeft(MonotonicTime now) const -> Duration {
   return facts_.route.objective - (now - facts_.arrived);
--- a/src/gateway/carried_request.h
+++ b/src/gateway/carried_request.h
@@ -15,12 +15,12 @@
 
 /// How an attempt at one target ended.
 enum class AttemptEnd {
-  kAnswered,     ///< A complete response that is no failure.
-  kFailed,       ///< A complete response that reports a failure of the target.
-  kRefused,      ///< The target said that it did not run the request.
-  kReplaced,     ///< Another instance has the address; the request was not run.
-  kNotSent,      ///< Nothing was written: no connection.
-  kLost,         ///< Written, but without a complete response.
+  kAnswered,  ///< A complete response that is no failure.
+  kFailed,    ///< A complete response that reports a failure of the target.
+  kRefused,   ///< The target said that it did not run the request.
+  kReplaced,  ///< Another instance has the address; the request was not run.
+  kNotSent,   ///< Nothing was written: no connection.
+  kLost,      ///< Written, but without a complete response.
 };
 
 /// Whether the target may have run the request.
@@ -45,7 +45,7 @@
  public:
   struct Facts {
     RequestId id;
-    Route route;          ///< As it was when the request arrived.
+    Route route;  ///< As it was when the request arrived.
     ServiceName service;
     ObjectHash object = 0;
     MonotonicTime arrived;
@@ -91,7 +91,7 @@
   std::vector<TargetName> tried_;
   Verdict verdict_ = Verdict::kNotRun;
   Reason last_reason_ = Reason::kNone;
-  int possible_runs_ = 0;   ///< Attempts that may have run it.
+  int possible_runs_ = 0;  ///< Attempts that may have run it.
   bool in_flight_ = false;
   bool has_response_ = false;  ///< The last attempt brought a response that may be passed on.
 };
--- a/src/gateway/entry_roster.cc
+++ b/src/gateway/entry_roster.cc
@@ -83,8 +83,8 @@
 
 auto IsColdFeeder(const std::vector<EntryVm>& vms, const NodeName& self, const TargetName& target,
                   const ZoneName& target_zone, int feeders) -> bool {
-  const auto own = std::find_if(vms.begin(), vms.end(),
-                                [&](const EntryVm& vm) { return vm.name == self; });
+  const auto own =
+      std::find_if(vms.begin(), vms.end(), [&](const EntryVm& vm) { return vm.name == self; });
   // A node that isn't announced can't know its rank.
   if (own == vms.end()) return false;
   const auto rank_of = [&](const EntryVm& vm) {
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -5,8 +5,7 @@
 
 namespace heatherspan {
 
-Fleet::Fleet(Regions regions, Duration recheck)
-    : regions_(std::move(regions)), recheck_(recheck) {}
+Fleet::Fleet(Regions regions, Duration recheck) : regions_(std::move(regions)), recheck_(recheck) {}
 
 auto Fleet::RegionOf(const ZoneName& zone) const -> RegionName {
   const auto found = regions_.find(zone);
@@ -23,11 +22,10 @@
   if (known != nullptr) Unlist(*known);
   known = std::make_unique<FleetTarget>(entry, RegionOf(entry.zone), has_traffic_, now);
   auto& list = by_service_[entry.service];
-  const auto position =
-      std::lower_bound(list.begin(), list.end(), entry.name,
-                       [](const FleetTarget* target, const TargetName& name) {
-                         return target->entry().name < name;
-                       });
+  const auto position = std::lower_bound(list.begin(), list.end(), entry.name,
+                                         [](const FleetTarget* target, const TargetName& name) {
+                                           return target->entry().name < name;
+                                         });
   list.insert(position, known.get());
 }
 
@@ -60,9 +58,9 @@
 }
 
 auto Fleet::TargetsOf(const ServiceName& service) const -> const std::vector<FleetTarget*>& {
-  static const std::vector<FleetTarget*> kNone;
+  static const std::vector<FleetTarget*> none;
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  return found == by_service_.end() ? none : found->second;
 }
 
 auto Fleet::MayUse(const FleetTarget& target) const -> bool {
--- a/src/gateway/fleet_target.cc
+++ b/src/gateway/fleet_target.cc
@@ -17,8 +17,7 @@
 
 }  // namespace
 
-FleetTarget::FleetTarget(RegisteredTarget entry, RegionName region, bool joined,
-                         MonotonicTime now)
+FleetTarget::FleetTarget(RegisteredTarget entry, RegionName region, bool joined, MonotonicTime now)
     : entry_(std::move(entry)),
       region_(std::move(region)),
       hash_(StableHash(entry_.name.value())),
--- a/src/gateway/fleet_target.h
+++ b/src/gateway/fleet_target.h
@@ -30,8 +30,8 @@
   /// Whether a cold target may get a request now, at one request in each spacing.
   auto ColdTurn(Duration spacing, MonotonicTime now) const -> bool;
 
-  auto Begin(AttemptNumber attempt, Duration longest, Duration expected_work,
-             ObjectHash object, MonotonicTime now) -> void;
+  auto Begin(AttemptNumber attempt, Duration longest, Duration expected_work, ObjectHash object,
+             MonotonicTime now) -> void;
   /// The attempt is over; `sign` says what it has shown, if anything.
   auto End(AttemptNumber attempt, ObjectHash object, std::optional<TargetSign> sign,
            MonotonicTime now) -> Duration;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -25,13 +25,14 @@
 }
 
 auto Ratio(Duration a, Duration b) -> double {
-  return static_cast<double>(a.count()) / static_cast<double>(std::max<Duration::rep>(1, b.count()));
+  return static_cast<double>(a.count()) /
+         static_cast<double>(std::max<Duration::rep>(1, b.count()));
 }
 
 /// Whether the work looks like that of a target that knew the object.
 auto LooksWarm(Duration work, const WorkEstimate& estimate) -> bool {
-  const double between = std::sqrt(Ratio(estimate.warm, Duration(1)) *
-                                   Ratio(estimate.cold, Duration(1)));
+  const double between =
+      std::sqrt(Ratio(estimate.warm, Duration(1)) * Ratio(estimate.cold, Duration(1)));
   return static_cast<double>(work.count()) < between;
 }
 
@@ -41,8 +42,8 @@
     : options_(std::move(options)),
       random_(seed),
       fleet_(options_.zones,
-             Duration(static_cast<Duration::rep>(
-                 static_cast<double>(options_.heartbeat.count()) * kRecheckHeartbeats))),
+             Duration(static_cast<Duration::rep>(static_cast<double>(options_.heartbeat.count()) *
+                                                 kRecheckHeartbeats))),
       split_(options_.place.region),
       placer_(options_.place, fleet_, estimates_, split_),
       balance_(options_.balance),
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -104,9 +104,8 @@
 
 auto Placer::IsAllowed(const FleetTarget& target, const PlacementQuery& query) const -> bool {
   const auto& allowed = query.route->allowed_regions;
-  return fleet_.MayUse(target) &&
-         (allowed.empty() ||
-          std::find(allowed.begin(), allowed.end(), target.region()) != allowed.end());
+  return fleet_.MayUse(target) && (allowed.empty() || std::find(allowed.begin(), allowed.end(),
+                                                                target.region()) != allowed.end());
 }
 
 auto Placer::IsCandidate(const FleetTarget& target, const PlacementQuery& query,
@@ -122,11 +121,11 @@
   std::vector<RegionCapacity> capacities;
   for (const auto* target : fleet_.TargetsOf(query.service)) {
     if (!IsAllowed(*target, query)) continue;
-    const auto position = std::lower_bound(
-        capacities.begin(), capacities.end(), target->region(),
-        [](const RegionCapacity& capacity, const RegionName& name) {
-          return capacity.region < name;
-        });
+    const auto position =
+        std::lower_bound(capacities.begin(), capacities.end(), target->region(),
+                         [](const RegionCapacity& capacity, const RegionName& name) {
+                           return capacity.region < name;
+                         });
     if (position != capacities.end() && position->region == target->region()) {
       position->slots += target->entry().slots;
     } else {
@@ -171,11 +170,12 @@
                       .network = Network(target)};
   const auto objective = query.route->objective;
   const bool once = query.route->repeat == RepeatRule::kAtMostOnce;
-  const double failure_cost = target.health().FailureRate(now) *
-                              (once ? kFailureCostOnce : kFailureCostIdempotent);
+  const double failure_cost =
+      target.health().FailureRate(now) * (once ? kFailureCostOnce : kFailureCostIdempotent);
   ranked.cost = ranked.placement.completion() + Scale(objective, failure_cost);
   if (query.route->session_affinity) {
-    const double crowding = 1 + kCrowdedMissCost * Crowding(query.service, target.region(), kMissFrom, now);
+    const double crowding =
+        1 + kCrowdedMissCost * Crowding(query.service, target.region(), kMissFrom, now);
     ranked.cost += Scale(estimate.cold - estimate.warm, (1 - warm) * kMissCost * crowding);
     if (role == Role::kSecond) ranked.cost += Scale(objective, kSecondCost);
     if (role == Role::kAway) ranked.cost += Scale(objective, kAwayCost);
@@ -210,9 +210,8 @@
     return tops.emplace_back(region, TopTwo()).second;
   };
   for (const auto* target : candidates) {
-    top_of(target->region()).Add(RendezvousScore(query.object, target->hash(),
-                                                 target->entry().slots),
-                                 target);
+    top_of(target->region())
+        .Add(RendezvousScore(query.object, target->hash(), target->entry().slots), target);
   }
   std::optional<Ranked> best;
   for (auto* target : candidates) {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -8,8 +8,8 @@
 #include "base/time.h"
 #include "gateway/fleet.h"
 #include "gateway/object_memory.h"
-#include "gateway/route.h"
 #include "gateway/region_split.h"
+#include "gateway/route.h"
 #include "gateway/work_estimates.h"
 
 namespace heatherspan {
@@ -41,7 +41,7 @@
 /// A target and what is expected of it.
 struct Placement {
   FleetTarget* target = nullptr;
-  Duration wait{};     ///< Until it begins to work.
+  Duration wait{};          ///< Until it begins to work.
   Duration work{};          ///< Expected; between that of a warm and of a cold target.
   Duration longest_work{};  ///< If it does not know the object.
   Duration network{};
@@ -109,8 +109,8 @@
   auto ChooseAmong(const std::vector<FleetTarget*>& candidates,
                    const std::vector<FleetTarget*>& fed, const PlacementQuery& query,
                    MonotonicTime now, Random& random) const -> PlacementResult;
-  auto Predict(FleetTarget& target, const PlacementQuery& query, Role role,
-               MonotonicTime now) const -> Ranked;
+  auto Predict(FleetTarget& target, const PlacementQuery& query, Role role, MonotonicTime now) const
+      -> Ranked;
   auto Neglected(const std::vector<FleetTarget*>& candidates, MonotonicTime now) const
       -> FleetTarget*;
   /// How far the use of a region's targets is above `from`: 0 not at all, 1 by kCrowdedBand.
--- a/src/gateway/region_split.cc
+++ b/src/gateway/region_split.cc
@@ -33,7 +33,9 @@
 constexpr std::uint64_t kKeepSeed = 0x6b656570;
 constexpr std::uint64_t kRemoteSeed = 0x72656d6f;
 
-auto Seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+auto Seconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
 
 auto Uniform(ObjectHash object, std::uint64_t seed) -> double {
   constexpr double kSteps = 9007199254740992.0;  // 2^53
@@ -47,8 +49,8 @@
   return 0;
 }
 
-/// The most that a region keeps: callers are taken to be alike in all regions, so that it is as much
-/// as the capacity is of the mean.
+/// The most that a region keeps: callers are taken to be alike in all regions, so that it is as
+/// much as the capacity is of the mean.
 auto CapacityShare(const std::vector<RegionCapacity>& capacities, int own_slots) -> double {
   double total = 0;
   for (const auto& capacity : capacities) total += capacity.slots;
@@ -71,8 +73,8 @@
   use.updated = now;
 }
 
-auto RegionSplit::Use(const ServiceName& service, const RegionName& region,
-                      MonotonicTime now) const -> std::optional<double> {
+auto RegionSplit::Use(const ServiceName& service, const RegionName& region, MonotonicTime now) const
+    -> std::optional<double> {
   const auto found = uses_.find({service, region});
   if (found == uses_.end() || now - found->second.updated > kUseMemory) return std::nullopt;
   return found->second.value;
@@ -111,8 +113,7 @@
   for (const auto& capacity : capacities) {
     if (capacity.region == own_) continue;
     const double room =
-        capacity.slots *
-        std::max(kLeastRoom, 1 - Use(service, capacity.region, now).value_or(0));
+        capacity.slots * std::max(kLeastRoom, 1 - Use(service, capacity.region, now).value_or(0));
     const double score = RendezvousScore(CombineHash(object, kRemoteSeed),
                                          StableHash(capacity.region.value()), room);
     if (score > best_score) {
--- a/src/gateway/retry_window.h
+++ b/src/gateway/retry_window.h
@@ -13,8 +13,8 @@
  public:
   struct Limits {
     Duration window = std::chrono::seconds(10);
-    double ratio = 0.1;      ///< Repeats for each request.
-    double allowance = 10;   ///< Repeats in each window, of all entry VMs together.
+    double ratio = 0.1;     ///< Repeats for each request.
+    double allowance = 10;  ///< Repeats in each window, of all entry VMs together.
   };
 
   explicit RetryWindow(Limits limits) : limits_(limits) {}
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -19,8 +19,8 @@
   static constexpr Duration kDoubtTime = std::chrono::seconds(3);
 
   struct NextCall {
-    bool list = true;             ///< Else watch.
-    std::string after_key;        ///< For a list: where the page begins.
+    bool list = true;                  ///< Else watch.
+    std::string after_key;             ///< For a list: where the page begins.
     std::uint64_t after_revision = 0;  ///< For a watch.
   };
 
--- a/src/gateway/target_load.cc
+++ b/src/gateway/target_load.cc
@@ -12,7 +12,9 @@
 /// How long a report holds, seconds: at a busy target the next one comes sooner.
 constexpr double kHoldSeconds = 0.5;
 
-auto Seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+auto Seconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
 
 auto FromSeconds(double seconds) -> Duration {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -30,9 +32,9 @@
 }
 
 auto TargetLoad::End(AttemptNumber attempt, MonotonicTime now) -> Duration {
-  const auto found = std::find_if(attempts_.begin(), attempts_.end(), [&](const Attempt& candidate) {
-    return candidate.number == attempt;
-  });
+  const auto found =
+      std::find_if(attempts_.begin(), attempts_.end(),
+                   [&](const Attempt& candidate) { return candidate.number == attempt; });
   if (found == attempts_.end()) return Duration::zero();
   const auto took = now - found->begin;
   attempts_.erase(found);
--- a/src/gateway/traffic_policy.h
+++ b/src/gateway/traffic_policy.h
@@ -14,8 +14,8 @@
 struct ServicePolicy {
   ServiceName name;
   std::string health_path;
-  int max_connections = 1;  ///< Of one target, from all callers together.
-  Duration cold_time{};     ///< How long a target is cold after its start.
+  int max_connections = 1;              ///< Of one target, from all callers together.
+  Duration cold_time{};                 ///< How long a target is cold after its start.
   double cold_requests_per_second = 0;  ///< What a cold target bears.
 };
 
--- a/src/gateway/work_estimates.cc
+++ b/src/gateway/work_estimates.cc
@@ -29,8 +29,7 @@
   value = std::clamp(sample, low, high);
 }
 
-auto WorkEstimates::Estimate(const Route& route, const ServiceName& service) const
-    -> WorkEstimate {
+auto WorkEstimates::Estimate(const Route& route, const ServiceName& service) const -> WorkEstimate {
   const WorkEstimate initial{Scale(route.objective, kInitialWarm),
                              Scale(route.objective, kInitialCold)};
   const auto found = entries_.find({route.name, service});
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -40,7 +40,7 @@
 class HttpClient::Impl {
  public:
   Impl(WorkerPool& workers, Limits limits)
-      : workers_(workers), state_(std::make_shared<HttpClientState>(limits)) {}
+      : workers_(workers), state_(std::make_shared<HttpClientState>(std::move(limits))) {}
 
   ~Impl() {
     for (const auto& connection : state_->Stop()) connection->Close();
@@ -54,8 +54,9 @@
     if (auto status = CheckRequestText(request); !status.ok()) {
       return FailLater(std::move(status), std::move(callback));
     }
-    auto connection = state_->Take(
-        endpoint, options.max_idle, [&] { return HttpClientConnection::Create(workers_, endpoint, state_); });
+    auto connection = state_->Take(endpoint, options.max_idle, [&] {
+      return HttpClientConnection::Create(workers_, endpoint, state_);
+    });
     if (connection == nullptr) {
       return FailLater(absl::ResourceExhaustedError(fmt::format(
                            "all {} connections to {} are in use",
@@ -81,7 +82,7 @@
 };
 
 HttpClient::HttpClient(WorkerPool& workers, Limits limits)
-    : impl_(std::make_shared<Impl>(workers, limits)) {}
+    : impl_(std::make_shared<Impl>(workers, std::move(limits))) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -41,9 +41,9 @@
     bool accept_unframed_responses = false;
     /// Sends the request's own Host field instead of the endpoint.
     bool forward_host = false;
-    /// A header field whose value a response has to repeat. A response with another value belongs to
-    /// another request: it is dropped, and the connection is closed after the exchange.
-    std::string correlation_header;
+    /// A header field whose value a response has to repeat. A response with another value belongs
+    /// to another request: it is dropped, and the connection is closed after the exchange.
+    std::string correlation_header = {};
   };
 
   /// What differs from one request to the next.
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -51,8 +51,8 @@
         timer_(strand_),
         endpoint_(std::move(endpoint)),
         client_(std::move(client)),
-        reader_(client_->limits().max_response_bytes,
-                client_->limits().accept_unframed_responses) {}
+        reader_(client_->limits().max_response_bytes, client_->limits().accept_unframed_responses) {
+  }
 
   auto Begin(std::uint64_t exchange, HttpRequest request, Duration timeout,
              HttpClient::Callback callback) -> void override {
--- a/src/net/http_client_state.h
+++ b/src/net/http_client_state.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <string>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -19,7 +20,7 @@
 /// The connections of an HttpClient, by endpoint. Thread-safe.
 class HttpClientState {
  public:
-  explicit HttpClientState(HttpClient::Limits limits) : limits_(limits) {}
+  explicit HttpClientState(HttpClient::Limits limits) : limits_(std::move(limits)) {}
 
   auto limits() const -> const HttpClient::Limits& { return limits_; }
 
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -239,9 +239,7 @@
 auto HttpResponseReader::done() const -> bool { return impl_->done(); }
 auto HttpResponseReader::error() const -> HttpReadError { return impl_->error(); }
 auto HttpResponseReader::keep_alive() const -> bool { return impl_->parser().keep_alive(); }
-auto HttpResponseReader::response() const -> const HttpResponse& {
-  return impl_->parser().message;
-}
+auto HttpResponseReader::response() const -> const HttpResponse& { return impl_->parser().message; }
 auto HttpResponseReader::Take() -> HttpResponse { return impl_->Take(); }
 
 }  // namespace heatherspan
--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -77,7 +77,7 @@
   /// Writes in the calling thread.
   explicit Impl(spdlog::sink_ptr sink)
       : logger(std::make_shared<spdlog::logger>("heatherspan", std::move(sink))),
-        budget(std::numeric_limits<int>::max()) {
+        budget_(std::numeric_limits<int>::max()) {
     Configure();
   }
 
@@ -85,12 +85,12 @@
       : pool(std::make_shared<spdlog::details::thread_pool>(kQueueLines, 1)),
         logger(std::make_shared<spdlog::async_logger>(
             "heatherspan", std::move(sink), pool, spdlog::async_overflow_policy::overrun_oldest)),
-        budget(lines_per_second) {
+        budget_(lines_per_second) {
     Configure();
   }
 
   auto Log(LogLevel level, const std::string& line) -> void {
-    const auto verdict = budget.Take(std::chrono::steady_clock::now(), Lost());
+    const auto verdict = budget_.Take(std::chrono::steady_clock::now(), Lost());
     if (!verdict.notice.empty()) logger->log(spdlog::level::warn, verdict.notice);
     if (verdict.write) logger->log(SpdlogLevel(level), line);
   }
@@ -106,14 +106,14 @@
 
   auto Lost() const -> std::size_t { return pool == nullptr ? 0 : pool->overrun_counter(); }
 
-  LineBudget budget;
+  LineBudget budget_;
 };
 
 EventLog::EventLog(LogLevel threshold, int lines_per_second) : threshold_(threshold) {
   // One write for each line.
   std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
-  impl_ = std::make_unique<Impl>(std::make_shared<spdlog::sinks::stdout_sink_mt>(),
-                                 lines_per_second);
+  impl_ =
+      std::make_unique<Impl>(std::make_shared<spdlog::sinks::stdout_sink_mt>(), lines_per_second);
   impl_->logger->set_formatter(
       std::make_unique<spdlog::pattern_formatter>(kPattern, spdlog::pattern_time_type::utc));
 }
--- a/src/observe/line_budget.cc
+++ b/src/observe/line_budget.cc
@@ -11,9 +11,8 @@
     second_began_ = now;
     written_ = 0;
     if (suppressed_ > 0 || lost > reported_lost_) {
-      answer.notice =
-          fmt::format("event=log-lines-left-out over_rate={} reader_too_slow={}", suppressed_,
-                      lost - reported_lost_);
+      answer.notice = fmt::format("event=log-lines-left-out over_rate={} reader_too_slow={}",
+                                  suppressed_, lost - reported_lost_);
       suppressed_ = 0;
       reported_lost_ = lost;
     }
--- /dev/null
+++ b/tests/edge/edge_node_test.cc
@@ -0,0 +1,334 @@
+#include "edge/edge_node.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <optional>
+#include <ostream>
+#include <thread>
+
+#include "kv_standin.h"
+#include "locked_lines.h"
+#include "platform/platform_adapter.h"
+#include "scripted_backend.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kLong = seconds(10);
+
+auto Policy(int version, const std::string& service = "s") -> std::string {
+  return R"({"version":"r)" + std::to_string(version) + R"(","resources":[
+    {"type":"routes","metadata":{"name":"read"},"spec":{"host":"h.example","path_prefix":"/read/","kind":"safe",
+     "timeout_s":3,"latency_slo_s":1,"priority":1,"service":")" +
+         service + R"(","max_attempts":2,"session_affinity":true}},
+    {"type":"routes","metadata":{"name":"book"},"spec":{"host":"h.example","path_prefix":"/book/","kind":"unsafe",
+     "timeout_s":3,"latency_slo_s":1,"priority":0,"service":")" +
+         service + R"(","max_attempts":2,"session_affinity":true}},
+    {"type":"services","metadata":{"name":"s"},"spec":{"health_path":"/health","max_conns":9,"cold_s":3,
+     "cold_per_s":2}}]})";
+}
+
+/// One gateway process with a stand-in for the store and scripted targets, over loopback.
+class EdgeNodeTest : public testing::Test {
+ protected:
+  EdgeNodeTest() {
+    settings_.node = NodeName("n");
+    settings_.zone = ZoneName("a");
+    settings_.region = RegionName("r");
+    settings_.zones = {{ZoneName("a"), RegionName("r")}};
+    settings_.store = store_.endpoint();
+    settings_.bounds.retry_allowance = 50;
+    settings_.bounds.stop_grace = seconds(3);
+    for (auto* endpoint :
+         {&settings_.callers, &settings_.readiness, &settings_.directory, &settings_.metrics}) {
+      *endpoint = FreeEndpoint();
+    }
+  }
+
+  ~EdgeNodeTest() override {
+    node_.reset();
+    caller_workers_.Stop();
+  }
+
+  static auto FreeEndpoint() -> Endpoint {
+    WorkerPool workers(1);
+    HttpServer server(workers, {}, [](const HttpRequest&, const HttpServer::Responder&) {});
+    const auto endpoint = *server.Listen({"127.0.0.1", 0});
+    workers.Stop();
+    return endpoint;
+  }
+
+  auto Register(const ScriptedBackend& target, const std::string& state = "ready") -> void {
+    store_.Put("servers/" + target.name(), target.Registration(state));
+  }
+
+  /// Starts the node and waits until it takes requests.
+  auto Start() -> void {
+    node_.emplace(settings_, log_, [this] { stopped_ = true; });
+    ASSERT_TRUE(node_->Start().ok());
+    ASSERT_TRUE(Eventually([&] { return store_.Has("entry/n"); }));
+  }
+
+  template <class Predicate>
+  auto Eventually(Predicate predicate) -> bool {
+    const auto end = std::chrono::steady_clock::now() + kLong;
+    while (std::chrono::steady_clock::now() < end) {
+      if (predicate()) return true;
+      std::this_thread::yield();
+    }
+    return false;
+  }
+
+  auto Get(const Endpoint& endpoint, const std::string& target) -> HttpResponse {
+    HttpRequest request;
+    request.target = target;
+    return caller_.SendAndWait(endpoint, request, kLong).response;
+  }
+
+  static auto Request(const std::string& target, const std::string& method = "GET") -> HttpRequest {
+    HttpRequest request;
+    request.method = method;
+    request.target = target;
+    request.headers = {{"Host", "h.example"},
+                       {"Heatherspan-Request-Id", "id-7"},
+                       {"Heatherspan-Deadline-Ms", "4000"},
+                       {"Cookie", "Heatherspan-Affinity-Key=5"}};
+    return request;
+  }
+
+  auto Ask(const std::string& target, const std::string& method = "GET") -> HttpResult {
+    return caller_.SendAndWait(settings_.callers, Request(target, method), kLong);
+  }
+
+  static auto Refuse(const HttpRequest& /*request*/, const HttpServer::Responder& respond) -> void {
+    HttpResponse response;
+    response.status = 503;
+    response.headers = {{"Heatherspan-Not-Executed", "1"}};
+    respond(std::move(response));
+  }
+
+  KvStandin store_;
+  LockedLines lines_;
+  std::ostream stream_{&lines_};
+  EventLog log_{LogLevel::kInfo, stream_};
+  EdgeSettings settings_;
+  std::atomic<bool> stopped_ = false;
+  WorkerPool caller_workers_{1};
+  HttpClient caller_{caller_workers_, HttpClient::Limits{.forward_host = true}};
+  std::optional<EdgeNode<FleetPlatform>> node_;
+};
+
+TEST_F(EdgeNodeTest, CarriesARequestToATarget) {
+  ScriptedBackend target("i-1");
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  const auto result = Ask("/read/x?y=z");
+  EXPECT_EQ(result.response.status, 200);
+  EXPECT_EQ(result.response.body, "answer");
+  EXPECT_EQ(result.response.Header("Heatherspan-Response-Signature"), "sig");
+  ASSERT_EQ(target.Requests().size(), 1U);
+  EXPECT_EQ(target.Requests()[0].target, "/read/x?y=z");
+  EXPECT_EQ(target.Requests()[0].Header("Heatherspan-Expected-Instance"), "i-1");
+  EXPECT_EQ(target.Requests()[0].Header("Host"), "h.example");
+  EXPECT_EQ(Get(settings_.readiness, "/heatherspan/ready").status, 200);
+  const auto named = R"({"addresses":[")" + settings_.callers.Text() + R"("],"ttl_s":2.0})";
+  EXPECT_TRUE(Eventually([&] {
+    return Get(settings_.directory, "/heatherspan/resolve?name=h.example&region=r&zone=a").body ==
+           named;
+  }));
+  EXPECT_NE(Get(settings_.metrics, "/metrics").body.find("heatherspan_requests_total"),
+            std::string::npos);
+}
+
+// Guards against a caller who can't be traced: each request leaves a line with its id and the
+// inputs.
+TEST_F(EdgeNodeTest, LogsEachRequest) {
+  ScriptedBackend target("i-1");
+  store_.Put("op/config", Policy(3));
+  Register(target);
+  Start();
+  Ask("/read/x");
+  Ask("/nowhere/x");
+  node_.reset();
+  const auto lines = lines_.Text();
+  EXPECT_NE(lines.find("event=request id=id-7 route=read service=s"), std::string::npos) << lines;
+  EXPECT_NE(lines.find("outcome=served status=200 reason=none verdict=ran"), std::string::npos);
+  EXPECT_NE(lines.find("event=request id=id-7 outcome=rejected status=404 reason=unknown-route"),
+            std::string::npos);
+  EXPECT_NE(lines.find("event=configuration-applied version=3"), std::string::npos);
+}
+
+// Guards against a process that takes requests before it knows the configuration, and against 404
+// for routes that it doesn't know yet.
+TEST_F(EdgeNodeTest, WithoutAConfigurationItRefuses) {
+  node_.emplace(settings_, log_, [] {});
+  ASSERT_TRUE(node_->Start().ok());
+  EXPECT_EQ(Get(settings_.readiness, "/heatherspan/ready").status, 503);
+  const auto result = Ask("/read/x");
+  EXPECT_EQ(result.response.status, 503);
+  EXPECT_NE(result.response.Header("Retry-After"), "");
+}
+
+// Guards against a refusal that reaches the caller although another target has room.
+TEST_F(EdgeNodeTest, ARefusedRequestGoesElsewhere) {
+  ScriptedBackend full("i-1");
+  ScriptedBackend free("i-2");
+  full.SetBehaviour(Refuse);
+  store_.Put("op/config", Policy(1));
+  Register(full);
+  Register(free);
+  Start();
+  for (int i = 0; i < 4; ++i) EXPECT_EQ(Ask("/book/x", "POST").response.status, 200);
+  EXPECT_EQ(free.Requests().size(), 4U);
+}
+
+// Guards against a booking that runs twice, and against "not run" for one that may have run.
+TEST_F(EdgeNodeTest, ALostBookingIsNotSentAgain) {
+  ScriptedBackend one("i-1");
+  ScriptedBackend two("i-2");
+  std::vector<HttpServer::Responder> held;
+  for (auto* target : {&one, &two}) {
+    target->SetBehaviour([target, &held](const HttpRequest&, const HttpServer::Responder& respond) {
+      held.push_back(respond);
+      target->Close();
+    });
+  }
+  store_.Put("op/config", Policy(1));
+  Register(one);
+  Register(two);
+  Start();
+  EXPECT_EQ(Ask("/book/x", "POST").response.status, 502);
+  EXPECT_EQ(one.Requests().size() + two.Requests().size(), 1U);
+}
+
+// Guards against a refusal by all targets that is told as a failure: nothing has run.
+TEST_F(EdgeNodeTest, WhatNoTargetRanIsRefusedTruly) {
+  ScriptedBackend full("i-1");
+  full.SetBehaviour(Refuse);
+  store_.Put("op/config", Policy(1));
+  Register(full);
+  Start();
+  const auto result = Ask("/book/x", "POST");
+  EXPECT_EQ(result.response.status, 503);
+  EXPECT_NE(result.response.Header("Retry-After"), "");
+}
+
+// Guards against new work for a target that leaves.
+TEST_F(EdgeNodeTest, ALeavingTargetGetsNothing) {
+  ScriptedBackend leaving("i-1");
+  ScriptedBackend staying("i-2");
+  store_.Put("op/config", Policy(1));
+  Register(leaving);
+  Register(staying);
+  Start();
+  Register(leaving, "draining");
+  // The next change is seen after this one.
+  store_.Put("op/config", Policy(2));
+  ASSERT_TRUE(Eventually([&] {
+    return Get(settings_.metrics, "/metrics").body.find("heatherspan_config_version 2") !=
+           std::string::npos;
+  }));
+  const auto before = leaving.Requests().size();
+  for (int i = 0; i < 10; ++i) EXPECT_EQ(Ask("/read/" + std::to_string(i)).response.status, 200);
+  EXPECT_EQ(leaving.Requests().size(), before);
+}
+
+// Guards against an older configuration that comes back into force.
+TEST_F(EdgeNodeTest, ConfigurationsNeverGoBack) {
+  ScriptedBackend target("i-1");
+  Register(target);
+  store_.Put("op/config", Policy(5));
+  Start();
+  store_.Put("op/config", Policy(4, "other"));
+  store_.Put("op/evacuate/zz", "{}");
+  ASSERT_TRUE(Eventually([&] { return lines_.Contains("zone=zz"); }));
+  EXPECT_EQ(Ask("/read/x").response.status, 200);
+}
+
+// Guards against a target that works on for a caller who has gone.
+TEST_F(EdgeNodeTest, ACallerThatLeavesEndsTheWork) {
+  ScriptedBackend target("i-1");
+  std::vector<HttpServer::Responder> held;
+  target.SetBehaviour([&held](const HttpRequest&, const HttpServer::Responder& respond) {
+    held.push_back(respond);
+  });
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  const auto exchange =
+      caller_.Send(settings_.callers, Request("/read/x"), kLong, [](const HttpResult&) {});
+  ASSERT_TRUE(Eventually([&] { return target.Requests().size() == 1; }));
+  exchange->Cancel();
+  EXPECT_TRUE(Eventually([&] { return target.Disconnects() == 1; }));
+}
+
+// Guards against a stop that cuts requests, and against one that is announced too late.
+TEST_F(EdgeNodeTest, AStopFinishesWhatIsUnderWay) {
+  ScriptedBackend target("i-1");
+  HttpServer::Responder held;
+  std::atomic<bool> has_request = false;
+  target.SetBehaviour([&](const HttpRequest&, const HttpServer::Responder& respond) {
+    held = respond;
+    has_request = true;
+  });
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  std::atomic<int> status = 0;
+  caller_.Send(settings_.callers, Request("/read/x"), kLong,
+               [&](const HttpResult& result) { status = result.response.status; });
+  ASSERT_TRUE(Eventually([&] { return has_request.load(); }));
+  node_->BeginStop();
+  EXPECT_TRUE(Eventually([&] { return !store_.Has("entry/n"); }));
+  EXPECT_EQ(Get(settings_.readiness, "/heatherspan/ready").status, 503);
+  EXPECT_FALSE(stopped_);
+  HttpResponse response;
+  response.headers = {{"Heatherspan-Response-Signature", "sig"},
+                      {"Heatherspan-Request-Id", "id-7"}};
+  held(std::move(response));
+  EXPECT_TRUE(Eventually([&] { return status.load() == 200; }));
+  EXPECT_TRUE(Eventually([&] { return stopped_.load(); }));
+}
+
+// Guards against a stop that outlasts its grace and leaves a caller without any answer.
+TEST_F(EdgeNodeTest, AStopEndsWithAnAnswer) {
+  settings_.bounds.stop_grace = seconds(1);
+  ScriptedBackend target("i-1");
+  HttpServer::Responder held;
+  std::atomic<bool> has_request = false;
+  target.SetBehaviour([&](const HttpRequest&, const HttpServer::Responder& respond) {
+    held = respond;
+    has_request = true;
+  });
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  std::atomic<int> status = 0;
+  caller_.Send(settings_.callers, Request("/book/x", "POST"), kLong,
+               [&](const HttpResult& result) { status = result.response.status; });
+  ASSERT_TRUE(Eventually([&] { return has_request.load(); }));
+  node_->BeginStop();
+  EXPECT_TRUE(Eventually([&] { return stopped_.load(); }));
+  EXPECT_EQ(status.load(), 504);
+}
+
+// Guards against a gateway that stops serving when the store does, and one that forgets to return.
+TEST_F(EdgeNodeTest, ServesWithoutTheStoreAndComesBack) {
+  ScriptedBackend target("i-1");
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  store_.SetDown(true);
+  ASSERT_TRUE(Eventually([&] { return lines_.Contains("store-lost"); }));
+  EXPECT_EQ(Ask("/read/x").response.status, 200);
+  store_.SetDown(false);
+  EXPECT_TRUE(Eventually([&] { return lines_.Contains("store-regained"); }));
+}
+
+}  // namespace
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/edge/kv_standin.cc
@@ -0,0 +1,147 @@
+#include "kv_standin.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "base/number_text.h"
+#include "base/text_parts.h"
+#include "fmt/format.h"
+
+namespace heatherspan {
+namespace {
+
+using Json = nlohmann::json;
+
+auto Answer(int status, std::string body) -> HttpResponse {
+  HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+auto Parameter(std::string_view query, std::string_view name) -> std::uint64_t {
+  for (const auto part : SplitText(query, '&')) {
+    const auto [key, value] = CutText(part, '=');
+    if (key == name) return ParseNumber<std::uint64_t>(value).value_or(0);
+  }
+  return 0;
+}
+
+auto LastNumber(std::string_view path) -> std::uint64_t {
+  return ParseNumber<std::uint64_t>(path.substr(path.rfind('/') + 1)).value_or(0);
+}
+
+auto ItemJson(const std::string& key, const std::string& value, std::uint64_t revision) -> Json {
+  return {{"key", key}, {"value", absl::Base64Escape(value)}, {"revision", revision}};
+}
+
+}  // namespace
+
+KvStandin::KvStandin()
+    : server_(workers_, {},
+              [this](const HttpRequest& request, const HttpServer::Responder& respond) {
+                Handle(request, respond);
+              }) {
+  endpoint_ = *server_.Listen({"127.0.0.1", 0});
+}
+
+KvStandin::~KvStandin() { workers_.Stop(); }
+
+auto KvStandin::Put(const std::string& key, const std::string& value) -> void {
+  const std::lock_guard lock(mutex_);
+  ++revision_;
+  items_[key] = {value, revision_, 0};
+  history_[revision_] = ItemJson(key, value, revision_).dump();
+  Notify();
+}
+
+auto KvStandin::Remove(const std::string& key) -> void {
+  const std::lock_guard lock(mutex_);
+  if (items_.erase(key) == 0) return;
+  ++revision_;
+  history_[revision_] = Json{{"key", key}, {"revision", revision_}, {"tombstone", true}}.dump();
+  Notify();
+}
+
+auto KvStandin::Has(const std::string& key) const -> bool {
+  const std::lock_guard lock(mutex_);
+  return items_.contains(key);
+}
+
+auto KvStandin::SetDown(bool down) -> void {
+  const std::lock_guard lock(mutex_);
+  down_ = down;
+  for (const auto& watch : std::exchange(watches_, {})) watch.respond(Answer(503, "{}"));
+}
+
+auto KvStandin::Notify() -> void {
+  std::vector<Watch> waiting;
+  for (auto& watch : std::exchange(watches_, {})) {
+    if (watch.after < revision_) {
+      watch.respond(Answer(200, EventsAfter(watch.after)));
+    } else {
+      waiting.push_back(std::move(watch));
+    }
+  }
+  watches_ = std::move(waiting);
+}
+
+auto KvStandin::List() const -> std::string {
+  auto items = Json::array();
+  for (const auto& [key, item] : items_) items.push_back(ItemJson(key, item.value, item.revision));
+  return Json{{"items", items}, {"has_more", false}, {"current_rev", revision_}}.dump();
+}
+
+auto KvStandin::EventsAfter(std::uint64_t revision) const -> std::string {
+  auto events = Json::array();
+  for (auto event = history_.upper_bound(revision); event != history_.end(); ++event) {
+    events.push_back(Json::parse(event->second));
+  }
+  return Json{{"events", events}, {"current_rev", revision_}}.dump();
+}
+
+auto KvStandin::Write(const std::string& body) -> std::string {
+  const auto request = Json::parse(body);
+  for (const auto& put : request.at("puts")) {
+    std::string value;
+    absl::Base64Unescape(put.at("value").get<std::string>(), &value);
+    const auto key = put.at("key").get<std::string>();
+    Put(key, value);
+    items_[key].lease = put.at("lease").get<std::uint64_t>();
+  }
+  return Json{{"revision", revision_}}.dump();
+}
+
+auto KvStandin::EndLease(std::uint64_t lease) -> void {
+  std::vector<std::string> ended;
+  for (const auto& [key, item] : items_) {
+    if (item.lease == lease) ended.push_back(key);
+  }
+  for (const auto& key : ended) Remove(key);
+}
+
+auto KvStandin::Handle(const HttpRequest& request, const HttpServer::Responder& respond) -> void {
+  const std::lock_guard lock(mutex_);
+  if (down_) {
+    respond(Answer(503, "{}"));
+    return;
+  }
+  const auto [path, query] = CutText(request.target, '?');
+  if (path.ends_with("kv-range")) {
+    respond(Answer(200, List()));
+  } else if (path.ends_with("kv-watch")) {
+    watches_.push_back({Parameter(query, "after"), respond});
+    Notify();
+  } else if (path.ends_with("kv-txn")) {
+    respond(Answer(200, Write(request.body)));
+  } else if (path.ends_with("kv-lease")) {
+    respond(Answer(200, fmt::format(R"({{"lease":{},"ttl_s_time":3}})", ++last_lease_)));
+  } else if (path.find("kv-lease-end") != std::string_view::npos) {
+    EndLease(LastNumber(path));
+    respond(Answer(200, "{}"));
+  } else {
+    respond(Answer(200, R"({"ttl_s_time":3})"));
+  }
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/edge/locked_lines.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <mutex>
+#include <streambuf>
+#include <string>
+
+namespace heatherspan {
+
+/// Keeps what is written to a stream, and can be read while others write.
+class LockedLines : public std::streambuf {
+ public:
+  auto Text() const -> std::string {
+    const std::lock_guard lock(mutex_);
+    return text_;
+  }
+  auto Contains(const std::string& part) const -> bool {
+    return Text().find(part) != std::string::npos;
+  }
+
+ protected:
+  auto overflow(int_type c) -> int_type override {
+    const std::lock_guard lock(mutex_);
+    text_ += traits_type::to_char_type(c);
+    return c;
+  }
+  auto xsputn(const char* bytes, std::streamsize count) -> std::streamsize override {
+    const std::lock_guard lock(mutex_);
+    text_.append(bytes, static_cast<std::size_t>(count));
+    return count;
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::string text_;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/edge/scripted_backend.cc
@@ -0,0 +1,62 @@
+#include "scripted_backend.h"
+
+#include "fmt/format.h"
+
+namespace heatherspan {
+
+ScriptedBackend::ScriptedBackend(std::string name)
+    : name_(std::move(name)),
+      server_(workers_, HttpServer::Limits{.watch_disconnects = true},
+              [this](const HttpRequest& request, const HttpServer::Responder& respond) {
+                Handle(request, respond);
+              }) {
+  endpoint_ = *server_.Listen({"127.0.0.1", 0});
+  SetBehaviour([](const HttpRequest& request, const HttpServer::Responder& respond) {
+    HttpResponse response;
+    response.headers = {
+        {"Heatherspan-Response-Signature", "sig"},
+        {"Heatherspan-Request-Id", std::string(request.Header("Heatherspan-Request-Id"))},
+        {"Heatherspan-Backend-Load", "1,0,3"}};
+    response.body = "answer";
+    respond(std::move(response));
+  });
+}
+
+auto ScriptedBackend::Registration(const std::string& state) const -> std::string {
+  return fmt::format(
+      R"({{"address":"{}","info":{{"service":"s","version":"v1","zone":"a","max_concurrency":3}},)"
+      R"("status":{{"state":"{}","sequence":1,"cold_left_s":0}}}})",
+      endpoint_.Text(), state);
+}
+
+auto ScriptedBackend::SetBehaviour(Behaviour behaviour) -> void {
+  const std::lock_guard lock(mutex_);
+  behaviour_ = std::move(behaviour);
+}
+
+auto ScriptedBackend::Requests() const -> std::vector<HttpRequest> {
+  const std::lock_guard lock(mutex_);
+  return requests_;
+}
+
+auto ScriptedBackend::Disconnects() const -> int {
+  const std::lock_guard lock(mutex_);
+  return disconnects_;
+}
+
+auto ScriptedBackend::Handle(const HttpRequest& request, const HttpServer::Responder& respond)
+    -> void {
+  Behaviour behaviour;
+  {
+    const std::lock_guard lock(mutex_);
+    requests_.push_back(request);
+    behaviour = behaviour_;
+  }
+  request.disconnect->on_disconnect = [this] {
+    const std::lock_guard lock(mutex_);
+    ++disconnects_;
+  };
+  behaviour(request, respond);
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/edge/scripted_backend.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+
+namespace heatherspan {
+
+/// A target that answers as the test says and records what reaches it. Thread-safe.
+class ScriptedBackend {
+ public:
+  using Behaviour = std::function<void(const HttpRequest&, const HttpServer::Responder&)>;
+
+  explicit ScriptedBackend(std::string name);
+  ~ScriptedBackend() { workers_.Stop(); }
+
+  /// What it has registered in the store.
+  auto Registration(const std::string& state = "ready") const -> std::string;
+  auto name() const -> const std::string& { return name_; }
+  auto SetBehaviour(Behaviour behaviour) -> void;
+  auto Requests() const -> std::vector<HttpRequest>;
+  /// Requests whose connection was closed while they waited.
+  auto Disconnects() const -> int;
+  auto Close() -> void { server_.Stop(); }
+
+ private:
+  auto Handle(const HttpRequest& request, const HttpServer::Responder& respond) -> void;
+
+  const std::string name_;
+  mutable std::mutex mutex_;
+  std::vector<HttpRequest> requests_;
+  Behaviour behaviour_;
+  int disconnects_ = 0;
+  WorkerPool workers_{1};
+  HttpServer server_;
+  Endpoint endpoint_;
+};
+
+}  // namespace heatherspan
--- a/tests/experiment/load_replay_test.cc
+++ b/tests/experiment/load_replay_test.cc
@@ -31,8 +31,9 @@
   }
 };
 
-// Load: many entry VMs, objects asked for again and again, targets that remember few. Guards against
-// VMs that each warm a target of their own: a target then works on cold objects most of the time.
+// Load: many entry VMs, objects asked for again and again, targets that remember few. Guards
+// against VMs that each warm a target of their own: a target then works on cold objects most of the
+// time.
 TEST_P(LoadReplayTest, EntryVmsShareOneHomeForEachObject) {
   auto scenario = ThreeRegions(4, 18, 76);
   scenario.objects_per_region = 113;
@@ -87,9 +88,9 @@
   EXPECT_GT(outcome.Between(13, 20).InTimeShare(), 0.8);
 }
 
-// Load: four times the usual traffic everywhere for some seconds, more than all targets bear. Guards
-// against an overload that outlasts its cause: queues spill to targets that don't know the objects,
-// each run takes three times as long, and the queues never end.
+// Load: four times the usual traffic everywhere for some seconds, more than all targets bear.
+// Guards against an overload that outlasts its cause: queues spill to targets that don't know the
+// objects, each run takes three times as long, and the queues never end.
 TEST_P(LoadReplayTest, ABurstLeavesNoOverloadBehind) {
   auto scenario = ThreeRegions(2, 3, 20);
   scenario.objects_per_region = 24;
--- /dev/null
+++ b/tests/fleet_platform/policy_format_test.cc
@@ -0,0 +1,112 @@
+#include "platform/policy_format.h"
+
+#include <gtest/gtest.h>
+
+#include "fmt/format.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kPolicy = R"({"version":"r12","extra":1,"resources":[
+ {"type":"routes","metadata":{"name":"a"},"spec":{"host":"h.example","path_prefix":"/a/","kind":"unsafe",
+  "timeout_s":3,"latency_slo_s":0.8,"priority":1,"service":"s","max_attempts":2,"session_affinity":true,
+  "allowed_regions":["north"]}},
+ {"type":"routes","metadata":{"name":"b"},"spec":{"host":"h.example","path_prefix":"/b/","kind":"safe",
+  "timeout_s":2.5,"latency_slo_s":0.6,"split":[{"service":"s","weight":90},{"service":"t","weight":10}]}},
+ {"type":"services","metadata":{"name":"s"},"spec":{"health_path":"/health","max_conns":330,"cold_s":3.0,
+  "cold_per_s":2.5}},
+ {"type":"limits","metadata":{},"spec":{"header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,
+  "idle_timeout_s":15}},
+ {"type":"something-new","metadata":{"name":"x"},"spec":{}}]})";
+
+auto TargetText(const std::string& state, const std::string& slots = "3") -> std::string {
+  return fmt::format(
+      R"({{"address":"10.1.0.9:8080","born":1700000000001,"info":{{"service":"s","version":"v1",)"
+      R"("zone":"a","max_concurrency":{}}},"status":{{"state":"{}","sequence":4,"cold_left_s":1.5}}}})",
+      slots, state);
+}
+
+// Guards against a field that is read into the wrong place or unit.
+TEST(PolicyFormat, ReadsAConfiguration) {
+  const auto policy = PolicyFormat::ReadPolicy(kPolicy);
+  ASSERT_TRUE(policy.ok()) << policy.status();
+  EXPECT_EQ(policy->version, ConfigVersion(12));
+  ASSERT_EQ(policy->routes.size(), 2U);
+  const auto& a = policy->routes[0];
+  EXPECT_EQ(a.repeat, RepeatRule::kAtMostOnce);
+  EXPECT_EQ(a.timeout, milliseconds(3000));
+  EXPECT_EQ(a.objective, milliseconds(800));
+  EXPECT_EQ(a.max_attempts, 2);
+  EXPECT_TRUE(a.session_affinity);
+  EXPECT_EQ(a.allowed_regions, std::vector<RegionName>{RegionName("north")});
+  const auto& b = policy->routes[1];
+  EXPECT_EQ(b.repeat, RepeatRule::kIdempotent);
+  ASSERT_EQ(b.shares.size(), 2U);
+  EXPECT_EQ(b.shares[1].service, ServiceName("t"));
+  EXPECT_EQ(b.shares[1].weight, 10);
+  ASSERT_EQ(policy->services.size(), 1U);
+  EXPECT_EQ(policy->services[0].cold_time, milliseconds(3000));
+  EXPECT_EQ(policy->services[0].cold_requests_per_second, 2.5);
+  EXPECT_EQ(policy->limits.body_bytes, 67108864U);
+  EXPECT_EQ(policy->limits.idle_timeout, milliseconds(15000));
+}
+
+// Guards against half a configuration in force, and against a crash on input of other writers.
+TEST(PolicyFormat, RefusesWhatItCannotRead) {
+  for (
+      const auto* text :
+      {"", "{", "[]", "null", R"({"version":12,"resources":[]})",
+       R"({"version":"12","resources":[]})", R"({"version":"rx","resources":[]})",
+       R"({"version":"r1"})", R"({"version":"r1","resources":[{}]})",
+       R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"a"},"spec":{"host":"h"}}]})",
+       R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"a"},"spec":{"host":"h",
+         "path_prefix":"/","kind":"odd","timeout_s":1,"latency_slo_s":1,"service":"s"}}]})",
+       R"({"version":"r1","resources":[{"type":"routes","metadata":{"name":"a"},"spec":{"host":"h",
+         "path_prefix":"/","kind":"safe","timeout_s":-1,"latency_slo_s":1,"service":"s"}}]})"}) {
+    EXPECT_FALSE(PolicyFormat::ReadPolicy(text).ok()) << text;
+  }
+}
+
+// Guards against a target that is used although it leaves, or with the wrong slots.
+TEST(PolicyFormat, ReadsATarget) {
+  const auto ready = PolicyFormat::ReadTarget(TargetName("i-1"), TargetText("ready"));
+  ASSERT_TRUE(ready.ok()) << ready.status();
+  EXPECT_EQ(ready->endpoint.Text(), "10.1.0.9:8080");
+  EXPECT_EQ(ready->slots, 3);
+  EXPECT_FALSE(ready->draining);
+  EXPECT_EQ(ready->cold_left, milliseconds(1500));
+  EXPECT_EQ(ready->start_id, 1700000000001);
+  EXPECT_TRUE(PolicyFormat::ReadTarget(TargetName("i-1"), TargetText("draining"))->draining);
+}
+
+// Guards against entries of another writer that name a target to use.
+TEST(PolicyFormat, RefusesOtherEntries) {
+  for (const auto& text :
+       {std::string(), std::string("\xff\xfe"), TargetText("resting"), TargetText("ready", "0"),
+        TargetText("ready", "\"3\""), std::string(R"({"address":"nowhere"})"), std::string("7")}) {
+    EXPECT_FALSE(PolicyFormat::ReadTarget(TargetName("i-1"), text).ok()) << text;
+  }
+}
+
+TEST(PolicyFormat, EntryVmsReadWhatTheyWrite) {
+  const EntryVm vm{NodeName("n"), ZoneName("a"), RegionName("r"), {"10.0.0.1", 80}};
+  const auto read = PolicyFormat::ReadEntryVm(NodeName("n"), PolicyFormat::WriteEntryVm(vm));
+  ASSERT_TRUE(read.ok());
+  EXPECT_EQ(*read, vm);
+  EXPECT_FALSE(PolicyFormat::ReadEntryVm(NodeName("n"), "{}").ok());
+}
+
+TEST(PolicyFormat, TellsKeysApart) {
+  EXPECT_TRUE(PolicyFormat::IsPolicyKey("op/config"));
+  EXPECT_FALSE(PolicyFormat::IsPolicyKey("op/config2"));
+  EXPECT_EQ(PolicyFormat::EvacuatedZone("op/evacuate/a-1"), ZoneName("a-1"));
+  EXPECT_EQ(PolicyFormat::EvacuatedZone("op/evacuate/"), std::nullopt);
+  EXPECT_EQ(PolicyFormat::TargetOf("servers/i-7"), TargetName("i-7"));
+  EXPECT_EQ(PolicyFormat::EntryVmOf(PolicyFormat::EntryVmKey(NodeName("n"))), NodeName("n"));
+  EXPECT_EQ(PolicyFormat::TargetOf("entry/n"), std::nullopt);
+}
+
+}  // namespace
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/fleet_platform/request_format_test.cc
@@ -0,0 +1,143 @@
+#include "platform/request_format.h"
+
+#include <gtest/gtest.h>
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+
+auto CallerRequest() -> HttpRequest {
+  HttpRequest request;
+  request.method = "PUT";
+  request.target = "/a/b?c=d";
+  request.headers = {{"Host", "h.example"},
+                     {"Heatherspan-Request-Id", "id-1"},
+                     {"Heatherspan-Deadline-Ms", "2500"},
+                     {"Cookie", "x=1; Heatherspan-Affinity-Key=17; y=2"},
+                     {"Connection", "keep-alive, X-Hop"},
+                     {"X-Hop", "1"},
+                     {"X-End", "2"},
+                     {"Transfer-Encoding", "chunked"}};
+  request.body = "body";
+  return request;
+}
+
+auto Answered(int status, std::vector<HeaderField> headers) -> HttpResult {
+  HttpResult result;
+  result.progress = SendProgress::kCompleted;
+  result.response.status = status;
+  result.response.headers = std::move(headers);
+  return result;
+}
+
+TEST(RequestFormat, ReadsACaller) {
+  const auto fields = RequestFormat::ReadCaller(CallerRequest());
+  EXPECT_EQ(fields.id, RequestId("id-1"));
+  EXPECT_EQ(fields.host, "h.example");
+  EXPECT_EQ(fields.patience, milliseconds(2500));
+  EXPECT_EQ(fields.object, "17");
+  HttpRequest odd;
+  odd.headers = {{"Heatherspan-Deadline-Ms", "soon"}};
+  EXPECT_EQ(RequestFormat::ReadCaller(odd).patience, std::nullopt);
+  EXPECT_EQ(RequestFormat::ReadCaller(odd).object, "");
+}
+
+// Guards against a target that works on another request than the caller sent, on a request meant
+// for another target, or longer than the caller waits.
+TEST(RequestFormat, SendsTheRequestUnchangedWithTimeAndInstance) {
+  RegisteredTarget target;
+  target.name = TargetName("i-7");
+  const auto sent = RequestFormat::ForTarget(CallerRequest(), target, milliseconds(1200));
+  EXPECT_EQ(sent.method, "PUT");
+  EXPECT_EQ(sent.target, "/a/b?c=d");
+  EXPECT_EQ(sent.body, "body");
+  EXPECT_EQ(sent.Header("Host"), "h.example");
+  EXPECT_EQ(sent.Header("Heatherspan-Request-Id"), "id-1");
+  EXPECT_EQ(sent.Header("Heatherspan-Deadline-Ms"), "1200");
+  EXPECT_EQ(sent.Header("Heatherspan-Expected-Instance"), "i-7");
+  EXPECT_EQ(sent.Header("X-End"), "2");
+  EXPECT_EQ(sent.Header("X-Hop"), "");
+  EXPECT_EQ(sent.Header("Connection"), "");
+}
+
+// Guards against a wrong verdict: "not run" only where the target says so or nothing was sent.
+TEST(RequestFormat, ReadsHowAnAttemptEnded) {
+  const HeaderField signature{"Heatherspan-Response-Signature", "s"};
+  const auto end = [](const HttpResult& result) { return RequestFormat::ReadReply(result).end; };
+  EXPECT_EQ(end(Answered(200, {signature})), AttemptEnd::kAnswered);
+  EXPECT_EQ(end(Answered(404, {signature})), AttemptEnd::kAnswered);
+  EXPECT_EQ(end(Answered(200, {})), AttemptEnd::kLost);
+  EXPECT_EQ(end(Answered(500, {signature})), AttemptEnd::kFailed);
+  EXPECT_EQ(end(Answered(503, {})), AttemptEnd::kFailed);
+  EXPECT_EQ(end(Answered(503, {{"Heatherspan-Not-Executed", "1"}})), AttemptEnd::kRefused);
+  EXPECT_EQ(end(Answered(421, {})), AttemptEnd::kReplaced);
+  HttpResult failed;
+  failed.status = absl::UnavailableError("reset");
+  EXPECT_EQ(end(failed), AttemptEnd::kNotSent);
+  failed.progress = SendProgress::kWritten;
+  EXPECT_EQ(end(failed), AttemptEnd::kLost);
+}
+
+TEST(RequestFormat, ReadsLoad) {
+  const auto load = [](const std::string& text) {
+    return RequestFormat::ReadReply(Answered(200, {{"Heatherspan-Backend-Load", text}})).load;
+  };
+  ASSERT_TRUE(load("3,1, 8").has_value());
+  EXPECT_EQ(load("3,1,8")->waiting, 1);
+  for (const auto* text : {"", "3", "3,1", "a,b,c", "1,2,3,4"}) {
+    EXPECT_FALSE(load(text).has_value()) << text;
+  }
+}
+
+// Guards against an answer that is changed on its way.
+TEST(RequestFormat, PassesTheAnswerOn) {
+  HttpResponse response;
+  response.status = 500;
+  response.headers = {{"Heatherspan-Response-Signature", "s"},
+                      {"Keep-Alive", "timeout=5"},
+                      {"Heatherspan-Backend-Load", "1,0,3"}};
+  response.body = "bytes";
+  response.close = true;
+  const auto passed = RequestFormat::ForCaller(response);
+  EXPECT_EQ(passed.status, 500);
+  EXPECT_EQ(passed.body, "bytes");
+  EXPECT_EQ(passed.Header("Heatherspan-Response-Signature"), "s");
+  EXPECT_EQ(passed.Header("Keep-Alive"), "");
+  EXPECT_FALSE(passed.close);
+}
+
+TEST(RequestFormat, Refusals) {
+  EXPECT_EQ(RequestFormat::Refused(milliseconds(250)).Header("Retry-After"), "0.250");
+  EXPECT_EQ(RequestFormat::Refused({}).status, 503);
+  EXPECT_EQ(RequestFormat::Failed().status, 502);
+  EXPECT_EQ(RequestFormat::Expired().status, 504);
+}
+
+TEST(RequestFormat, Directory) {
+  HttpRequest request;
+  request.target = "/heatherspan/resolve?name=h%2Eexample&region=r&zone=r-a";
+  const auto query = RequestFormat::ReadDirectoryQuery(request);
+  ASSERT_TRUE(query.has_value());
+  EXPECT_EQ(query->host, "h.example");
+  EXPECT_EQ(query->zone, ZoneName("r-a"));
+  request.target = "/heatherspan/other";
+  EXPECT_FALSE(RequestFormat::ReadDirectoryQuery(request).has_value());
+  EXPECT_EQ(RequestFormat::DirectoryAnswer({{"10.0.0.1", 80}}, milliseconds(2000)).body,
+            R"({"addresses":["10.0.0.1:80"],"ttl_s":2.0})");
+  EXPECT_EQ(RequestFormat::DirectoryAnswer({}, {}).status, 503);
+}
+
+TEST(RequestFormat, ReadsHealth) {
+  HttpResponse response;
+  response.headers = {{"Heatherspan-Instance-Id", "i-7"}, {"Heatherspan-Cold-Ms", "1500"}};
+  const auto health = RequestFormat::ReadHealth(response);
+  EXPECT_TRUE(health.healthy);
+  EXPECT_EQ(health.instance, TargetName("i-7"));
+  EXPECT_EQ(health.cold_left, milliseconds(1500));
+  response.status = 503;
+  EXPECT_FALSE(RequestFormat::ReadHealth(response).healthy);
+}
+
+}  // namespace
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/fleet_platform/store_client_test.cc
@@ -0,0 +1,116 @@
+#include "platform/store_client.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A store that answers each call with the next scripted response and keeps the request.
+class StoreClientTest : public testing::Test {
+ protected:
+  StoreClientTest()
+      : server_(workers_, {},
+                [this](const HttpRequest& request, const HttpServer::Responder& respond) {
+                  last_ = request;
+                  HttpResponse response;
+                  response.status = status_;
+                  response.body = body_;
+                  respond(std::move(response));
+                }),
+        store_(client_, *server_.Listen({"127.0.0.1", 0})) {}
+
+  ~StoreClientTest() override { workers_.Stop(); }
+
+  auto Answer(int status, std::string body) -> void {
+    status_ = status;
+    body_ = std::move(body);
+  }
+
+  /// Calls and waits for the result.
+  template <class Result, class Call>
+  auto ResultOf(Call call) -> Result {
+    std::promise<Result> promise;
+    call([&promise](Result result) { promise.set_value(std::move(result)); });
+    return promise.get_future().get();
+  }
+  auto List() -> absl::StatusOr<StorePage> {
+    return ResultOf<absl::StatusOr<StorePage>>([this](auto done) { store_.List("a b/c", done); });
+  }
+  auto Watch() -> absl::StatusOr<StoreChanges> {
+    return ResultOf<absl::StatusOr<StoreChanges>>(
+        [this](auto done) { store_.Watch(41, milliseconds(1500), done); });
+  }
+
+  WorkerPool workers_{1};
+  HttpClient client_{workers_, {}};
+  int status_ = 200;
+  std::string body_;
+  HttpRequest last_;
+  HttpServer server_;
+  StoreClient store_;
+};
+
+TEST_F(StoreClientTest, Lists) {
+  Answer(200, R"({"items":[{"key":"k","value":"dmFs","revision":7,"created":7,"lease":0},
+                  {"key":"bad","value":"***","revision":8},{"value":"x"},3],"has_more":true,"current_rev":9})");
+  const auto page = List();
+  ASSERT_TRUE(page.ok()) << page.status();
+  EXPECT_EQ(last_.target, "/heatherspan/kv-range?path_prefix=&after=a%20b/c");
+  ASSERT_EQ(page->items.size(), 2U);
+  EXPECT_EQ(page->items[0].value, "val");
+  EXPECT_EQ(page->items[1].value, "");
+  EXPECT_TRUE(page->more);
+  EXPECT_EQ(page->revision, 9U);
+}
+
+TEST_F(StoreClientTest, Watches) {
+  Answer(200, R"({"events":[{"key":"k","revision":42,"tombstone":true}],"current_rev":42})");
+  const auto changes = Watch();
+  ASSERT_TRUE(changes.ok()) << changes.status();
+  EXPECT_EQ(last_.target, "/heatherspan/kv-watch?path_prefix=&after=41&wait_ms=1500");
+  ASSERT_EQ(changes->changes.size(), 1U);
+  EXPECT_FALSE(changes->changes[0].value.has_value());
+}
+
+// Guards against a failure that passes for an empty answer, or an end of history for an outage.
+TEST_F(StoreClientTest, ErrorsAreToldApart) {
+  Answer(410, "{}");
+  EXPECT_TRUE(absl::IsOutOfRange(Watch().status()));
+  for (const int status : {429, 500, 503}) {
+    Answer(status, "{}");
+    EXPECT_TRUE(absl::IsUnavailable(Watch().status())) << status;
+  }
+  Answer(200, "not json");
+  EXPECT_TRUE(absl::IsUnavailable(List().status()));
+}
+
+TEST_F(StoreClientTest, LeasesAndWrites) {
+  Answer(200, R"({"lease":77,"ttl_s_time":3.5})");
+  const auto lease =
+      ResultOf<absl::StatusOr<StoreLease>>([this](auto done) { store_.Grant(seconds(3), done); });
+  ASSERT_TRUE(lease.ok());
+  EXPECT_EQ(lease->id, 77U);
+  EXPECT_EQ(lease->lifetime, milliseconds(3500));
+  EXPECT_EQ(last_.body, R"({"ttl_s_time":3.0})");
+  Answer(404, "{}");
+  EXPECT_TRUE(
+      absl::IsNotFound(ResultOf<absl::Status>([this](auto done) { store_.KeepAlive(77, done); })));
+  EXPECT_EQ(last_.target, "/heatherspan/kv-keep/77");
+  Answer(200, R"({"revision":5})");
+  EXPECT_TRUE(ResultOf<absl::Status>([this](auto done) { store_.Put("k", "val", 77, done); }).ok());
+  EXPECT_EQ(last_.body,
+            R"({"expected":[],"puts":[{"key":"k","lease":77,"value":"dmFs"}],"remove":[]})");
+  EXPECT_TRUE(ResultOf<absl::Status>([this](auto done) { store_.Revoke(77, done); }).ok());
+  EXPECT_EQ(last_.method, "DELETE");
+}
+
+}  // namespace
+}  // namespace heatherspan
--- a/tests/gateway/route_table_test.cc
+++ b/tests/gateway/route_table_test.cc
@@ -5,7 +5,8 @@
 namespace heatherspan {
 namespace {
 
-auto MakeRoute(const std::string& name, const std::string& host, const std::string& prefix) -> Route {
+auto MakeRoute(const std::string& name, const std::string& host, const std::string& prefix)
+    -> Route {
   Route route;
   route.name = RouteName(name);
   route.host = host;
--- a/tests/gateway/shared_limits_test.cc
+++ b/tests/gateway/shared_limits_test.cc
@@ -18,7 +18,8 @@
   std::vector<EntryVm> vms;
   for (const auto& zone : zones) {
     for (int i = 0; i < 2; ++i) {
-      vms.push_back({NodeName(zone + "-" + std::to_string(i)), ZoneName(zone),
+      vms.push_back({NodeName(zone + "-" + std::to_string(i)),
+                     ZoneName(zone),
                      RegionName(zone.substr(0, 1)),
                      {"10.0.0.1", static_cast<std::uint16_t>(1000 + vms.size())}});
     }
@@ -174,13 +175,12 @@
 
 // Guards against requests sent to regions that their routes don't allow.
 TEST_F(EntryRosterTest, OtherRegionsOnlyWhereAllowed) {
-  const auto answer =
-      roster_.Answer(ZoneName("zz"), RegionName("z"), {RegionName("b")}, kStart);
+  const auto answer = roster_.Answer(ZoneName("zz"), RegionName("z"), {RegionName("b")}, kStart);
   EXPECT_EQ(answer.callers.size(), 2U);
 }
 
-// Guards against a whole fleet that vanishes from the answers when the store forgets it, and against
-// lost VMs that are named on and on.
+// Guards against a whole fleet that vanishes from the answers when the store forgets it, and
+// against lost VMs that are named on and on.
 TEST_F(EntryRosterTest, DoubtfulWithdrawalsEndLater) {
   for (const auto& vm : Vms({"aa", "ab", "ba"})) roster_.Withdraw(vm.name, true, kStart);
   EXPECT_EQ(Count("aa", kStart + seconds(2)), 2U);
--- a/tests/gateway/target_state_test.cc
+++ b/tests/gateway/target_state_test.cc
@@ -174,8 +174,7 @@
   lapses.Add(TargetName("gone"), kStart);
   lapses.Remove(TargetName("back"));
   EXPECT_TRUE(lapses.TakeExpired(kStart + milliseconds(1999)).empty());
-  EXPECT_EQ(lapses.TakeExpired(kStart + seconds(2)),
-            std::vector<TargetName>{TargetName("gone")});
+  EXPECT_EQ(lapses.TakeExpired(kStart + seconds(2)), std::vector<TargetName>{TargetName("gone")});
   EXPECT_TRUE(lapses.TakeExpired(kStart + seconds(9)).empty());
 }
 
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -229,5 +229,77 @@
   }
 }
 
+/// A client with the options that gateways use.
+class GatewayHttpClientTest : public HttpClientTest {
+ protected:
+  GatewayHttpClientTest() {
+    HttpClient::Limits limits;
+    limits.accept_unframed_responses = true;
+    limits.forward_host = true;
+    limits.correlation_header = "Id";
+    limits.unacknowledged_timeout = std::chrono::seconds(5);
+    client_ = std::make_unique<HttpClient>(workers_, limits);
+  }
+
+  static auto WithId(const std::string& id) -> HttpRequest {
+    HttpRequest request;
+    request.headers = {{"Id", id}, {"Host", "h.example"}};
+    return request;
+  }
+};
+
+// Guards against the answer to one request reaching another: a second response to the first request
+// comes when the connection has been taken for the second.
+TEST_F(GatewayHttpClientTest, DropsAResponseToAnotherRequest) {
+  Send(WithId("1"));
+  auto socket = listener_.Accept();
+  EXPECT_NE(socket.ReadUntil("\r\n\r\n").find("Host: h.example\r\n"), std::string::npos);
+  socket.Send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na");
+  EXPECT_EQ(results_.Pop()->response.body, "a");
+  Send(WithId("2"));
+  socket.ReadUntil("\r\n\r\n");
+  socket.Send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\nb");
+  socket.Send("HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1\r\n\r\nc");
+  EXPECT_EQ(results_.Pop()->response.body, "c");
+  // The connection is out of step and must not be used again.
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\n"), "");
+}
+
+// Guards against a complete response that is thrown away because its end is that of the connection,
+// and against one that was cut and passes for complete.
+TEST_F(GatewayHttpClientTest, TheEndOfTheConnectionEndsAnUnframedResponse) {
+  const auto result = ResultOf("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it");
+  EXPECT_TRUE(result.status.ok()) << result.status;
+  EXPECT_EQ(result.response.body, "all of it");
+  EXPECT_FALSE(ResultOf("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall").status.ok());
+  EXPECT_FALSE(ResultOf("HTTP/1.1 200 OK\r\nContent-Le").status.ok());
+}
+
+// Guards against a request that can't be repeated on a connection which its target may have
+// dropped.
+TEST_F(GatewayHttpClientTest, IdleConnectionsCanBeLeftOut) {
+  Send(WithId("1"));
+  auto first = listener_.Accept();
+  first.ReadUntil("\r\n\r\n");
+  first.Send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(results_.Pop()->status.ok());
+  client_->Send(listener_.endpoint(), WithId("2"), kLong, {.max_idle = Duration(-1)},
+                [this](HttpResult result) { results_.Push(std::move(result)); });
+  auto second = listener_.Accept();
+  EXPECT_NE(second.ReadUntil("\r\n\r\n"), "");
+  second.Send("HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_TRUE(results_.Pop()->status.ok());
+}
+
+// Guards against a connection that is kept for longer than its target says.
+TEST_F(GatewayHttpClientTest, KeepAliveLimitsReuse) {
+  Send(WithId("1"));
+  auto socket = listener_.Accept();
+  socket.ReadUntil("\r\n\r\n");
+  socket.Send("HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(results_.Pop()->status.ok());
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\n"), "");
+}
+
 }  // namespace
 }  // namespace heatherspan
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -233,5 +233,49 @@
   EXPECT_NE(std::string(bound.status().message()).find(endpoint_.Text()), std::string::npos);
 }
 
+// Guards against work that goes on for a caller who has gone.
+TEST_F(HttpServerTest, TellsTheHandlerThatTheCallerHasGone) {
+  HttpServer::Limits limits;
+  limits.watch_disconnects = true;
+  BlockingQueue<bool> gone;
+  server_ = std::make_unique<HttpServer>(
+      workers_, limits, [&](HttpRequest request, HttpServer::Responder respond) {
+        request.disconnect->on_disconnect = [&gone] { gone.Push(true); };
+        calls_.Push({std::move(request), std::move(respond)});
+      });
+  endpoint_ = *server_->Listen(AnyPort());
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  auto call = calls_.Pop();
+  ASSERT_TRUE(call.has_value());
+  socket.Close();
+  EXPECT_TRUE(gone.Pop().has_value());
+  call->respond(Answer("too late"));
+}
+
+// Guards against a planned stop that cuts a request which was on its way over an idle connection.
+TEST_F(HttpServerTest, ClosingAnswersWhatIsOnItsWay) {
+  Start();
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  calls_.Pop()->respond(Answer("a"));
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\na").find("Connection: close"), std::string::npos);
+  server_->BeginClosing();
+  server_->StopListening();
+  socket.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  calls_.Pop()->respond(Answer("b"));
+  EXPECT_NE(socket.ReadUntilClosed().find("Connection: close"), std::string::npos);
+}
+
+// Guards against limits of an older configuration on new connections.
+TEST_F(HttpServerTest, LimitsChangeForNewConnections) {
+  Start();
+  HttpServer::Limits limits;
+  limits.max_body_bytes = 2;
+  server_->SetLimits(limits);
+  EXPECT_NE(Exchange("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc").find("413"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace heatherspan
--- a/tests/observe/event_log_test.cc
+++ b/tests/observe/event_log_test.cc
@@ -1,9 +1,15 @@
 #include "observe/event_log.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
+#include <array>
+#include <csignal>
+#include <cstdio>
 #include <sstream>
 
+#include "observe/line_budget.h"
+
 namespace heatherspan {
 namespace {
 
@@ -29,5 +35,41 @@
   EXPECT_TRUE(lines_.str().empty());
 }
 
+// Guards against a flood of events that costs the requests their processor, and against lines that
+// are left out without a trace.
+TEST(LineBudget, CountsWhatItLeavesOut) {
+  LineBudget budget(3);
+  const auto start = std::chrono::steady_clock::time_point(std::chrono::hours(1));
+  int written = 0;
+  for (int i = 0; i < 10; ++i) written += budget.Take(start, 0).write ? 1 : 0;
+  EXPECT_EQ(written, 3);
+  const auto next = budget.Take(start + std::chrono::seconds(1), 5);
+  EXPECT_TRUE(next.write);
+  EXPECT_EQ(next.notice, "event=log-lines-left-out over_rate=7 reader_too_slow=5");
+  EXPECT_EQ(budget.Take(start + std::chrono::seconds(2), 5).notice, "");
+}
+
+// Guards against a reader of the output that stops reading and holds requests up.
+TEST(EventLogOutput, ABlockedReaderHoldsNobodyUp) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::array<int, 2> pipe{};
+  ASSERT_EQ(::pipe(pipe.data()), 0);
+  std::fflush(stdout);
+  const int saved = ::dup(STDOUT_FILENO);
+  ::dup2(pipe[1], STDOUT_FILENO);
+  ::close(pipe[1]);
+  {
+    EventLog log(LogLevel::kInfo, 1'000'000);
+    const std::string value(200, 'x');
+    // Several times what the pipe and the queue hold together.
+    for (int i = 0; i < 30'000; ++i) log.Write(LogLevel::kInfo, "event", {{"value", value}});
+    // The writer ends when the pipe breaks.
+    ::close(pipe[0]);
+  }
+  ::dup2(saved, STDOUT_FILENO);
+  ::close(saved);
+  std::clearerr(stdout);
+}
+
 }  // namespace
 }  // namespace heatherspan
