edge: log what was expected of a target and how old the registry is; probe at most once a second

Cause: a request line did not name the inputs of its decision; a target on probation was probed four times a second. Change: expected wait and work, store revision and age in each request line; an interval between probes.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -307,6 +307,7 @@
   }
 
   auto OnBatch() -> void {
+    core_.OnStoreSeen(follower_.mirror().revision(), Now());
     if (IsReady()) announcer_.Start();
   }
 
--- a/src/edge/request_carrier.h
+++ b/src/edge/request_carrier.h
@@ -101,6 +101,8 @@
     std::shared_ptr<HttpClient::Exchange> exchange;
     std::shared_ptr<WorkerPool::Timer> give_up;
     HttpResponse last_response;  ///< A failure that is passed on if no repeat succeeds.
+    Duration expected_wait{};    ///< Of the last attempt.
+    Duration expected_work{};
     bool finished = false;
   };
   using ActivePtr = std::shared_ptr<Active>;
@@ -125,11 +127,11 @@
                 {"status", response.status},
                 {"reason", ReasonText(reason)},
                 {"verdict", VerdictText(Verdict::kNotRun)},
-                {"config", ConfigText()}});
+                {"config", ConfigVersionNumber()}});
     respond(std::move(response));
   }
 
-  auto ConfigText() const -> std::uint64_t {
+  auto ConfigVersionNumber() const -> std::uint64_t {
     return core_.policy() == nullptr ? 0 : core_.policy()->version.value();
   }
 
@@ -156,6 +158,8 @@
     const auto time_left = active->life.give_up_at() - now;
     auto request = Format::ForTarget(active->request, entry, time_left);
     active->attempt = core_.BeginAttempt(active->life, placement, now);
+    active->expected_wait = placement.wait;
+    active->expected_work = placement.work;
     HttpClient::SendOptions options;
     if (active->life.facts().route.repeat == RepeatRule::kAtMostOnce) {
       options.max_idle = kMaxIdleForOnce;
@@ -269,9 +273,13 @@
                 {"reason", ReasonText(reason)},
                 {"verdict", VerdictText(life.verdict())},
                 {"ms", Milliseconds(took)},
+                {"expected_wait_ms", Milliseconds(active->expected_wait)},
+                {"expected_work_ms", Milliseconds(active->expected_work)},
                 {"patience_ms", Milliseconds(facts.caller_patience)},
                 {"returning", facts.returning ? 1 : 0},
-                {"config", ConfigText()}});
+                {"config", ConfigVersionNumber()},
+                {"store_revision", core_.store_revision()},
+                {"store_age_ms", Milliseconds(core_.StoreAge(Now()))}});
   }
 
   GatewayCore& core_;
--- a/src/edge/target_prober.h
+++ b/src/edge/target_prober.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <utility>
 
-#include "absl/container/flat_hash_set.h"
+#include "absl/container/flat_hash_map.h"
 #include "edge/platform_ports.h"
 #include "gateway/gateway_core.h"
 #include "net/http_client.h"
@@ -18,32 +18,35 @@
  public:
   /// A probe that takes longer counts as failed: targets answer in milliseconds.
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(1000);
+  /// Between two probes of one target: a probe takes a slot for some milliseconds.
+  static constexpr Duration kProbeInterval = std::chrono::milliseconds(1000);
 
   TargetProber(GatewayCore& core, HttpClient& client, EventLog& log)
       : core_(core), client_(client), log_(log) {}
 
   auto OnTick(MonotonicTime now) -> void {
     if (core_.policy() == nullptr) return;
+    absl::erase_if(probed_,
+                   [now](const auto& probe) { return now - probe.second > kProbeInterval; });
     for (const auto& service : core_.policy()->services) {
       for (const auto* target : core_.fleet().TargetsOf(service.name)) {
         const bool due = target->health().OnProbation() && !target->health().IsBlocked(now);
         if (due && core_.fleet().MayUse(*target) && target->load().own() == 0) {
-          Probe(*target, service.health_path);
+          Probe(*target, service.health_path, now);
         }
       }
     }
   }
 
  private:
-  auto Probe(const FleetTarget& target, const std::string& path) -> void {
+  auto Probe(const FleetTarget& target, const std::string& path, MonotonicTime now) -> void {
     const auto name = target.entry().name;
-    if (path.empty() || !under_way_.insert(name).second) return;
+    if (path.empty() || !probed_.try_emplace(name, now).second) return;
     client_.Send(target.entry().endpoint, Format::HealthQuery(path), kProbeTimeout,
                  [this, name](const HttpResult& result) { OnResult(name, result); });
   }
 
   auto OnResult(const TargetName& name, const HttpResult& result) -> void {
-    under_way_.erase(name);
     const auto now = SystemClock().Now();
     auto* target = core_.fleet().Find(name);
     if (target == nullptr) return;
@@ -54,8 +57,8 @@
       target->health().OnSign(TargetSign::kUnreachable, now);
     } else if (replaced) {
       target->health().OnSign(TargetSign::kReplaced, now);
-    } else if (healthy) {
-      if (health.cold_left > Duration::zero()) target->SetColdUntil(now + health.cold_left);
+    } else if (healthy && health.cold_left > Duration::zero()) {
+      target->SetColdUntil(now + health.cold_left);
     }
     log_.Write(LogLevel::kInfo, "probe",
                {{"target", name.value()},
@@ -66,7 +69,7 @@
   GatewayCore& core_;
   HttpClient& client_;
   EventLog& log_;
-  absl::flat_hash_set<TargetName> under_way_;
+  absl::flat_hash_map<TargetName, MonotonicTime> probed_;  ///< Within the last interval.
 };
 
 }  // namespace heatherspan
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -59,6 +59,11 @@
   return true;
 }
 
+auto GatewayCore::OnStoreSeen(std::uint64_t revision, MonotonicTime now) -> void {
+  store_revision_ = revision;
+  store_seen_ = now;
+}
+
 auto GatewayCore::SetBounds(RetryWindow::Limits retries, RegionBalance::Limits balance) -> void {
   options_.retries = retries;
   for (auto& [service, window] : retries_) window.SetLimits(retries);
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -56,6 +56,11 @@
   auto ServiceOf(const ServiceName& name) const -> const ServicePolicy*;
   auto SetBounds(RetryWindow::Limits retries, RegionBalance::Limits balance) -> void;
 
+  /// All changes of the store up to that revision have been taken in.
+  auto OnStoreSeen(std::uint64_t revision, MonotonicTime now) -> void;
+  auto store_revision() const -> std::uint64_t { return store_revision_; }
+  auto StoreAge(MonotonicTime now) const -> Duration { return now - store_seen_; }
+
   /// The part of the service's objects that stays in this node's region.
   auto KeptPart(const ServiceName& service) const -> double { return split_.KeptPart(service); }
 
@@ -101,6 +106,8 @@
   /// By route: the longest patience seen. A caller that was refused before has less left.
   absl::flat_hash_map<RouteName, Duration> patience_;
   AttemptNumber last_attempt_ = 0;
+  std::uint64_t store_revision_ = 0;
+  MonotonicTime store_seen_{};
 };
 
 }  // namespace heatherspan
