gateway: say may-have-run for an attempt that was cut short; log why a request was refused

Change: the verdict follows the abandoned attempt; a refusal logs the wait and work of the best target.

--- a/src/gateway/carried_request.cc
+++ b/src/gateway/carried_request.cc
@@ -102,8 +102,10 @@
   return verdict_ == Verdict::kNotRun ? RequestStep::kRefuse : RequestStep::kFail;
 }
 
-auto CarriedRequest::OnGiveUp() const -> RequestStep {
-  return verdict_ == Verdict::kNotRun && !in_flight_ ? RequestStep::kRefuse : RequestStep::kExpire;
+auto CarriedRequest::OnGiveUp() -> RequestStep {
+  // The attempt that is cut short here may have run, or may still.
+  if (std::exchange(in_flight_, false)) verdict_ = std::max(verdict_, Verdict::kMayHaveRun);
+  return verdict_ == Verdict::kNotRun ? RequestStep::kRefuse : RequestStep::kExpire;
 }
 
 }  // namespace heatherspan
--- a/src/gateway/carried_request.h
+++ b/src/gateway/carried_request.h
@@ -79,7 +79,7 @@
   /// No target can take it (now or at a repeat).
   auto OnNoTarget() const -> RequestStep { return Conclusion(); }
   /// `give_up_at` has passed.
-  auto OnGiveUp() const -> RequestStep;
+  auto OnGiveUp() -> RequestStep;
 
  private:
   auto Record(AttemptEnd end) -> void;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -248,6 +248,7 @@
     return result;
   }
   result.cause = NoPlacement::kNoRoom;
+  result.best = placement;
   result.retry_after = RetryAfter(placement.wait - late_wait, query.time_left, random);
   return result;
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -56,6 +56,7 @@
 struct PlacementResult {
   std::optional<Placement> placement;
   NoPlacement cause = NoPlacement::kNoTarget;  ///< Without a placement.
+  std::optional<Placement> best;               ///< The one that would have been too late.
   Duration retry_after{};                      ///< Until there may be room.
 };
 
--- a/tests/gateway/carried_request_test.cc
+++ b/tests/gateway/carried_request_test.cc
@@ -104,6 +104,7 @@
   EXPECT_EQ(request.OnGiveUp(), RequestStep::kRefuse);
   request.OnSent(TargetName("t"));
   EXPECT_EQ(request.OnGiveUp(), RequestStep::kExpire);
+  EXPECT_EQ(request.verdict(), Verdict::kMayHaveRun);
 }
 
 }  // namespace
