--- a/src/edge/request_carrier.h
+++ b/src/edge/request_carrier.h
@@ -101,7 +101,7 @@
     std::shared_ptr<HttpClient::Exchange> exchange;
     std::shared_ptr<WorkerPool::Timer> give_up;
     HttpResponse last_response;  ///< A failure that is passed on if no repeat succeeds.
-    Duration expected_wait{};    ///< Of the last attempt.
+    Duration expected_wait{};    ///< Of the last attempt, or of the one that came too late.
     Duration expected_work{};
     bool finished = false;
   };
@@ -140,6 +140,10 @@
     auto& life = active->life;
     const auto result = core_.Place(life, now);
     if (!result.placement.has_value()) {
+      if (result.best.has_value()) {
+        active->expected_wait = result.best->wait;
+        active->expected_work = result.best->work;
+      }
       const auto reason =
           result.cause == NoPlacement::kNoTarget ? Reason::kNoTarget : Reason::kOverload;
       Conclude(active, life.OnNoTarget(), reason, result.retry_after, HttpResponse());
@@ -182,7 +186,7 @@
                   {"target", attempt.target.value()},
                   {"end", ReasonText(ReasonOf(reply.end))},
                   {"verdict", VerdictText(VerdictOf(reply.end))},
-                  {"status", result.response.status},
+                  {"status", result.status.ok() ? result.response.status : 0},
                   {"error", std::string(result.status.message())},
                   {"next", step == RequestStep::kPlace ? "retry" : "answer"}});
     }
