--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -57,7 +57,7 @@
   static auto FreeEndpoint() -> Endpoint {
     WorkerPool workers(1);
     HttpServer server(workers, {}, [](const HttpRequest&, const HttpServer::Responder&) {});
-    const auto endpoint = *server.Listen({"127.0.0.1", 0});
+    auto endpoint = *server.Listen({"127.0.0.1", 0});
     workers.Stop();
     return endpoint;
   }
