test: give each edge test loopback addresses of its own

Cause: the tests took free ports and bound them again; another process could take one in between. Change: an address in 127.0.0.0/8 made from the process id.

--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -1,6 +1,7 @@
 #include "edge/edge_node.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <optional>
@@ -43,10 +44,10 @@
     settings_.store = store_.endpoint();
     settings_.bounds.retry_allowance = 50;
     settings_.bounds.stop_grace = seconds(3);
-    for (auto* endpoint :
-         {&settings_.callers, &settings_.readiness, &settings_.directory, &settings_.metrics}) {
-      *endpoint = FreeEndpoint();
-    }
+    settings_.callers = OwnEndpoint(1);
+    settings_.readiness = OwnEndpoint(2);
+    settings_.directory = OwnEndpoint(3);
+    settings_.metrics = OwnEndpoint(4);
   }
 
   ~EdgeNodeTest() override {
@@ -54,12 +55,13 @@
     caller_workers_.Stop();
   }
 
-  static auto FreeEndpoint() -> Endpoint {
-    WorkerPool workers(1);
-    HttpServer server(workers, {}, [](const HttpRequest&, const HttpServer::Responder&) {});
-    auto endpoint = *server.Listen({"127.0.0.1", 0});
-    workers.Stop();
-    return endpoint;
+  /// A loopback address of this process alone, so that no other one can take the port meanwhile.
+  static auto OwnEndpoint(int number) -> Endpoint {
+    constexpr int kOctets = 250;
+    const int process = ::getpid();
+    return {"127." + std::to_string(process / kOctets % kOctets + 1) + "." +
+                std::to_string(process % kOctets + 1) + "." + std::to_string(number),
+            18080};
   }
 
   auto Register(const ScriptedBackend& target, const std::string& state = "ready") -> void {
