--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -39,12 +39,12 @@
     "drained",
     "team-limit",
     "cancelled",
+    "internal",
     "target-failed",
     "target-replaced",
     "timeout",
     "unknown-route",
     "caller-gone",
-    "internal",
 };
 
 }  // namespace
--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -6,7 +6,8 @@
 
 namespace heatherspan {
 
-/// Why a request was refused, retried or left without an answer. Each has a counter.
+/// Why a request was refused, retried or left without an answer. Each has a counter. The numbers go
+/// over the wire: new ones are added at the end.
 enum class Reason {
   kNone,
   kBadRequest,
@@ -41,12 +42,12 @@
   kDrained,
   kTeamLimit,
   kCancelled,
+  kInternal,
   kTargetFailed,
   kTargetReplaced,
   kTimeout,
   kUnknownRoute,
   kCallerGone,
-  kInternal,
 };
 
 /// Every reason, in the order of the enumeration.
