--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -8,7 +8,7 @@
 #include <ostream>
 #include <thread>
 
-#include "kv_standin.h"
+#include "fleet_standins/kv_standin.h"
 #include "locked_lines.h"
 #include "platform/platform_adapter.h"
 #include "scripted_backend.h"
--- a/tests/edge/kv_standin.cc
+++ b/tests/fleet_standins/kv_standin.cc
@@ -1,5 +1,6 @@
-#include "kv_standin.h"
+#include "fleet_standins/kv_standin.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/escaping.h"
@@ -12,6 +13,10 @@
 
 using Json = nlohmann::json;
 
+/// What the entry VMs ask for.
+constexpr Duration kLeaseTime = std::chrono::seconds(3);
+constexpr Duration kTick = std::chrono::milliseconds(100);
+
 auto Answer(int status, std::string body) -> HttpResponse {
   HttpResponse response;
   response.status = status;
@@ -37,12 +42,13 @@
 
 }  // namespace
 
-KvStandin::KvStandin()
+KvStandin::KvStandin(const Endpoint& listen)
     : server_(workers_, {},
               [this](const HttpRequest& request, const HttpServer::Responder& respond) {
                 Handle(request, respond);
               }) {
-  endpoint_ = *server_.Listen({"127.0.0.1", 0});
+  endpoint_ = *server_.Listen(listen);
+  tick_ = workers_.RunEvery(kTick, [this] { OnTick(); });
 }
 
 KvStandin::~KvStandin() { workers_.Stop(); }
@@ -71,6 +77,9 @@
 auto KvStandin::SetDown(bool down) -> void {
   const std::lock_guard lock(mutex_);
   down_ = down;
+  if (!down) {
+    for (auto& [lease, until] : leases_) until = SystemClock().Now() + kLeaseTime;
+  }
   for (const auto& watch : std::exchange(watches_, {})) watch.respond(Answer(503, "{}"));
 }
 
@@ -112,7 +121,32 @@
   return Json{{"revision", revision_}}.dump();
 }
 
+auto KvStandin::OnTick() -> void {
+  const std::lock_guard lock(mutex_);
+  // While the store is down, leases pause.
+  if (down_) return;
+  const auto now = SystemClock().Now();
+  std::vector<std::uint64_t> lapsed;
+  for (const auto& [lease, until] : leases_) {
+    if (until < now) lapsed.push_back(lease);
+  }
+  for (const auto lease : lapsed) EndLease(lease);
+  const auto expired = std::partition(watches_.begin(), watches_.end(),
+                                      [&](const Watch& watch) { return watch.until > now; });
+  for (auto watch = expired; watch != watches_.end(); ++watch) {
+    watch->respond(Answer(200, EventsAfter(watch->after)));
+  }
+  watches_.erase(expired, watches_.end());
+}
+
+auto KvStandin::ForgetHistory() -> void {
+  const std::lock_guard lock(mutex_);
+  history_.clear();
+  forgotten_ = revision_;
+}
+
 auto KvStandin::EndLease(std::uint64_t lease) -> void {
+  leases_.erase(lease);
   std::vector<std::string> ended;
   for (const auto& [key, item] : items_) {
     if (item.lease == lease) ended.push_back(key);
@@ -130,17 +164,27 @@
   if (path.ends_with("kv-range")) {
     respond(Answer(200, List()));
   } else if (path.ends_with("kv-watch")) {
-    watches_.push_back({Parameter(query, "after"), respond});
+    const auto after = Parameter(query, "after");
+    if (after < forgotten_) {
+      respond(Answer(410, "{}"));
+      return;
+    }
+    const auto wait = std::chrono::milliseconds(Parameter(query, "wait_ms"));
+    watches_.push_back({after, SystemClock().Now() + wait, respond});
     Notify();
   } else if (path.ends_with("kv-txn")) {
     respond(Answer(200, Write(request.body)));
   } else if (path.ends_with("kv-lease")) {
-    respond(Answer(200, fmt::format(R"({{"lease":{},"ttl_s_time":3}})", ++last_lease_)));
+    leases_[++last_lease_] = SystemClock().Now() + kLeaseTime;
+    respond(Answer(200, fmt::format(R"({{"lease":{},"ttl_s_time":3}})", last_lease_)));
   } else if (path.find("kv-lease-end") != std::string_view::npos) {
     EndLease(LastNumber(path));
     respond(Answer(200, "{}"));
-  } else {
+  } else if (const auto lease = leases_.find(LastNumber(path)); lease != leases_.end()) {
+    lease->second = SystemClock().Now() + kLeaseTime;
     respond(Answer(200, R"({"ttl_s_time":3})"));
+  } else {
+    respond(Answer(404, "{}"));
   }
 }
 
--- /dev/null
+++ b/tests/soak/fault_proxy.cc
@@ -0,0 +1,235 @@
+#include "soak/fault_proxy.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <list>
+#include <string_view>
+
+#include "net/worker_pool.h"
+
+namespace heatherspan {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kBufferBytes = 16384;
+/// How often held bytes look whether they may go on.
+constexpr Duration kHoldCheck = std::chrono::milliseconds(20);
+/// A response that belongs to no request.
+constexpr std::string_view kExtraResponse =
+    "HTTP/1.1 200 OK\r\nHeatherspan-Request-Id: nobodys\r\n"
+    "Heatherspan-Response-Signature: spoiled\r\nContent-Length: 5\r\n\r\nextra";
+
+auto AsioEndpoint(const Endpoint& endpoint) -> tcp::endpoint {
+  return {asio::ip::make_address(endpoint.address), endpoint.port};
+}
+
+/// Closes with a reset instead of an orderly end.
+auto Reset(tcp::socket& socket) -> void {
+  error_code ignored;  // The socket may have been closed by its peer.
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+struct Link {
+  explicit Link(asio::io_context& context) : client(context), server(context) {}
+
+  tcp::socket client;
+  tcp::socket server;
+  bool silent = false;
+};
+
+/// One direction of a link.
+struct Pipe {
+  Pipe(asio::io_context& context, std::shared_ptr<Link> of, bool up)
+      : link(std::move(of)), to_server(up), timer(context) {}
+
+  auto From() -> tcp::socket& { return to_server ? link->client : link->server; }
+  auto To() -> tcp::socket& { return to_server ? link->server : link->client; }
+
+  std::shared_ptr<Link> link;
+  bool to_server;
+  asio::steady_timer timer;
+  std::array<char, kBufferBytes> buffer{};
+  std::string pending;
+  bool break_after = false;
+};
+
+}  // namespace
+
+class FaultProxy::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context, const Endpoint& listen, Endpoint server)
+      : context_(context), acceptor_(context), server_(std::move(server)) {
+    const auto endpoint = AsioEndpoint(listen);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen();
+  }
+
+  auto Accept() -> void {
+    auto link = std::make_shared<Link>(context_);
+    acceptor_.async_accept(link->client, [self = shared_from_this(), link](error_code error) {
+      if (error) return;
+      self->Begin(link);
+      self->Accept();
+    });
+  }
+
+  auto Close() -> void {
+    error_code ignored;
+    acceptor_.close(ignored);
+    ResetAll();
+  }
+
+  auto ResetAll() -> void {
+    for (const auto& link : links_) {
+      Reset(link->client);
+      Reset(link->server);
+    }
+    links_.clear();
+  }
+
+  auto SilenceAll() -> void {
+    for (const auto& link : links_) link->silent = true;
+  }
+
+  Behaviour behaviour_;
+
+  auto SetServer(const Endpoint& server) -> void { server_ = server; }
+  auto context() -> asio::io_context& { return context_; }
+
+ private:
+  auto Begin(const std::shared_ptr<Link>& link) -> void {
+    if (behaviour_.refuse) {
+      Reset(link->client);
+      return;
+    }
+    link->server.async_connect(AsioEndpoint(server_),
+                               [self = shared_from_this(), link](error_code error) {
+                                 if (error) {
+                                   Reset(link->client);
+                                   return;
+                                 }
+                                 self->Forward(link);
+                               });
+  }
+
+  auto Forward(const std::shared_ptr<Link>& link) -> void {
+    error_code ignored;
+    link->client.set_option(tcp::no_delay(true), ignored);
+    link->server.set_option(tcp::no_delay(true), ignored);
+    links_.remove_if([](const auto& other) { return !other->client.is_open(); });
+    links_.push_back(link);
+    for (const bool up : {true, false}) {
+      Read(std::make_shared<Pipe>(context_, link, up));
+    }
+  }
+
+  auto Read(const std::shared_ptr<Pipe>& pipe) -> void {
+    pipe->From().async_read_some(
+        asio::buffer(pipe->buffer),
+        [self = shared_from_this(), pipe](error_code error, std::size_t count) {
+          if (error == asio::error::eof) {
+            // The end travels like bytes do: not while they are held up.
+            pipe->pending.clear();
+            self->Deliver(pipe, true);
+            return;
+          }
+          if (error) {
+            self->Break(*pipe->link);
+            return;
+          }
+          pipe->pending.assign(pipe->buffer.data(), count);
+          if (!pipe->to_server) self->SpoilBytes(*pipe);
+          self->Deliver(pipe, false);
+        });
+  }
+
+  auto SpoilBytes(Pipe& pipe) const -> void {
+    if (behaviour_.spoil == Spoil::kExtra) pipe.pending += kExtraResponse;
+    if (behaviour_.spoil == Spoil::kTruncate) {
+      pipe.pending.resize(pipe.pending.size() / 2);
+      pipe.break_after = true;
+    }
+  }
+
+  /// After the delay, and as soon as the direction is open.
+  auto Deliver(const std::shared_ptr<Pipe>& pipe, bool end) -> void {
+    const auto wait = behaviour_.delay;
+    pipe->timer.expires_after(wait);
+    pipe->timer.async_wait([self = shared_from_this(), pipe, end](error_code error) {
+      if (!error) self->WriteWhenOpen(pipe, end);
+    });
+  }
+
+  auto WriteWhenOpen(const std::shared_ptr<Pipe>& pipe, bool end) -> void {
+    if (!pipe->link->client.is_open()) return;
+    const bool open = pipe->to_server ? behaviour_.forward_to_server : behaviour_.forward_to_client;
+    if (!open || pipe->link->silent) {
+      pipe->timer.expires_after(kHoldCheck);
+      pipe->timer.async_wait([self = shared_from_this(), pipe, end](error_code error) {
+        if (!error) self->WriteWhenOpen(pipe, end);
+      });
+      return;
+    }
+    if (end) {
+      error_code ignored;
+      pipe->To().shutdown(tcp::socket::shutdown_send, ignored);
+      if (pipe->to_server) Break(*pipe->link);
+      return;
+    }
+    asio::async_write(pipe->To(), asio::buffer(pipe->pending),
+                      [self = shared_from_this(), pipe](error_code error, std::size_t /*count*/) {
+                        if (error || pipe->break_after) {
+                          self->Break(*pipe->link);
+                          return;
+                        }
+                        self->Read(pipe);
+                      });
+  }
+
+  static auto Break(Link& link) -> void {
+    error_code ignored;
+    link.client.close(ignored);
+    link.server.close(ignored);
+  }
+
+  asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  Endpoint server_;
+  std::list<std::shared_ptr<Link>> links_;
+};
+
+FaultProxy::FaultProxy(WorkerPool& workers, const Endpoint& listen, Endpoint server)
+    : impl_(std::make_shared<Impl>(workers.context(), listen, std::move(server))) {
+  asio::post(impl_->context(), [impl = impl_] { impl->Accept(); });
+}
+
+FaultProxy::~FaultProxy() {
+  asio::post(impl_->context(), [impl = impl_] { impl->Close(); });
+}
+
+auto FaultProxy::SetBehaviour(const Behaviour& behaviour) -> void {
+  asio::post(impl_->context(), [impl = impl_, behaviour] { impl->behaviour_ = behaviour; });
+}
+
+auto FaultProxy::SetServer(const Endpoint& server) -> void {
+  asio::post(impl_->context(), [impl = impl_, server] { impl->SetServer(server); });
+}
+
+auto FaultProxy::ResetConnections() -> void {
+  asio::post(impl_->context(), [impl = impl_] { impl->ResetAll(); });
+}
+
+auto FaultProxy::SilenceConnections() -> void {
+  asio::post(impl_->context(), [impl = impl_] { impl->SilenceAll(); });
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/fault_proxy_test.cc
@@ -0,0 +1,60 @@
+#include "soak/fault_proxy.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <thread>
+
+#include "fleet_standins/kv_standin.h"
+#include "net/http_client.h"
+#include "net/worker_pool.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class FaultProxyTest : public testing::Test {
+ protected:
+  ~FaultProxyTest() override {
+    client_workers_.Stop();
+    proxy_workers_.Stop();
+  }
+
+  /// A loopback address of this process alone.
+  static auto OwnEndpoint() -> Endpoint {
+    constexpr int kOctets = 250;
+    const int process = ::getpid();
+    return {"127." + std::to_string(process / kOctets % kOctets + 1) + "." +
+                std::to_string(process % kOctets + 1) + ".9",
+            18080};
+  }
+
+  auto Ask(Duration timeout = seconds(5)) -> absl::Status {
+    HttpRequest request;
+    request.target = "/kv-range";
+    return client_.SendAndWait(OwnEndpoint(), request, timeout).status;
+  }
+
+  KvStandin store_;
+  WorkerPool proxy_workers_{1};
+  WorkerPool client_workers_{1};
+  HttpClient client_{client_workers_, {.unacknowledged_timeout = milliseconds(1500)}};
+  FaultProxy proxy_{proxy_workers_, OwnEndpoint(), store_.endpoint()};
+};
+
+// Guards against a reset that leaves the proxy or the client with a connection that carries
+// nothing.
+TEST_F(FaultProxyTest, AnIdleConnectionThatIsResetIsReplaced) {
+  for (int i = 0; i < 200; ++i) {
+    ASSERT_TRUE(Ask().ok());
+    proxy_.ResetConnections();
+    if (i % 2 == 0) std::this_thread::sleep_for(milliseconds(i % 7));
+    const auto status = Ask();
+    EXPECT_FALSE(absl::IsDeadlineExceeded(status)) << i << ": " << status;
+  }
+}
+
+}  // namespace
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/gateway_process.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+
+namespace heatherspan {
+
+/// One run after the other of the gateway program, as a process of its own. Its output is appended
+/// to a file.
+class GatewayProcess {
+ public:
+  /// How a process has ended.
+  struct End {
+    bool orderly = false;  ///< Exit status 0.
+    std::string text;
+  };
+
+  GatewayProcess(std::string program, std::string settings_path, std::string log_path)
+      : program_(std::move(program)),
+        settings_path_(std::move(settings_path)),
+        log_path_(std::move(log_path)) {}
+  ~GatewayProcess();
+  GatewayProcess(const GatewayProcess&) = delete;
+  auto operator=(const GatewayProcess&) -> GatewayProcess& = delete;
+
+  /// False if the process can't be started.
+  auto Start() -> bool;
+  auto Signal(int number) const -> void;
+  /// Set once after the process has ended.
+  auto Reap() -> std::optional<End>;
+  auto running() const -> bool { return id_ > 0; }
+
+ private:
+  const std::string program_;
+  const std::string settings_path_;
+  const std::string log_path_;
+  pid_t id_ = 0;
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/promise_ledger_test.cc
@@ -0,0 +1,321 @@
+#include "soak/promise_ledger.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+constexpr MonotonicTime kStart = MonotonicTime(seconds(1000));
+
+/// Each test guards against a check of the soak that can't fail.
+class PromiseLedgerTest : public testing::Test {
+ protected:
+  PromiseLedgerTest() {
+    PolicyFacts facts;
+    facts.services = {{"read", "alpha"}, {"book", "beta"}, {"moving", "alpha"}, {"home", "alpha"}};
+    facts.regions = {{"home", "east"}};
+    ledger_.OnPolicy(facts, kStart - seconds(100));
+    ledger_.OnProcessStart("edge", kStart - seconds(100));
+  }
+
+  auto Send(const std::string& id, const std::string& route = "book", Duration at = {}) -> void {
+    SentRequest request;
+    request.id = id;
+    request.gateway = "edge";
+    request.route = route;
+    request.method = "POST";
+    request.target = "/" + route + "/1/50";
+    request.at_most_once = route == "book";
+    request.patience = milliseconds(2500);
+    request.route_timeout = milliseconds(1500);
+    ledger_.OnSent(request, kStart + at);
+  }
+
+  auto Arrive(const std::string& id, const std::string& route = "book", Duration at = {},
+              const std::string& target = "i-1") -> void {
+    SeenArrival arrival;
+    arrival.id = id;
+    arrival.target_name = target;
+    arrival.service = route == "book" ? "beta" : "alpha";
+    arrival.zone = "east-a";
+    arrival.region = "east";
+    arrival.method = "POST";
+    arrival.target = "/" + route + "/1/50";
+    arrival.time_left = milliseconds(1000);
+    arrival.runs = true;
+    arrival.work = work_;
+    Change(arrival);
+    ledger_.OnArrival(arrival, kStart + at);
+  }
+
+  auto Answer(const std::string& id, int status, Duration at = milliseconds(100),
+              const std::string& signature = "") -> void {
+    ledger_.OnAnswer(id,
+                     {status, id, signature,
+                      signature.empty() ? "" : PromiseLedger::ExpectedBody(signature, id)},
+                     kStart + at);
+  }
+
+  auto Broken() -> std::vector<std::string> {
+    std::vector<std::string> promises;
+    for (const auto& violation : ledger_.violations()) promises.push_back(violation.promise);
+    return promises;
+  }
+
+  auto BrokenAtTheEnd() -> std::vector<std::string> {
+    ledger_.Finish();
+    return Broken();
+  }
+
+  PromiseLedger ledger_{PromiseBounds{}};
+  Duration work_ = milliseconds(50);
+  std::function<void(SeenArrival&)> change_;
+
+ private:
+  auto Change(SeenArrival& arrival) -> void {
+    if (change_) change_(arrival);
+  }
+};
+
+TEST_F(PromiseLedgerTest, ASoundExchangeBreaksNothing) {
+  Send("1");
+  Arrive("1");
+  ledger_.OnWorkEnd("1", kStart + milliseconds(50));
+  Answer("1", 200, milliseconds(60), "i-1");
+  EXPECT_THAT(BrokenAtTheEnd(), IsEmpty());
+}
+
+TEST_F(PromiseLedgerTest, SeesAnAnswerWithoutSignature) {
+  Send("1");
+  Answer("1", 200);
+  EXPECT_THAT(Broken(), ElementsAre("MIXED"));
+}
+
+TEST_F(PromiseLedgerTest, SeesATruncatedBody) {
+  Send("1");
+  ledger_.OnAnswer("1", {200, "1", "i-1", "i-1:1:"}, kStart);
+  EXPECT_THAT(Broken(), ElementsAre("MIXED"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAnAnswerToAnotherRequest) {
+  Send("1");
+  ledger_.OnAnswer("1", {503, "2", "", ""}, kStart);
+  EXPECT_THAT(Broken(), ElementsAre("MIXED"));
+}
+
+TEST_F(PromiseLedgerTest, SeesARequestThatNobodySent) {
+  Arrive("1");
+  EXPECT_THAT(Broken(), ElementsAre("UNASKED"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAChangedBody) {
+  Send("1");
+  change_ = [](SeenArrival& arrival) { arrival.body = "more"; };
+  Arrive("1");
+  EXPECT_THAT(Broken(), ElementsAre("UNASKED"));
+}
+
+TEST_F(PromiseLedgerTest, SeesASecondRun) {
+  Send("1");
+  Arrive("1");
+  Arrive("1", "book", milliseconds(10), "i-2");
+  EXPECT_THAT(Broken(), ElementsAre("TWICE"));
+}
+
+TEST_F(PromiseLedgerTest, SeesARefusalAfterARun) {
+  Send("1");
+  Arrive("1");
+  Answer("1", 503);
+  EXPECT_THAT(Broken(), ElementsAre("REFUSED"));
+}
+
+TEST_F(PromiseLedgerTest, SeesARunAfterARefusal) {
+  Send("1");
+  Answer("1", 429);
+  Arrive("1", "book", milliseconds(200));
+  EXPECT_THAT(Broken(), ElementsAre("REFUSED"));
+}
+
+TEST_F(PromiseLedgerTest, SeesADeniedRequest) {
+  Send("1");
+  Answer("1", 404);
+  EXPECT_THAT(Broken(), ElementsAre("DENIED"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAServiceThatNoConfigurationAllows) {
+  Send("1", "read");
+  change_ = [](SeenArrival& arrival) { arrival.service = "beta"; };
+  Arrive("1", "read");
+  EXPECT_THAT(Broken(), ElementsAre("ROUTE"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAnOldConfiguration) {
+  PolicyFacts facts;
+  facts.services = {{"moving", "beta"}};
+  ledger_.OnPolicy(facts, kStart);
+  Send("1", "moving", milliseconds(2400));
+  Arrive("1", "moving", milliseconds(2410));
+  EXPECT_THAT(Broken(), IsEmpty());
+  Send("2", "moving", milliseconds(2600));
+  Arrive("2", "moving", milliseconds(2610));
+  EXPECT_THAT(Broken(), ElementsAre("CONFIG"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAConfigurationThatGoesBack) {
+  ledger_.OnConfigVersion("edge", 4);
+  ledger_.OnConfigVersion("edge", 3);
+  EXPECT_THAT(Broken(), ElementsAre("CONFIG"));
+}
+
+TEST_F(PromiseLedgerTest, SeesARequestOutsideItsRegion) {
+  Send("1", "home");
+  change_ = [](SeenArrival& arrival) { arrival.region = "west"; };
+  Arrive("1", "home");
+  EXPECT_THAT(Broken(), ElementsAre("HOME"));
+}
+
+TEST_F(PromiseLedgerTest, SeesWorkForALeavingTarget) {
+  ledger_.OnLeaving("i-1", kStart);
+  Send("1", "book", seconds(2));
+  Arrive("1", "book", seconds(2));
+  EXPECT_THAT(Broken(), IsEmpty());
+  Send("2", "book", seconds(3));
+  Arrive("2", "book", seconds(3));
+  EXPECT_THAT(Broken(), ElementsAre("DRAIN"));
+}
+
+// The bounds in time hold only for what has been undisturbed for a while.
+TEST_F(PromiseLedgerTest, ADisturbedGatewayMayBeLate) {
+  ledger_.troubles().Add("edge", TroubleLog::Kind::kUnplanned, kStart, kStart + seconds(1));
+  ledger_.OnLeaving("i-1", kStart);
+  Send("1", "book", seconds(4));
+  Arrive("1", "book", seconds(4));
+  EXPECT_THAT(Broken(), IsEmpty());
+  Send("2", "book", seconds(6));
+  Arrive("2", "book", seconds(6));
+  EXPECT_THAT(Broken(), ElementsAre("DRAIN"));
+}
+
+TEST_F(PromiseLedgerTest, SeesWorkForAnEvacuatedZone) {
+  ledger_.OnEvacuated("east-a", true, kStart);
+  Send("1", "book", seconds(6));
+  Arrive("1", "book", seconds(6));
+  EXPECT_THAT(Broken(), ElementsAre("EVAC"));
+}
+
+TEST_F(PromiseLedgerTest, SeesALostRequest) {
+  Send("1");
+  Arrive("1");
+  ledger_.OnConnectionEnd("1", kStart + milliseconds(20));
+  EXPECT_THAT(Broken(), ElementsAre("LOST"));
+}
+
+TEST_F(PromiseLedgerTest, SeesARequestThatIsBrokenOffAtAStop) {
+  ledger_.troubles().Add("edge", TroubleLog::Kind::kPlanned, kStart, kStart);
+  ledger_.OnStopBegin("edge", kStart);
+  Send("1");
+  Arrive("1");
+  Answer("1", 504, milliseconds(300));
+  EXPECT_THAT(Broken(), ElementsAre("LOST"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAProcessThatEndsByItself) {
+  ledger_.OnProcessEnd("edge", false, "signal 11");
+  EXPECT_THAT(Broken(), ElementsAre("FAULT"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAStopThatTakesTooLong) {
+  ledger_.OnStopOverdue("edge");
+  EXPECT_THAT(Broken(), ElementsAre("STOP"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAStoppingProcessThatSaysItIsReady) {
+  ledger_.OnStopBegin("edge", kStart);
+  ledger_.OnReadyAnswer("edge", true, kStart + seconds(3));
+  EXPECT_THAT(Broken(), IsEmpty());
+  ledger_.OnReadyAnswer("edge", true, kStart + seconds(5));
+  EXPECT_THAT(Broken(), ElementsAre("DRAIN"));
+}
+
+TEST_F(PromiseLedgerTest, SeesADirectoryThatNamesTheDead) {
+  ledger_.OnProcessStart("gone", kStart);
+  ledger_.OnProcessEnd("gone", true, "signal 9");
+  const auto end = SystemClock().Now();
+  for (int i = 0; i < 3; ++i) ledger_.OnDirectoryAnswer("edge", {"edge", "gone"}, end + seconds(8));
+  EXPECT_THAT(Broken(), IsEmpty());
+  ledger_.OnDirectoryAnswer("edge", {"edge", "gone"}, end + seconds(8));
+  EXPECT_THAT(Broken(), ElementsAre("DRAIN"));
+}
+
+TEST_F(PromiseLedgerTest, SeesTooManyRequestsForAColdTarget) {
+  change_ = [](SeenArrival& arrival) { arrival.cold = true; };
+  for (int i = 0; i < 10; ++i) {
+    Send(std::to_string(i), "read");
+    Arrive(std::to_string(i), "read", milliseconds(50 * i));
+  }
+  EXPECT_THAT(Broken(), ElementsAre("FAILBACK"));
+}
+
+TEST_F(PromiseLedgerTest, SeesTooManyRepeats) {
+  for (int i = 0; i < 30; ++i) {
+    Send(std::to_string(i), "read");
+    Arrive(std::to_string(i), "read");
+    Arrive(std::to_string(i), "read", milliseconds(20), "i-2");
+  }
+  EXPECT_THAT(BrokenAtTheEnd(), ElementsAre("BUDGET"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAttemptsWithMoreTimeThanIsLeft) {
+  change_ = [](SeenArrival& arrival) { arrival.time_left = seconds(9); };
+  for (int i = 0; i < 21; ++i) {
+    Send(std::to_string(i), "read");
+    Arrive(std::to_string(i), "read");
+  }
+  EXPECT_THAT(BrokenAtTheEnd(), ElementsAre("BUDGET"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAnswersBeyondTheTimeout) {
+  for (int i = 0; i < 8; ++i) {
+    Send(std::to_string(i), "read");
+    Answer(std::to_string(i), 504, milliseconds(2100));
+  }
+  EXPECT_THAT(BrokenAtTheEnd(), ElementsAre("CONFIG"));
+}
+
+TEST_F(PromiseLedgerTest, SeesWorkForCallersWhoHaveLeft) {
+  work_ = seconds(1);
+  for (int i = 0; i < 8; ++i) {
+    Send(std::to_string(i), "read");
+    Arrive(std::to_string(i), "read");
+    ledger_.OnCallerGone(std::to_string(i), kStart + milliseconds(100));
+    ledger_.OnWorkEnd(std::to_string(i), kStart + seconds(1));
+  }
+  EXPECT_THAT(BrokenAtTheEnd(), ElementsAre("GONE"));
+}
+
+TEST_F(PromiseLedgerTest, SeesRequestsOfCallersWhoHaveLeft) {
+  for (int i = 0; i < 4; ++i) {
+    Send(std::to_string(i), "read");
+    ledger_.OnCallerGone(std::to_string(i), kStart);
+    Arrive(std::to_string(i), "read", milliseconds(600));
+  }
+  EXPECT_THAT(BrokenAtTheEnd(), ElementsAre("GONE"));
+}
+
+TEST_F(PromiseLedgerTest, SeesAServiceThatDoesNotRecover) {
+  ledger_.OnRecovered(kStart);
+  for (int i = 0; i < 8; ++i) {
+    Send(std::to_string(i), "read", milliseconds(1));
+    Answer(std::to_string(i), 503, milliseconds(10));
+  }
+  EXPECT_THAT(BrokenAtTheEnd(), ElementsAre("RECOVER"));
+}
+
+}  // namespace
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/soak_caller.cc
@@ -0,0 +1,159 @@
+#include "soak/soak_caller.h"
+
+#include <algorithm>
+#include <random>
+
+#include "base/number_text.h"
+#include "fmt/format.h"
+#include "platform/names.h"
+
+namespace heatherspan {
+namespace {
+
+namespace names = platform_names;
+using std::chrono::milliseconds;
+
+/// Together with the work of the requests this fills about half of the targets' slots.
+constexpr milliseconds kMeanPause(250);
+constexpr milliseconds kLongestPause(3000);
+/// While there is nobody to ask.
+constexpr milliseconds kNoEntryPause(100);
+constexpr Duration kPatience = milliseconds(2500);
+constexpr double kLeavingPart = 0.06;
+constexpr double kLongPart = 0.12;
+constexpr int kLongWork = 1100;
+constexpr int kShortestWork = 20;
+constexpr int kLongestWork = 120;
+constexpr int kObjects = 12;
+constexpr std::size_t kBookingBytes = 700;
+
+struct RouteInfo {
+  const char* name;
+  const char* method;
+  bool at_most_once;
+  double weight;
+};
+
+constexpr RouteInfo kRoutes[] = {{"read", "GET", false, 9},
+                                 {"book", "POST", true, 6},
+                                 {"moving", "GET", false, 3},
+                                 {"home", "GET", false, 2},
+                                 {"extra", "PUT", true, 1}};
+
+auto Now() -> MonotonicTime { return SystemClock().Now(); }
+
+}  // namespace
+
+SoakCaller::SoakCaller(int number, bool clings, std::uint64_t seed, WorkerPool& workers,
+                       const SoakCallerWorld& world, Guarded<PromiseLedger>& ledger)
+    : number_(number),
+      clings_(clings),
+      random_(seed),
+      workers_(workers),
+      world_(world),
+      ledger_(ledger),
+      client_(workers,
+              HttpClient::Limits{.max_connections_per_endpoint = 2, .forward_host = true}) {}
+
+auto SoakCaller::Chance(double part) -> bool { return std::bernoulli_distribution(part)(random_); }
+
+auto SoakCaller::ChooseEntry() -> bool {
+  const auto& entries = world_.entries;
+  const bool named = std::any_of(entries.begin(), entries.end(), [&](const SoakEntry& entry) {
+    return entry.gateway == entry_.gateway;
+  });
+  if (!entry_.gateway.empty() && (clings_ || named)) return true;
+  if (entries.empty()) return false;
+  entry_ = entries[std::uniform_int_distribution<std::size_t>(0, entries.size() - 1)(random_)];
+  return true;
+}
+
+auto SoakCaller::DrawRequest() -> SentRequest {
+  std::vector<double> weights;
+  for (const auto& route : kRoutes) weights.push_back(route.weight);
+  const auto& route =
+      kRoutes[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(random_)];
+  const int object = std::uniform_int_distribution(0, kObjects - 1)(random_);
+  const int work = Chance(kLongPart)
+                       ? kLongWork
+                       : std::uniform_int_distribution(kShortestWork, kLongestWork)(random_);
+  SentRequest request;
+  request.id = fmt::format("c{}-{}", number_, ++sent_);
+  request.gateway = entry_.gateway;
+  request.route = route.name;
+  request.method = route.method;
+  request.target = fmt::format("/{}/{}/{}", route.name, object, work);
+  request.at_most_once = route.at_most_once;
+  request.patience = kPatience;
+  request.route_timeout = world_.route_timeout;
+  if (request.method != "GET") request.body = std::string(kBookingBytes, 'b') + request.id;
+  return request;
+}
+
+auto SoakCaller::SendNext() -> void {
+  if (world_.ended) return;
+  if (!ChooseEntry()) {
+    Later(kNoEntryPause);
+    return;
+  }
+  Send(DrawRequest());
+}
+
+auto SoakCaller::Send(const SentRequest& request) -> void {
+  HttpRequest sent;
+  sent.method = request.method;
+  sent.target = request.target;
+  sent.body = request.body;
+  sent.headers = {
+      {"Host", world_.host},
+      {std::string(names::kRequestId), request.id},
+      {std::string(names::kDeadline),
+       std::to_string(std::chrono::duration_cast<milliseconds>(request.patience).count())},
+      {"Cookie", fmt::format("{}={}", names::kAffinityCookie, request.target)}};
+  ledger_.With([&](PromiseLedger& ledger) { ledger.OnSent(request, Now()); });
+  exchange_ =
+      client_.Send(entry_.endpoint, std::move(sent), request.patience,
+                   [this, id = request.id](const HttpResult& result) { OnResult(id, result); });
+  if (!Chance(kLeavingPart)) return;
+  const auto stay = milliseconds(std::uniform_int_distribution(50, 400)(random_));
+  leave_ = workers_.RunAfter(stay, [this, id = request.id] {
+    ledger_.With([&](PromiseLedger& ledger) { ledger.OnCallerGone(id, Now()); });
+    if (exchange_ != nullptr) exchange_->Cancel();
+  });
+}
+
+auto SoakCaller::OnResult(const std::string& id, const HttpResult& result) -> void {
+  leave_.reset();
+  exchange_.reset();
+  const auto& response = result.response;
+  const bool complete = result.status.ok();
+  ledger_.With([&](PromiseLedger& ledger) {
+    if (complete) {
+      ledger.OnAnswer(id,
+                      {response.status, std::string(response.Header(names::kRequestId)),
+                       std::string(response.Header(names::kSignature)), response.body},
+                      Now());
+    } else if (absl::IsDeadlineExceeded(result.status)) {
+      ledger.OnSilence(id, Now());
+    } else if (!absl::IsCancelled(result.status) &&
+               result.progress != SendProgress::kNothingWritten) {
+      ledger.OnConnectionEnd(id, Now());
+    }
+  });
+  if (!complete) entry_ = {};
+  Duration pause = Duration::zero();
+  if (const auto seconds = ParseNumber<double>(response.Header("Retry-After"))) {
+    pause = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*seconds));
+    if (!clings_) entry_ = {};
+  } else if (!world_.burst) {
+    pause = milliseconds(static_cast<std::int64_t>(std::exponential_distribution<double>(
+        1.0 / static_cast<double>(kMeanPause.count()))(random_)));
+  }
+  Later(std::min<Duration>(pause, kLongestPause));
+}
+
+auto SoakCaller::Later(Duration pause) -> void {
+  next_ = workers_.RunAfter(pause, [this] { SendNext(); });
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/soak_plan.cc
@@ -0,0 +1,133 @@
+#include "soak/soak_plan.h"
+
+#include <algorithm>
+#include <iterator>
+#include <random>
+
+#include "base/random.h"
+#include "fmt/format.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+enum class Party { kGateway, kTarget, kZone };
+
+struct ActionInfo {
+  SoakAction action;
+  std::string_view text;
+  double weight;  ///< How often it is drawn, relative to the others.
+  Party party;
+  milliseconds shortest;
+  milliseconds longest;
+};
+
+/// Lengths reach from under to over the figures by which the programs give up or hold on: connect
+/// and acknowledgement times, lease lifetimes, the grace of a stop.
+constexpr ActionInfo kActions[] = {
+    {SoakAction::kStop, "stop", 3, Party::kGateway, milliseconds(300), milliseconds(2000)},
+    {SoakAction::kKill, "kill", 2, Party::kGateway, milliseconds(300), milliseconds(9000)},
+    {SoakAction::kKillAll, "kill-all", 0.3, Party::kGateway, milliseconds(300), milliseconds(1500)},
+    {SoakAction::kPause, "pause", 2, Party::kGateway, milliseconds(100), milliseconds(4000)},
+    {SoakAction::kReload, "reload", 2, Party::kGateway, milliseconds(0), milliseconds(0)},
+    {SoakAction::kCallersCut, "callers-cut", 1, Party::kGateway, milliseconds(200),
+     milliseconds(3000)},
+    {SoakAction::kCallersReset, "callers-reset", 1, Party::kGateway, milliseconds(0),
+     milliseconds(0)},
+    {SoakAction::kStoreDown, "store-down", 1.5, Party::kGateway, milliseconds(300),
+     milliseconds(6000)},
+    {SoakAction::kStoreCut, "store-cut", 1.5, Party::kGateway, milliseconds(300),
+     milliseconds(6000)},
+    {SoakAction::kStoreReset, "store-reset", 1, Party::kGateway, milliseconds(0), milliseconds(0)},
+    {SoakAction::kStoreSilence, "store-silence", 1, Party::kGateway, milliseconds(0),
+     milliseconds(0)},
+    {SoakAction::kStoreSlow, "store-slow", 1, Party::kGateway, milliseconds(500),
+     milliseconds(5000)},
+    {SoakAction::kStoreLosesAnswers, "store-loses-answers", 1, Party::kGateway, milliseconds(300),
+     milliseconds(4000)},
+    {SoakAction::kStoreForgets, "store-forgets", 0.7, Party::kGateway, milliseconds(0),
+     milliseconds(0)},
+    {SoakAction::kTargetCut, "target-cut", 1, Party::kTarget, milliseconds(300),
+     milliseconds(5000)},
+    {SoakAction::kTargetLosesAnswers, "target-loses-answers", 1, Party::kTarget, milliseconds(300),
+     milliseconds(4000)},
+    {SoakAction::kTargetReset, "target-reset", 1.5, Party::kTarget, milliseconds(0),
+     milliseconds(0)},
+    {SoakAction::kTargetSilence, "target-silence", 1, Party::kTarget, milliseconds(0),
+     milliseconds(0)},
+    {SoakAction::kTargetSlow, "target-slow", 1, Party::kTarget, milliseconds(500),
+     milliseconds(5000)},
+    {SoakAction::kTargetCrash, "target-crash", 1.5, Party::kTarget, milliseconds(500),
+     milliseconds(6000)},
+    {SoakAction::kTargetLeave, "target-leave", 2, Party::kTarget, milliseconds(500),
+     milliseconds(4000)},
+    {SoakAction::kTargetTruncates, "target-truncates", 1, Party::kTarget, milliseconds(200),
+     milliseconds(2000)},
+    {SoakAction::kTargetAddsBytes, "target-adds-bytes", 1, Party::kTarget, milliseconds(200),
+     milliseconds(2000)},
+    {SoakAction::kTargetSheds, "target-sheds", 1, Party::kTarget, milliseconds(300),
+     milliseconds(4000)},
+    {SoakAction::kPolicy, "policy", 3, Party::kGateway, milliseconds(0), milliseconds(0)},
+    {SoakAction::kEvacuate, "evacuate", 1, Party::kZone, milliseconds(3000), milliseconds(9000)},
+    {SoakAction::kBurst, "burst", 1, Party::kGateway, milliseconds(500), milliseconds(3000)},
+};
+
+constexpr milliseconds kMeanGap(700);
+/// The same again, or on another party, soon after.
+constexpr double kSeriesPart = 0.35;
+constexpr milliseconds kSeriesGap(250);
+
+auto Info(SoakAction action) -> const ActionInfo& {
+  return *std::find_if(std::begin(kActions), std::end(kActions),
+                       [&](const ActionInfo& info) { return info.action == action; });
+}
+
+auto DrawAction(Random& random) -> const ActionInfo& {
+  std::vector<double> weights;
+  for (const auto& info : kActions) weights.push_back(info.weight);
+  return kActions[std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(random)];
+}
+
+auto DrawParty(Party party, const SoakSize& size, Random& random) -> int {
+  const int count = party == Party::kGateway  ? size.gateways
+                    : party == Party::kTarget ? size.targets
+                                              : size.zones;
+  return std::uniform_int_distribution(0, count - 1)(random);
+}
+
+}  // namespace
+
+auto ActionText(SoakAction action) -> std::string_view { return Info(action).text; }
+
+auto StepText(const SoakStep& step) -> std::string {
+  return fmt::format(
+      "{:6.3f} s {} {} for {} ms", std::chrono::duration<double>(step.at).count(),
+      fmt::string_view(ActionText(step.action).data(), ActionText(step.action).size()), step.party,
+      duration_cast<milliseconds>(step.length).count());
+}
+
+auto DrawSoakPlan(std::uint64_t seed, Duration length, const SoakSize& size)
+    -> std::vector<SoakStep> {
+  Random random(seed);
+  std::exponential_distribution<double> gap(1.0 / static_cast<double>(kMeanGap.count()));
+  std::bernoulli_distribution in_series(kSeriesPart);
+  std::vector<SoakStep> plan;
+  Duration at = std::chrono::seconds(1);
+  const auto* info = &DrawAction(random);
+  while (at < length) {
+    const auto longest = std::uniform_int_distribution<std::int64_t>(info->shortest.count(),
+                                                                     info->longest.count())(random);
+    plan.push_back({at, info->action, DrawParty(info->party, size, random), milliseconds(longest)});
+    if (in_series(random)) {
+      at += kSeriesGap;
+    } else {
+      at += milliseconds(static_cast<std::int64_t>(gap(random)));
+      info = &DrawAction(random);
+    }
+  }
+  return plan;
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/soak_run.cc
@@ -0,0 +1,598 @@
+#include "soak/soak_run.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <thread>
+
+#include "base/number_text.h"
+#include "fmt/format.h"
+#include "platform/names.h"
+
+namespace heatherspan {
+namespace {
+
+namespace names = platform_names;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Last parts of the loopback addresses.
+constexpr int kStoreAddress = 1;
+constexpr int kStoreProxies = 10;
+constexpr int kGateways = 30;
+constexpr int kCallerProxies = 50;
+constexpr int kTargets = 100;
+constexpr int kTargetProxies = 150;
+
+constexpr std::uint16_t kCallersPort = 7001;
+constexpr std::uint16_t kReadinessPort = 7002;
+constexpr std::uint16_t kDirectoryPort = 7003;
+constexpr std::uint16_t kMetricsPort = 7004;
+constexpr std::uint16_t kTargetPort = 7010;
+constexpr std::uint16_t kStorePort = 7020;
+
+constexpr Duration kGrace = seconds(6);
+constexpr Duration kOverdue = milliseconds(200);  ///< For the process to be seen to have ended.
+constexpr Duration kStartTime = seconds(10);
+constexpr Duration kMeasured = seconds(3);
+constexpr Duration kSettled = seconds(30);  ///< All effects have ended by then.
+constexpr Duration kLoop = milliseconds(5);
+constexpr Duration kStall = milliseconds(400);
+constexpr Duration kQuestionInterval = seconds(1);
+constexpr Duration kRestartPause = milliseconds(300);
+/// A proxy acknowledges what it swallows, so that only the time limit of a call ends the silence:
+/// that of a watch, StoreFollower::kWatchTime and StoreClient::kCallTimeout, or of a request.
+constexpr Duration kSilenceTime = milliseconds(4700);
+constexpr Duration kRouteTimeout = milliseconds(1500);
+constexpr Duration kDrainTime = milliseconds(2500);
+constexpr Duration kAfterDrain = milliseconds(1500);
+constexpr Duration kEntryLifetime = milliseconds(4500);  ///< Three heartbeats.
+constexpr Duration kAddressReuse = seconds(2);
+constexpr Duration kSlowLink = milliseconds(250);
+constexpr int kPolicyStep = 3;
+constexpr const char* kHost = "soak.example";
+
+auto Now() -> MonotonicTime { return SystemClock().Now(); }
+
+auto ZoneOf(int number) -> std::string {
+  constexpr const char* kZones[] = {"east-a", "west-a", "east-b", "west-b"};
+  return kZones[number % 4];
+}
+
+auto RegionOf(const std::string& zone) -> std::string { return zone.substr(0, zone.find('-')); }
+
+auto RouteText(const std::string& name, const std::string& service, const std::string& kind,
+               const std::string& more) -> std::string {
+  return fmt::format(
+      R"({{"type":"routes","metadata":{{"name":"{0}"}},"spec":{{"host":"{1}","path_prefix":"/{0}/",)"
+      R"("kind":"{2}","timeout_s":{3},"latency_slo_s":0.5,"priority":1,"service":"{4}",)"
+      R"("max_attempts":2,"session_affinity":true{5}}}}})",
+      name, kHost, kind, std::chrono::duration<double>(kRouteTimeout).count(), service, more);
+}
+
+auto ServiceText(const std::string& name) -> std::string {
+  return fmt::format(
+      R"({{"type":"services","metadata":{{"name":"{}"}},"spec":{{"health_path":"/health",)"
+      R"("max_conns":60,"cold_s":3,"cold_per_s":3}}}})",
+      name);
+}
+
+}  // namespace
+
+SoakRun::SoakRun(Options options)
+    : options_(std::move(options)),
+      ledger_(PromiseBounds{}),
+      store_({Address(kStoreAddress), kStorePort}),
+      observer_(caller_workers_, HttpClient::Limits{.connect_timeout = milliseconds(500)}) {
+  world_.host = kHost;
+  world_.route_timeout = kRouteTimeout;
+  for (int i = 0; i < options_.size.targets; ++i) AddTarget(i);
+  for (int i = 0; i < options_.size.gateways; ++i) AddGateway(i);
+  for (int i = 0; i < options_.callers; ++i) {
+    callers_.push_back(std::make_unique<SoakCaller>(
+        i, i % 2 == 0, options_.seed * static_cast<std::uint64_t>(options_.callers) + i,
+        caller_workers_, world_, ledger_));
+  }
+}
+
+SoakRun::~SoakRun() {
+  gateways_.clear();
+  caller_workers_.Stop();
+  proxy_workers_.Stop();
+  target_workers_.Stop();
+}
+
+auto SoakRun::Address(int number) const -> std::string {
+  // Loopback addresses of this process alone.
+  constexpr int kOctets = 250;
+  const int process = ::getpid();
+  return fmt::format("127.{}.{}.{}", process / kOctets % kOctets + 1, process % kOctets + 1,
+                     number);
+}
+
+auto SoakRun::Log(const std::string& line) const -> void {
+  std::cout << fmt::format("{:7.3f} {}\n", std::chrono::duration<double>(Now() - began_).count(),
+                           line);
+}
+
+auto SoakRun::AddTarget(int number) -> void {
+  auto& target = targets_.emplace_back();
+  const Endpoint endpoint{Address(kTargets + number), kTargetPort};
+  target.identity = {"", number / 4 % 2 == 0 ? "alpha" : "beta", ZoneOf(number),
+                     RegionOf(ZoneOf(number))};
+  target.target = std::make_unique<SoakTarget>(target_workers_, endpoint, ledger_);
+  target.proxy = std::make_unique<FaultProxy>(
+      proxy_workers_, Endpoint{Address(kTargetProxies + number), kTargetPort}, endpoint);
+  BeginLife(target, false);
+}
+
+auto SoakRun::AddGateway(int number) -> void {
+  auto& gateway = gateways_.emplace_back();
+  gateway.zone = ZoneOf(number);
+  gateway.region = RegionOf(gateway.zone);
+  gateway.name = fmt::format("edge-{}", number);
+  gateway.address = Address(kGateways + number);
+  gateway.callers = std::make_unique<FaultProxy>(
+      proxy_workers_, Endpoint{Address(kCallerProxies + number), kCallersPort},
+      Endpoint{gateway.address, kCallersPort});
+  gateway.store = std::make_unique<FaultProxy>(
+      proxy_workers_, Endpoint{Address(kStoreProxies + number), kStorePort}, store_.endpoint());
+  const auto base = options_.folder + "/" + gateway.name;
+  gateway.process =
+      std::make_unique<GatewayProcess>(options_.program, base + ".toml", base + ".log");
+  WriteSettings(gateway);
+}
+
+auto SoakRun::WriteSettings(Gateway& gateway) -> void {
+  const auto number = static_cast<int>(&gateway - gateways_.data());
+  std::ofstream file(options_.folder + "/" + gateway.name + ".toml");
+  file << fmt::format(
+      "[node]\nname = \"{0}\"\nzone = \"{1}\"\nregion = \"{2}\"\n"
+      "[listen]\ncallers = \"{3}:{4}\"\nreadiness = \"{3}:{5}\"\ndirectory = \"{3}:{6}\"\n"
+      "metrics = \"{3}:{7}\"\n"
+      "[store]\naddress = \"{8}:{9}\"\n"
+      "[bounds]\nretry_ratio = 0.2\nretry_allowance = 20\nstop_grace_s = 6\n"
+      "[log]\nlines_per_second = {10}\n"
+      "[zones]\neast-a = \"east\"\nwest-a = \"west\"\neast-b = \"east\"\nwest-b = \"west\"\n",
+      gateway.name, gateway.zone, gateway.region, gateway.address, kCallersPort, kReadinessPort,
+      kDirectoryPort, kMetricsPort, Address(kStoreProxies + number), kStorePort, gateway.log_lines);
+}
+
+auto SoakRun::Register(Target& target, const std::string& state) -> void {
+  const auto number = static_cast<int>(&target - targets_.data());
+  store_.Put(std::string(names::kTargetPrefix) + target.identity.name,
+             fmt::format(R"({{"address":"{}:{}","born":{},"info":{{"service":"{}","version":"v1",)"
+                         R"("zone":"{}","max_concurrency":{}}},"status":{{"state":"{}",)"
+                         R"("sequence":1,"cold_left_s":{}}}}})",
+                         Address(kTargetProxies + number), kTargetPort, target.lives,
+                         target.identity.service, target.identity.zone, SoakTarget::kSlots, state,
+                         target.lives > 1 && state == "ready" ? 3 : 0));
+}
+
+auto SoakRun::BeginLife(Target& target, bool other_service) -> void {
+  const auto number = &target - targets_.data();
+  ++target.lives;
+  target.identity.name = fmt::format("i-{}-{}", number, target.lives);
+  if (other_service)
+    target.identity.service = target.identity.service == "alpha" ? "beta" : "alpha";
+  target.away = false;
+  target.now = {};
+  target.target->Become(target.identity, target.lives > 1);
+  target.proxy->SetBehaviour(target.now);
+  Register(target, "ready");
+}
+
+auto SoakRun::EndLife(Target& target, Duration away) -> void {
+  target.away = true;
+  target.now.refuse = true;
+  target.proxy->SetBehaviour(target.now);
+  target.proxy->ResetConnections();
+  Trouble(target.identity.name, Kind::kUnplanned, away);
+  const auto remove = [this, name = target.identity.name] {
+    ledger_.With([&](PromiseLedger& ledger) { ledger.OnLeaving(name, Now()); });
+    store_.Remove(std::string(names::kTargetPrefix) + name);
+  };
+  After(std::min(kEntryLifetime, away), remove);
+  After(away, [this, &target, away] {
+    // An address may go to another service; each service keeps at least its other targets.
+    BeginLife(target, away >= kAddressReuse && target.lives % 4 == 3);
+  });
+}
+
+auto SoakRun::PutPolicy() -> void {
+  version_ += kPolicyStep;
+  const std::string moving = version_ / kPolicyStep % 2 == 0 ? "alpha" : "beta";
+  const bool has_extra = version_ / kPolicyStep % 3 != 0;
+  PolicyFacts facts;
+  facts.services = {{"read", "alpha"}, {"book", "beta"}, {"moving", moving}, {"home", "alpha"}};
+  facts.regions = {{"home", "east"}};
+  auto text =
+      fmt::format(R"({{"version":"r{}","resources":[{},{},{},{},{},{})", version_,
+                  ServiceText("alpha"), ServiceText("beta"), RouteText("read", "alpha", "safe", ""),
+                  RouteText("book", "beta", "unsafe", ""), RouteText("moving", moving, "safe", ""),
+                  RouteText("home", "alpha", "safe", R"(,"allowed_regions":["east"])"));
+  if (has_extra) {
+    facts.services["extra"] = "beta";
+    text += ',' + RouteText("extra", "beta", "unsafe", "");
+  }
+  text += "]}";
+  ledger_.With([&](PromiseLedger& ledger) { ledger.OnPolicy(facts, Now()); });
+  store_.Put(std::string(names::kConfigKey), text);
+}
+
+auto SoakRun::Trouble(const std::string& party, Kind kind, Duration length) -> void {
+  const auto now = Now();
+  ledger_.With(
+      [&](PromiseLedger& ledger) { ledger.troubles().Add(party, kind, now, now + length); });
+}
+
+auto SoakRun::After(Duration delay, std::function<void()> task) -> void {
+  tasks_.emplace(Now() + delay, std::move(task));
+}
+
+auto SoakRun::StartGateway(Gateway& gateway) -> void {
+  gateway.ending = false;
+  gateway.restart_at = MonotonicTime::max();
+  gateway.stop_deadline = MonotonicTime::max();
+  Trouble(gateway.name, Kind::kPlanned, Duration::zero());
+  ledger_.With([&](PromiseLedger& ledger) { ledger.OnProcessStart(gateway.name, Now()); });
+  if (!gateway.process->Start()) {
+    ledger_.With([&](PromiseLedger& ledger) {
+      ledger.OnProcessEnd(gateway.name, false, "can't be started");
+    });
+  }
+}
+
+auto SoakRun::Stop(Gateway& gateway, Duration down) -> void {
+  if (!gateway.process->running() || gateway.ending) return;
+  gateway.ending = true;
+  gateway.down_time = down;
+  gateway.stop_began = Now();
+  gateway.stop_deadline = Now() + kGrace + kOverdue;
+  Trouble(gateway.name, Kind::kPlanned, Duration::zero());
+  ledger_.With([&](PromiseLedger& ledger) { ledger.OnStopBegin(gateway.name, Now()); });
+  gateway.process->Signal(SIGTERM);
+}
+
+auto SoakRun::Kill(Gateway& gateway, Duration down) -> void {
+  if (!gateway.process->running()) return;
+  gateway.ending = true;
+  gateway.down_time = down;
+  Trouble(gateway.name, Kind::kUnplanned, down);
+  gateway.process->Signal(SIGKILL);
+}
+
+auto SoakRun::LookAfterGateways() -> void {
+  for (auto& gateway : gateways_) {
+    if (const auto end = gateway.process->Reap()) {
+      Log(fmt::format("{} ended: {}", gateway.name, end->text));
+      ledger_.With([&](PromiseLedger& ledger) {
+        ledger.OnProcessEnd(gateway.name, gateway.ending, end->text);
+      });
+      gateway.restart_at = Now() + (gateway.ending ? gateway.down_time : kRestartPause);
+    }
+    if (gateway.process->running() && Now() > gateway.stop_deadline) {
+      const auto began = gateway.stop_began;
+      ledger_.With([&](PromiseLedger& ledger) {
+        if (ledger.troubles().HasOnlyPlanned(gateway.name, began, Now())) {
+          ledger.OnStopOverdue(gateway.name);
+        }
+      });
+      Kill(gateway, gateway.down_time);
+      gateway.stop_deadline = MonotonicTime::max();
+    }
+    if (!gateway.process->running() && Now() > gateway.restart_at) StartGateway(gateway);
+  }
+}
+
+auto SoakRun::OnNamed(const std::string& asked, const std::string& answer) -> void {
+  std::vector<std::string> named;
+  std::vector<SoakEntry> entries;
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    const auto& gateway = gateways_[i];
+    if (answer.find(Endpoint{gateway.address, kCallersPort}.Text()) == std::string::npos) continue;
+    named.push_back(gateway.name);
+    entries.push_back(
+        {gateway.name, {Address(kCallerProxies + static_cast<int>(i)), kCallersPort}});
+  }
+  named_[asked] = std::move(entries);
+  ledger_.With([&](PromiseLedger& ledger) { ledger.OnDirectoryAnswer(asked, named, Now()); });
+  world_.entries.clear();
+  for (const auto& [gateway, list] : named_) {
+    world_.entries.insert(world_.entries.end(), list.begin(), list.end());
+  }
+}
+
+auto SoakRun::AskGateways() -> void {
+  if (Now() < next_question_) return;
+  next_question_ = Now() + kQuestionInterval;
+  const auto ask = [this](const Gateway& gateway, std::uint16_t port, std::string target,
+                          std::function<void(const HttpResult&)> then) {
+    HttpRequest request;
+    request.target = std::move(target);
+    observer_.Send({gateway.address, port}, std::move(request), kQuestionInterval, std::move(then));
+  };
+  for (const auto& gateway : gateways_) {
+    const auto& name = gateway.name;
+    ask(gateway, kReadinessPort, std::string(names::kReadyPath),
+        [this, name](const HttpResult& result) {
+          ledger_.With([&](PromiseLedger& ledger) {
+            ledger.OnReadyAnswer(name, result.status.ok() && result.response.status == 200, Now());
+          });
+        });
+    ask(gateway, kDirectoryPort,
+        fmt::format("{}?name={}&region={}&zone={}", names::kDirectoryPath, kHost, gateway.region,
+                    gateway.zone),
+        [this, name](const HttpResult& result) {
+          OnNamed(name, result.status.ok() ? result.response.body : "");
+        });
+    ask(gateway, kMetricsPort, "/metrics", [this, name](const HttpResult& result) {
+      constexpr std::string_view kGauge = "\nheatherspan_config_version ";
+      const std::string_view text = result.response.body;
+      const auto at = text.find(kGauge);
+      if (at == std::string_view::npos) return;
+      const auto number =
+          text.substr(at + kGauge.size(), text.find('\n', at + 1) - at - kGauge.size());
+      const auto version = ParseNumber<std::uint64_t>(number);
+      if (!version.has_value()) return;
+      ledger_.With([&](PromiseLedger& ledger) { ledger.OnConfigVersion(name, *version); });
+    });
+  }
+}
+
+auto SoakRun::RunUntil(MonotonicTime end) -> void {
+  auto last = Now();
+  while (last < end) {
+    std::this_thread::sleep_for(kLoop);
+    const auto now = Now();
+    if (now - last > kStall) {
+      Log(fmt::format("the soak itself stalled for {} ms",
+                      duration_cast<milliseconds>(now - last).count()));
+    }
+    last = now;
+    while (!tasks_.empty() && tasks_.begin()->first <= now) {
+      const auto task = std::move(tasks_.begin()->second);
+      tasks_.erase(tasks_.begin());
+      task();
+    }
+    LookAfterGateways();
+    AskGateways();
+  }
+}
+
+auto SoakRun::Do(const SoakStep& step) -> void {
+  Log(StepText(step));
+  switch (step.action) {
+    case SoakAction::kPolicy:
+      PutPolicy();
+      break;
+    case SoakAction::kEvacuate: {
+      const auto zone = ZoneOf(step.party);
+      const auto key = std::string(names::kEvacuationPrefix) + zone;
+      if (store_.Has(key)) break;
+      ledger_.With([&](PromiseLedger& ledger) { ledger.OnEvacuated(zone, true, Now()); });
+      store_.Put(key, "{}");
+      After(step.length, [this, zone, key] {
+        ledger_.With([&](PromiseLedger& ledger) { ledger.OnEvacuated(zone, false, Now()); });
+        store_.Remove(key);
+      });
+      break;
+    }
+    case SoakAction::kBurst:
+      caller_workers_.Post([this] { world_.burst = true; });
+      After(step.length, [this] { caller_workers_.Post([this] { world_.burst = false; }); });
+      break;
+    case SoakAction::kKillAll:
+      for (auto& gateway : gateways_) Kill(gateway, step.length);
+      break;
+    default:
+      if (step.action <= SoakAction::kCallersReset) {
+        DoGateway(step);
+      } else if (step.action <= SoakAction::kStoreForgets) {
+        DoStore(step);
+      } else {
+        DoTarget(step);
+      }
+  }
+}
+
+auto SoakRun::DoGateway(const SoakStep& step) -> void {
+  auto& gateway = gateways_[step.party];
+  switch (step.action) {
+    case SoakAction::kStop:
+      Stop(gateway, step.length);
+      break;
+    case SoakAction::kKill:
+      Kill(gateway, step.length);
+      break;
+    case SoakAction::kPause:
+      Trouble(gateway.name, Kind::kUnplanned, step.length);
+      gateway.process->Signal(SIGSTOP);
+      After(step.length, [&gateway] { gateway.process->Signal(SIGCONT); });
+      break;
+    case SoakAction::kReload:
+      ++gateway.log_lines;
+      WriteSettings(gateway);
+      gateway.process->Signal(SIGHUP);
+      break;
+    case SoakAction::kCallersCut:
+      Trouble(gateway.name, Kind::kUnplanned, step.length);
+      gateway.callers_now.forward_to_client = false;
+      gateway.callers->SetBehaviour(gateway.callers_now);
+      After(step.length, [&gateway] {
+        gateway.callers_now.forward_to_client = true;
+        gateway.callers->SetBehaviour(gateway.callers_now);
+      });
+      break;
+    default:
+      Trouble(gateway.name, Kind::kUnplanned, Duration::zero());
+      gateway.callers->ResetConnections();
+  }
+}
+
+auto SoakRun::DoStore(const SoakStep& step) -> void {
+  auto& gateway = gateways_[step.party];
+  const auto change = [&gateway](const std::function<void(FaultProxy::Behaviour&)>& apply) {
+    apply(gateway.store_now);
+    gateway.store->SetBehaviour(gateway.store_now);
+  };
+  switch (step.action) {
+    case SoakAction::kStoreDown:
+      Trouble(TroubleLog::kStore, Kind::kUnplanned, step.length);
+      if (stores_down_++ == 0) store_.SetDown(true);
+      After(step.length, [this] {
+        if (--stores_down_ == 0) store_.SetDown(false);
+      });
+      break;
+    case SoakAction::kStoreCut:
+      Trouble(gateway.name, Kind::kUnplanned, step.length);
+      change([](auto& now) { now.forward_to_server = now.forward_to_client = false; });
+      After(step.length, [change] {
+        change([](auto& now) { now.forward_to_server = now.forward_to_client = true; });
+      });
+      break;
+    case SoakAction::kStoreLosesAnswers:
+      Trouble(gateway.name, Kind::kUnplanned, step.length);
+      change([](auto& now) { now.forward_to_client = false; });
+      After(step.length, [change, &gateway] {
+        // A connection on which an answer was lost carries nothing more.
+        gateway.store->ResetConnections();
+        change([](auto& now) { now.forward_to_client = true; });
+      });
+      break;
+    case SoakAction::kStoreSlow:
+      Trouble(TroubleLog::kStore, Kind::kUnplanned, step.length);
+      for (auto& other : gateways_) {
+        other.store_now.delay = kSlowLink;
+        other.store->SetBehaviour(other.store_now);
+      }
+      After(step.length, [this] {
+        for (auto& other : gateways_) {
+          other.store_now.delay = Duration::zero();
+          other.store->SetBehaviour(other.store_now);
+        }
+      });
+      break;
+    case SoakAction::kStoreReset:
+      Trouble(gateway.name, Kind::kUnplanned, Duration::zero());
+      gateway.store->ResetConnections();
+      break;
+    case SoakAction::kStoreSilence:
+      Trouble(gateway.name, Kind::kUnplanned, kSilenceTime);
+      gateway.store->SilenceConnections();
+      break;
+    default:
+      store_.ForgetHistory();
+  }
+}
+
+auto SoakRun::HarmTarget(int number, Duration length,
+                         const std::function<void(FaultProxy::Behaviour&)>& harm) -> void {
+  auto& target = targets_[number];
+  Trouble(target.identity.name, Kind::kUnplanned, length);
+  harm(target.now);
+  target.proxy->SetBehaviour(target.now);
+  After(length, [&target, life = target.lives] {
+    if (target.lives != life) return;
+    const bool refuse = target.now.refuse;
+    target.now = {};
+    target.now.refuse = refuse;
+    target.proxy->SetBehaviour(target.now);
+  });
+}
+
+auto SoakRun::DoTarget(const SoakStep& step) -> void {
+  auto& target = targets_[step.party];
+  if (target.away) return;
+  using Behaviour = FaultProxy::Behaviour;
+  switch (step.action) {
+    case SoakAction::kTargetCut:
+      HarmTarget(step.party, step.length,
+                 [](Behaviour& now) { now.forward_to_server = now.forward_to_client = false; });
+      break;
+    case SoakAction::kTargetLosesAnswers:
+      HarmTarget(step.party, step.length, [](Behaviour& now) { now.forward_to_client = false; });
+      break;
+    case SoakAction::kTargetSlow:
+      HarmTarget(step.party, step.length, [](Behaviour& now) { now.delay = kSlowLink; });
+      break;
+    case SoakAction::kTargetTruncates:
+      HarmTarget(step.party, step.length,
+                 [](Behaviour& now) { now.spoil = FaultProxy::Spoil::kTruncate; });
+      break;
+    case SoakAction::kTargetAddsBytes:
+      HarmTarget(step.party, step.length,
+                 [](Behaviour& now) { now.spoil = FaultProxy::Spoil::kExtra; });
+      break;
+    case SoakAction::kTargetReset:
+      Trouble(target.identity.name, Kind::kUnplanned, Duration::zero());
+      target.proxy->ResetConnections();
+      break;
+    case SoakAction::kTargetSilence:
+      Trouble(target.identity.name, Kind::kUnplanned, kRouteTimeout);
+      target.proxy->SilenceConnections();
+      break;
+    case SoakAction::kTargetSheds:
+      target.target->SetShedding(true);
+      After(step.length, [&target] { target.target->SetShedding(false); });
+      break;
+    case SoakAction::kTargetLeave:
+      target.away = true;
+      target.target->SetDraining(true);
+      ledger_.With([&](PromiseLedger& ledger) { ledger.OnLeaving(target.identity.name, Now()); });
+      Register(target, "draining");
+      After(kDrainTime + kAfterDrain,
+            [this, &target, length = step.length] { EndLife(target, length); });
+      break;
+    default:
+      EndLife(target, step.length);
+  }
+}
+
+auto SoakRun::AwaitReady() -> bool {
+  const auto end = Now() + kStartTime;
+  for (const auto& gateway : gateways_) {
+    while (!store_.Has(std::string(names::kEntryVmPrefix) + gateway.name)) {
+      if (Now() > end) return false;
+      RunUntil(Now() + kLoop);
+    }
+  }
+  return true;
+}
+
+auto SoakRun::Play() -> bool {
+  began_ = Now();
+  PutPolicy();
+  for (auto& gateway : gateways_) StartGateway(gateway);
+  if (!AwaitReady()) return false;
+  caller_workers_.Post([this] {
+    for (const auto& caller : callers_) caller->Start();
+  });
+  for (const auto& step : DrawSoakPlan(options_.seed, options_.length, options_.size)) {
+    After(step.at, [this, step] { Do(step); });
+  }
+  RunUntil(Now() + options_.length);
+  const auto settled = Now() + kSettled;
+  const auto is_whole = [this] {
+    return tasks_.empty() &&
+           std::all_of(gateways_.begin(), gateways_.end(), [](const auto& gateway) {
+             return gateway.process->running() && !gateway.ending;
+           });
+  };
+  while (!is_whole() && Now() < settled) RunUntil(Now() + kLoop);
+  Log("all faults have ended");
+  RunUntil(Now() + options_.recovery);
+  ledger_.With([&](PromiseLedger& ledger) { ledger.OnRecovered(Now()); });
+  RunUntil(Now() + kMeasured);
+  caller_workers_.Post([this] { world_.ended = true; });
+  RunUntil(Now() + kMeasured);
+  ledger_.With([](PromiseLedger& ledger) { ledger.Finish(); });
+  return true;
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/soak_run.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet_standins/kv_standin.h"
+#include "net/http_client.h"
+#include "net/worker_pool.h"
+#include "soak/fault_proxy.h"
+#include "soak/gateway_process.h"
+#include "soak/guarded.h"
+#include "soak/promise_ledger.h"
+#include "soak/soak_caller.h"
+#include "soak/soak_plan.h"
+#include "soak/soak_target.h"
+
+namespace heatherspan {
+
+/// One seed of the soak: gateway processes, stand-ins and proxies between them, a plan of faults.
+class SoakRun {
+ public:
+  struct Options {
+    std::string program;  ///< Path of the gateway program.
+    std::string folder;   ///< For settings and logs; exists.
+    std::uint64_t seed = 1;
+    Duration length = std::chrono::seconds(15);  ///< Of the faults.
+    Duration recovery = std::chrono::seconds(15);
+    SoakSize size;
+    int callers = 32;
+  };
+
+  explicit SoakRun(Options options);
+  ~SoakRun();
+  SoakRun(const SoakRun&) = delete;
+  auto operator=(const SoakRun&) -> SoakRun& = delete;
+
+  /// Plays the plan. False if a process doesn't become ready at the start.
+  auto Play() -> bool;
+  auto ledger() -> Guarded<PromiseLedger>& { return ledger_; }
+
+ private:
+  struct Gateway {
+    std::string name;
+    std::string zone;
+    std::string region;
+    std::string address;
+    std::unique_ptr<GatewayProcess> process;
+    std::unique_ptr<FaultProxy> callers;
+    std::unique_ptr<FaultProxy> store;
+    FaultProxy::Behaviour callers_now;
+    FaultProxy::Behaviour store_now;
+    bool ending = false;  ///< Its end is expected.
+    MonotonicTime stop_began{};
+    MonotonicTime stop_deadline = MonotonicTime::max();
+    MonotonicTime restart_at = MonotonicTime::max();
+    Duration down_time{};
+    int log_lines = 200;  ///< The setting that a reload changes.
+  };
+  struct Target {
+    SoakTarget::Identity identity;
+    std::unique_ptr<SoakTarget> target;
+    std::unique_ptr<FaultProxy> proxy;
+    FaultProxy::Behaviour now;
+    bool away = false;  ///< Leaving or gone.
+    int lives = 0;
+  };
+  using Kind = TroubleLog::Kind;
+
+  auto Address(int number) const -> std::string;
+  auto AddGateway(int number) -> void;
+  auto AddTarget(int number) -> void;
+  auto WriteSettings(Gateway& gateway) -> void;
+  auto StartGateway(Gateway& gateway) -> void;
+  auto Register(Target& target, const std::string& state) -> void;
+  auto PutPolicy() -> void;
+  auto AwaitReady() -> bool;
+  auto Do(const SoakStep& step) -> void;
+  auto DoGateway(const SoakStep& step) -> void;
+  auto DoStore(const SoakStep& step) -> void;
+  auto DoTarget(const SoakStep& step) -> void;
+  auto Stop(Gateway& gateway, Duration down) -> void;
+  auto Kill(Gateway& gateway, Duration down) -> void;
+  auto EndLife(Target& target, Duration away) -> void;
+  auto BeginLife(Target& target, bool other_service) -> void;
+  auto OnNamed(const std::string& asked, const std::string& answer) -> void;
+  auto HarmTarget(int number, Duration length,
+                  const std::function<void(FaultProxy::Behaviour&)>& harm) -> void;
+  auto Trouble(const std::string& party, Kind kind, Duration length) -> void;
+  auto After(Duration delay, std::function<void()> task) -> void;
+  auto RunUntil(MonotonicTime end) -> void;
+  auto LookAfterGateways() -> void;
+  auto AskGateways() -> void;
+  auto Log(const std::string& line) const -> void;
+
+  Options options_;
+  Guarded<PromiseLedger> ledger_;
+  WorkerPool target_workers_{1};
+  WorkerPool proxy_workers_{1};
+  WorkerPool caller_workers_{1};
+  KvStandin store_;
+  HttpClient observer_;
+  SoakCallerWorld world_;
+  std::vector<Gateway> gateways_;
+  std::vector<Target> targets_;
+  std::vector<std::unique_ptr<SoakCaller>> callers_;
+  std::multimap<MonotonicTime, std::function<void()>> tasks_;
+  MonotonicTime began_;
+  MonotonicTime next_question_{};
+  std::map<std::string, std::vector<SoakEntry>> named_;  ///< By the gateway that was asked.
+  int version_ = 0;
+  int stores_down_ = 0;  ///< Outages that overlap.
+};
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/soak_target.cc
@@ -0,0 +1,137 @@
+#include "soak/soak_target.h"
+
+#include <algorithm>
+
+#include "base/number_text.h"
+#include "fmt/format.h"
+#include "platform/names.h"
+
+namespace heatherspan {
+namespace {
+
+namespace names = platform_names;
+using std::chrono::milliseconds;
+
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+
+auto Refusal(int status, const std::string& id) -> HttpResponse {
+  HttpResponse response;
+  response.status = status;
+  response.headers = {{std::string(names::kNotExecuted), "1"},
+                      {std::string(names::kRequestId), id}};
+  return response;
+}
+
+/// The path ends in the milliseconds that the work takes.
+auto WorkTime(std::string_view target) -> Duration {
+  constexpr int kDefault = 50;
+  return milliseconds(ParseNumber<int>(target.substr(target.rfind('/') + 1)).value_or(kDefault));
+}
+
+auto Now() -> MonotonicTime { return SystemClock().Now(); }
+
+}  // namespace
+
+SoakTarget::SoakTarget(WorkerPool& workers, const Endpoint& listen, Guarded<PromiseLedger>& ledger)
+    : workers_(workers),
+      ledger_(ledger),
+      server_(workers, HttpServer::Limits{.watch_disconnects = true},
+              [this](const HttpRequest& request, const HttpServer::Responder& respond) {
+                Handle(request, respond);
+              }) {
+  if (const auto bound = server_.Listen(listen); !bound.ok()) {
+    ledger_.With([&](PromiseLedger& ledger_value) {
+      ledger_value.OnProcessEnd("target stand-in", false, std::string(bound.status().message()));
+    });
+  }
+}
+
+auto SoakTarget::Become(const Identity& identity, bool cold) -> void {
+  workers_.Post([this, identity, cold] {
+    identity_ = identity;
+    draining_ = false;
+    cold_until_ = cold ? Now() + kColdTime : MonotonicTime{};
+  });
+}
+
+auto SoakTarget::SetDraining(bool draining) -> void {
+  workers_.Post([this, draining] { draining_ = draining; });
+}
+
+auto SoakTarget::SetShedding(bool shedding) -> void {
+  workers_.Post([this, shedding] { shedding_ = shedding; });
+}
+
+auto SoakTarget::ColdLeft() const -> Duration {
+  return std::max(Duration::zero(), cold_until_ - Now());
+}
+
+auto SoakTarget::Health() const -> HttpResponse {
+  HttpResponse response;
+  response.status = draining_ ? kUnavailable : 200;
+  const auto cold = std::chrono::duration_cast<milliseconds>(ColdLeft()).count();
+  response.headers = {{std::string(names::kInstance), identity_.name},
+                      {std::string(names::kColdLeft), std::to_string(cold)}};
+  return response;
+}
+
+auto SoakTarget::Handle(const HttpRequest& request, const HttpServer::Responder& respond) -> void {
+  if (request.target == "/health") {
+    respond(Health());
+    return;
+  }
+  SeenArrival arrival;
+  arrival.id = std::string(request.Header(names::kRequestId));
+  arrival.target_name = identity_.name;
+  arrival.service = identity_.service;
+  arrival.zone = identity_.zone;
+  arrival.region = identity_.region;
+  arrival.method = request.method;
+  arrival.target = request.target;
+  arrival.body = request.body;
+  arrival.time_left =
+      milliseconds(ParseNumber<int>(request.Header(names::kDeadline)).value_or(INT32_MAX));
+  const auto expected = request.Header(names::kExpectedInstance);
+  arrival.misdirected = !expected.empty() && expected != identity_.name;
+  arrival.cold = ColdLeft() > Duration::zero();
+  arrival.work = WorkTime(request.target);
+  arrival.runs = !arrival.misdirected && !shedding_ && running_ < kSlots + kQueue;
+  ledger_.With([&](PromiseLedger& ledger) { ledger.OnArrival(arrival, Now()); });
+  if (arrival.runs) {
+    Work(arrival, request, respond);
+  } else {
+    respond(Refusal(arrival.misdirected ? kMisdirected : kUnavailable, arrival.id));
+  }
+}
+
+auto SoakTarget::Work(const SeenArrival& arrival, const HttpRequest& request,
+                      const HttpServer::Responder& respond) -> void {
+  ++running_;
+  // What has to wait for a slot ends later by its share.
+  const auto time = arrival.work * std::max(1, (running_ + kSlots - 1) / kSlots);
+  auto ended = std::make_shared<bool>(false);
+  const auto end = [this, ended, id = arrival.id] {
+    if (std::exchange(*ended, true)) return false;
+    --running_;
+    ledger_.With([&](PromiseLedger& ledger) { ledger.OnWorkEnd(id, Now()); });
+    return true;
+  };
+  request.disconnect->on_disconnect = end;
+  auto timer = std::make_shared<std::shared_ptr<WorkerPool::Timer>>();
+  *timer = workers_.RunAfter(time, [this, timer, end, respond, arrival] {
+    const auto keep = *timer;
+    timer->reset();
+    if (!end()) return;
+    HttpResponse response;
+    response.headers = {
+        {std::string(names::kSignature), arrival.target_name},
+        {std::string(names::kRequestId), arrival.id},
+        {std::string(names::kLoad), fmt::format("{},{},{}", std::min(running_, kSlots),
+                                                std::max(0, running_ - kSlots), kSlots)}};
+    response.body = PromiseLedger::ExpectedBody(arrival.target_name, arrival.id);
+    respond(std::move(response));
+  });
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/tests/soak/soak_target.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "base/endpoint.h"
+#include "base/time.h"
+#include "net/http_server.h"
+#include "net/worker_pool.h"
+#include "soak/guarded.h"
+#include "soak/promise_ledger.h"
+
+namespace heatherspan {
+
+/// A target that works for as long as a request's path says and tells the ledger what reaches it.
+class SoakTarget {
+ public:
+  static constexpr int kSlots = 3;
+  static constexpr int kQueue = 9;
+  static constexpr Duration kColdTime = std::chrono::seconds(3);
+
+  struct Identity {
+    std::string name;
+    std::string service;
+    std::string zone;
+    std::string region;
+  };
+
+  /// The worker pool has one thread, which runs everything here.
+  SoakTarget(WorkerPool& workers, const Endpoint& listen, Guarded<PromiseLedger>& ledger);
+  SoakTarget(const SoakTarget&) = delete;
+  auto operator=(const SoakTarget&) -> SoakTarget& = delete;
+
+  /// Begins a new life; a later one begins cold.
+  auto Become(const Identity& identity, bool cold) -> void;
+  auto SetDraining(bool draining) -> void;
+  auto SetShedding(bool shedding) -> void;
+
+ private:
+  auto Handle(const HttpRequest& request, const HttpServer::Responder& respond) -> void;
+  auto Work(const SeenArrival& arrival, const HttpRequest& request,
+            const HttpServer::Responder& respond) -> void;
+  auto Health() const -> HttpResponse;
+  auto ColdLeft() const -> Duration;
+
+  WorkerPool& workers_;
+  Guarded<PromiseLedger>& ledger_;
+  Identity identity_;
+  MonotonicTime cold_until_{};
+  bool draining_ = false;
+  bool shedding_ = false;
+  int running_ = 0;
+  HttpServer server_;
+};
+
+}  // namespace heatherspan
