edge: a restart without the store learns its state from peers

Change: each entry VM answers the store's listing call on an address for its peers from what it has seen; one that has no listing of its own after 200 ms asks its seeds. Of each item the latest counts; the store's own listing replaces all of it.

Ruled out: asking at every start (bytes between regions for nothing), passing on a state that itself came from a peer (it could outlive its source), and polling peers during an outage (nodes times bytes on 10 Mbit/s links).

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/status.h"
 #include "edge/edge_settings.h"
+#include "edge/peer_reader.h"
 #include "edge/platform_ports.h"
 #include "edge/request_carrier.h"
 #include "edge/store_follower.h"
@@ -17,6 +18,7 @@
 #include "edge/vm_announcer.h"
 #include "gateway/gateway_core.h"
 #include "gateway/lapse_list.h"
+#include "gateway/store_image.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -58,6 +60,10 @@
         follower_(
             store_, workers_, log_, [this](const StoreChange& change) { OnChange(change); },
             [this] { OnBatch(); }),
+        peer_reader_(
+            store_client_, settings_.seeds, workers_, log_,
+            [this] { return !follower_.mirror().usable(); },
+            [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
                    Formats::WriteEntryVm(
                        {settings_.node, settings_.zone, settings_.region, settings_.callers})),
@@ -69,7 +75,8 @@
                         }),
         readiness_server_(workers_, {}, Handler(&EdgeNode::Readiness)),
         directory_server_(workers_, {}, Handler(&EdgeNode::Directory)),
-        metrics_server_(workers_, {}, Handler(&EdgeNode::Metrics)) {}
+        metrics_server_(workers_, {}, Handler(&EdgeNode::Metrics)),
+        peers_server_(workers_, {}, Handler(&EdgeNode::PeerState)) {}
 
   ~EdgeNode() { workers_.Stop(); }
   EdgeNode(const EdgeNode&) = delete;
@@ -79,7 +86,9 @@
     for (const auto& [server, endpoint] : {std::pair{&callers_server_, &settings_.callers},
                                            std::pair{&readiness_server_, &settings_.readiness},
                                            std::pair{&directory_server_, &settings_.directory},
-                                           std::pair{&metrics_server_, &settings_.metrics}}) {
+                                           std::pair{&metrics_server_, &settings_.metrics},
+                                           std::pair{&peers_server_, &settings_.peers}}) {
+      if (endpoint->address.empty()) continue;  // Only that of the peers is optional.
       const auto bound = server->Listen(*endpoint);
       if (!bound.ok()) return bound.status();
     }
@@ -90,6 +99,7 @@
                 {"store", settings_.store.Text()}});
     workers_.Post([this] {
       follower_.Start();
+      peer_reader_.Start();
       tick_ = workers_.RunEvery(kTick, [this] { OnTick(); });
     });
     return absl::OkStatus();
@@ -173,7 +183,7 @@
   }
 
   auto IsReady() const -> bool {
-    return !stopping_ && core_.policy() != nullptr && follower_.mirror().synced();
+    return !stopping_ && core_.policy() != nullptr && follower_.mirror().usable();
   }
 
   auto Readiness(const HttpRequest& request) -> HttpResponse {
@@ -208,7 +218,22 @@
     return response;
   }
 
+  auto PeerState(const HttpRequest& request) -> HttpResponse {
+    if (!Store::IsListCall(request)) return WithStatus(404);
+    const auto& mirror = follower_.mirror();
+    return mirror.synced() ? Store::ListAnswer(image_.Page(mirror.revision())) : WithStatus(503);
+  }
+
+  auto OnPeerState(const Endpoint& peer, StorePage state) -> void {
+    const auto revision = state.revision;
+    const auto news = follower_.TakePeerState(std::move(state));
+    log_.Write(LogLevel::kInfo, "peer-state-applied",
+               {{"peer", peer.Text()}, {"changes", news}, {"revision", revision}});
+    if (IsReady()) announcer_.Start();
+  }
+
   auto OnChange(const StoreChange& change) -> void {
+    image_.Apply(change);
     if (Formats::IsPolicyKey(change.key)) {
       OnPolicy(change);
     } else if (const auto zone = Formats::EvacuatedZone(change.key)) {
@@ -376,6 +401,8 @@
   HttpClient store_client_;
   Store store_;
   StoreFollower<Store> follower_;
+  StoreImage image_;
+  PeerReader<Store> peer_reader_;
   VmAnnouncer<Store> announcer_;
   RequestCarrier<Messages> carrier_;
   TargetProber<Messages> prober_;
@@ -383,6 +410,7 @@
   HttpServer readiness_server_;
   HttpServer directory_server_;
   HttpServer metrics_server_;
+  HttpServer peers_server_;
   std::shared_ptr<WorkerPool::Timer> tick_;
   std::shared_ptr<WorkerPool::Timer> last_call_;  ///< Of a stop that its requests outlast.
   bool stopping_ = false;
--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -8,6 +8,8 @@
 
 constexpr auto kRequired = Presence::kRequired;
 constexpr auto kOptional = Presence::kOptional;
+/// Any one of them will do; each start without the store asks them all.
+constexpr std::size_t kMaxSeeds = 8;
 constexpr const char* kZonesTable = "zones";
 
 template <class Member>
@@ -36,6 +38,14 @@
            "Counters and latencies as text at /metrics (HTTP).");
 }
 
+auto PeerKeys() -> KeyTable<EdgeSettings> {
+  return KeyTable<EdgeSettings>()
+      .Add("listen", &EdgeSettings::peers, kOptional, EndpointValue(0, false),
+           "Tells other entry VMs what the store holds (HTTP). Without it, nobody is told.")
+      .Add("seeds", &EdgeSettings::seeds, kOptional, EndpointList(kMaxSeeds),
+           "Entry VMs to ask at a start while the store can't be read.");
+}
+
 auto StoreKeys() -> KeyTable<EdgeSettings> {
   return KeyTable<EdgeSettings>()
       .Add("address", &EdgeSettings::store, kRequired, EndpointValue(1, false),
@@ -98,8 +108,8 @@
 
 auto EdgeSettingsSections() -> const std::vector<EdgeSettingsSection>& {
   static const std::vector<EdgeSettingsSection> sections = {
-      {"node", NodeKeys(), true},      {"listen", ListenKeys(), true}, {"store", StoreKeys(), true},
-      {"bounds", BoundsKeys(), false}, {"log", LogKeys(), false},
+      {"node", NodeKeys(), true},   {"listen", ListenKeys(), true},  {"store", StoreKeys(), true},
+      {"peers", PeerKeys(), false}, {"bounds", BoundsKeys(), false}, {"log", LogKeys(), false},
   };
   return sections;
 }
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -32,7 +32,9 @@
   Endpoint readiness;
   Endpoint directory;
   Endpoint metrics;
+  Endpoint peers;  ///< Empty: peers are told nothing.
   Endpoint store;
+  std::vector<Endpoint> seeds;  ///< Where some peers listen.
   Duration heartbeat = std::chrono::milliseconds(1500);
   Bounds bounds;
   std::string log_level = "info";
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -24,13 +24,16 @@
                                 typename T::PageCallback on_page,
                                 typename T::ChangesCallback on_changes,
                                 typename T::LeaseCallback on_lease,
-                                typename T::StatusCallback on_status) {
+                                typename T::StatusCallback on_status, const HttpRequest& request,
+                                const StorePage& page) {
   store.List(key, on_page);
   store.Watch(number, wait, on_changes);
   store.Grant(wait, on_lease);
   store.KeepAlive(number, on_status);
   store.Revoke(number, on_status);
   store.Put(key, key, number, on_status);
+  { T::IsListCall(request) } -> std::same_as<bool>;
+  { T::ListAnswer(page) } -> std::same_as<HttpResponse>;
 };
 
 /// The formats of what is kept in the store.
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -39,6 +39,12 @@
 
   auto Start() -> void { CallNext(); }
   auto mirror() const -> const StoreMirror& { return mirror_; }
+  /// What another node has seen of the store.
+  auto TakePeerState(StorePage state) -> std::size_t {
+    const auto news = mirror_.OnPeerState(std::move(state));
+    for (const auto& change : news) on_change_(change);
+    return news.size();
+  }
 
  private:
   auto Now() const -> MonotonicTime { return SystemClock().Now(); }
--- /dev/null
+++ b/src/gateway/store_image.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "gateway/store_changes.h"
+
+namespace heatherspan {
+
+/// The items of the store as this node last saw them, to be told to nodes that can't read the
+/// store. As large as the store itself: a few hundred bytes for each target and entry VM, and the
+/// configuration.
+class StoreImage {
+ public:
+  auto Apply(const StoreChange& change) -> void;
+  auto Page(std::uint64_t revision) const -> StorePage;
+
+ private:
+  std::map<std::string, StoreChange> items_;
+};
+
+}  // namespace heatherspan
--- a/src/gateway/store_mirror.cc
+++ b/src/gateway/store_mirror.cc
@@ -69,6 +69,14 @@
   return news;
 }
 
+auto StoreMirror::OnPeerState(StorePage state) -> std::vector<StoreChange> {
+  std::vector<StoreChange> news;
+  if (synced_) return news;
+  for (auto& item : state.items) Accept(std::move(item), news);
+  has_peer_state_ = true;
+  return news;
+}
+
 auto StoreMirror::OnFailure(const absl::Status& status, MonotonicTime now) -> void {
   if (absl::IsOutOfRange(status)) {
     OnContact(now);
--- a/src/gateway/store_mirror.h
+++ b/src/gateway/store_mirror.h
@@ -30,9 +30,14 @@
   auto OnPage(StorePage page, MonotonicTime now) -> std::vector<StoreChange>;
   auto OnChanges(StoreChanges changes, MonotonicTime now) -> std::vector<StoreChange>;
   auto OnFailure(const absl::Status& status, MonotonicTime now) -> void;
+  /// What another node has seen of the store, as long as this one has no listing of its own. The
+  /// news of several nodes add up: of each item, the latest.
+  auto OnPeerState(StorePage state) -> std::vector<StoreChange>;
 
   /// A whole listing has been read at least once.
   auto synced() const -> bool { return synced_; }
+  /// There is something to serve by: a whole listing, of this node or of another.
+  auto usable() const -> bool { return synced_ || has_peer_state_; }
   /// The last call succeeded.
   auto in_contact() const -> bool { return in_contact_; }
   /// Contact was lost lately: removals may be lapses of items whose owners live.
@@ -51,6 +56,7 @@
   std::uint64_t list_revision_ = 0;  ///< Of the store at the first page.
   std::uint64_t revision_ = 0;       ///< Up to which all changes have been seen.
   bool synced_ = false;
+  bool has_peer_state_ = false;
   bool in_contact_ = false;
   MonotonicTime last_contact_{};
   MonotonicTime regained_{};
--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -48,6 +48,7 @@
     settings_.readiness = OwnEndpoint(2);
     settings_.directory = OwnEndpoint(3);
     settings_.metrics = OwnEndpoint(4);
+    settings_.peers = OwnEndpoint(5);
   }
 
   ~EdgeNodeTest() override {
@@ -319,6 +320,41 @@
   EXPECT_EQ(status.load(), 504);
 }
 
+// Guards against an entry VM that refuses everything because it was restarted while the store is
+// away, although its peers know the configuration and the targets.
+TEST_F(EdgeNodeTest, ARestartWithoutTheStoreLearnsFromAPeer) {
+  ScriptedBackend target("i-1");
+  store_.Put("op/config", Policy(7));
+  Register(target);
+  Start();
+  ASSERT_EQ(Ask("/read/x").response.status, 200);
+
+  auto settings = settings_;
+  settings.node = NodeName("n-2");
+  settings.callers = OwnEndpoint(6);
+  settings.readiness = OwnEndpoint(7);
+  settings.directory = OwnEndpoint(8);
+  settings.metrics = OwnEndpoint(9);
+  settings.peers = OwnEndpoint(10);
+  settings.store = OwnEndpoint(11);  // Nobody listens there.
+  settings.seeds = {OwnEndpoint(12), settings_.peers};
+  EdgeNode<FleetPlatform> restarted(settings, log_, [] {});
+  ASSERT_TRUE(restarted.Start().ok());
+  EXPECT_TRUE(
+      Eventually([&] { return Get(settings.readiness, "/heatherspan/ready").status == 200; }));
+  EXPECT_EQ(caller_.SendAndWait(settings.callers, Request("/read/x"), kLong).response.status, 200);
+  EXPECT_TRUE(lines_.Contains("event=peer-state-applied peer=" + settings_.peers.Text()));
+}
+
+// Guards against a peer that passes on less than a whole listing as if it were the store's.
+TEST_F(EdgeNodeTest, WithoutAListingItTellsPeersNothing) {
+  settings_.store = OwnEndpoint(11);
+  node_.emplace(settings_, log_, [] {});
+  ASSERT_TRUE(node_->Start().ok());
+  EXPECT_EQ(Get(settings_.peers, "/heatherspan/kv-range").status, 503);
+  EXPECT_EQ(Get(settings_.peers, "/elsewhere").status, 404);
+}
+
 // Guards against a gateway that stops serving when the store does, and one that forgets to return.
 TEST_F(EdgeNodeTest, ServesWithoutTheStoreAndComesBack) {
   ScriptedBackend target("i-1");
--- a/tests/gateway/store_mirror_test.cc
+++ b/tests/gateway/store_mirror_test.cc
@@ -82,5 +82,16 @@
   EXPECT_EQ(ListAll({Put("b", 7)}, 7), "+b-a");
 }
 
+// Guards against a peer's older state that replaces what the store has said.
+TEST_F(StoreMirrorTest, APeersStateOnlyFillsTheGap) {
+  EXPECT_EQ(Keys(mirror_.OnPeerState({{Put("a", 5), Put("b", 6)}, false, 6})), "+a+b");
+  EXPECT_EQ(Keys(mirror_.OnPeerState({{Put("a", 4), Put("b", 7)}, false, 7})), "+b");
+  EXPECT_TRUE(mirror_.usable());
+  EXPECT_FALSE(mirror_.synced());
+  EXPECT_TRUE(mirror_.Next().list);
+  EXPECT_EQ(ListAll({Put("a", 8)}, 9), "+a-b");
+  EXPECT_EQ(Keys(mirror_.OnPeerState({{Put("a", 5), Put("c", 99)}, false, 99})), "");
+}
+
 }  // namespace
 }  // namespace heatherspan
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -33,6 +33,7 @@
 constexpr std::uint16_t kReadinessPort = 7002;
 constexpr std::uint16_t kDirectoryPort = 7003;
 constexpr std::uint16_t kMetricsPort = 7004;
+constexpr std::uint16_t kPeersPort = 7005;
 constexpr std::uint16_t kTargetPort = 7010;
 constexpr std::uint16_t kStorePort = 7020;
 
@@ -156,11 +157,13 @@
       "[listen]\ncallers = \"{3}:{4}\"\nreadiness = \"{3}:{5}\"\ndirectory = \"{3}:{6}\"\n"
       "metrics = \"{3}:{7}\"\n"
       "[store]\naddress = \"{8}:{9}\"\n"
+      "[peers]\nlisten = \"{3}:{11}\"\nseeds = [\"{12}:{11}\", \"{13}:{11}\"]\n"
       "[bounds]\nretry_ratio = 0.2\nretry_allowance = 20\nstop_grace_s = 6\n"
       "[log]\nlines_per_second = {10}\n"
       "[zones]\neast-a = \"east\"\nwest-a = \"west\"\neast-b = \"east\"\nwest-b = \"west\"\n",
       gateway.name, gateway.zone, gateway.region, gateway.address, kCallersPort, kReadinessPort,
-      kDirectoryPort, kMetricsPort, Address(kStoreProxies + number), kStorePort, gateway.log_lines);
+      kDirectoryPort, kMetricsPort, Address(kStoreProxies + number), kStorePort, gateway.log_lines,
+      kPeersPort, Address(kGateways), Address(kGateways + 1));
 }
 
 auto SoakRun::Register(Target& target, const std::string& state) -> void {
