--- a/src/observe/metrics_registry.cc
+++ b/src/observe/metrics_registry.cc
@@ -49,6 +49,21 @@
   AppendSample(text, fmt::format("{}_count", name), labels, static_cast<double>(summary.count()));
 }
 
+auto AppendHistogram(std::string& text, std::string_view name, const std::string& labels,
+                     const LatencyHistogram& histogram, const LatencySummary& totals) -> void {
+  const std::string_view separator = labels.empty() ? "" : ",";
+  const auto bucket = fmt::format("{}_bucket", name);
+  const auto count = static_cast<double>(totals.count());
+  for (std::size_t i = 0; i < LatencyHistogram::kBounds.size(); ++i) {
+    AppendSample(text, bucket,
+                 fmt::format("{}{}le=\"{}\"", labels, separator, LatencyHistogram::kBounds[i]),
+                 static_cast<double>(histogram.CountUpTo(i)));
+  }
+  AppendSample(text, bucket, fmt::format("{}{}le=\"+Inf\"", labels, separator), count);
+  AppendSample(text, fmt::format("{}_sum", name), labels, totals.sum_seconds());
+  AppendSample(text, fmt::format("{}_count", name), labels, count);
+}
+
 auto KindText(MetricKind kind) -> std::string_view {
   switch (kind) {
     case MetricKind::kCounter:
@@ -78,7 +93,9 @@
 auto MetricsRegistry::Observe(Metric metric, Labels labels, Duration value) -> void {
   Key key(metric, LabelText(labels));
   const std::lock_guard lock(mutex_);
-  summaries_[std::move(key)].Add(value);
+  auto& latencies = latencies_[std::move(key)];
+  latencies.summary.Add(value);
+  latencies.histogram.Add(value);
 }
 
 auto MetricsRegistry::Value(Metric metric, Labels labels) const -> double {
@@ -99,12 +116,28 @@
          it != values_.end() && it->first.first == description.metric; ++it) {
       AppendSample(text, description.name, it->first.second, it->second);
     }
-    for (auto it = summaries_.lower_bound(first);
-         it != summaries_.end() && it->first.first == description.metric; ++it) {
-      AppendSummary(text, description.name, it->first.second, it->second);
+    if (description.kind != MetricKind::kSummary) continue;
+    for (auto it = latencies_.lower_bound(first);
+         it != latencies_.end() && it->first.first == description.metric; ++it) {
+      AppendSummary(text, description.name, it->first.second, it->second.summary);
     }
+    AppendHistograms(description, text);
   }
   return text;
 }
 
+auto MetricsRegistry::AppendHistograms(const MetricDescription& description,
+                                       std::string& text) const -> void {
+  // One name has one type: the summary's ends in "_seconds", the histogram's in this.
+  constexpr std::string_view kUnit = "_seconds";
+  const auto base = description.name.substr(0, description.name.size() - kUnit.size());
+  const auto name = fmt::format("{}_duration{}", base, kUnit);
+  fmt::format_to(std::back_inserter(text), "# HELP {0} {1}\n# TYPE {0} histogram\n", name,
+                 description.help);
+  for (auto it = latencies_.lower_bound(Key(description.metric, ""));
+       it != latencies_.end() && it->first.first == description.metric; ++it) {
+    AppendHistogram(text, name, it->first.second, it->second.histogram, it->second.summary);
+  }
+}
+
 }  // namespace heatherspan
--- a/src/observe/metrics_registry.h
+++ b/src/observe/metrics_registry.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "observe/latency_histogram.h"
 #include "observe/latency_summary.h"
 #include "observe/metric.h"
 
@@ -35,9 +36,17 @@
  private:
   using Key = std::pair<Metric, std::string>;
 
+  /// Quantiles for a reader of one process, buckets for those who add up several.
+  struct Latencies {
+    LatencySummary summary;
+    LatencyHistogram histogram;
+  };
+
+  auto AppendHistograms(const MetricDescription& description, std::string& text) const -> void;
+
   mutable std::mutex mutex_;
   std::map<Key, double> values_;
-  std::map<Key, LatencySummary> summaries_;
+  std::map<Key, Latencies> latencies_;
 };
 
 }  // namespace heatherspan
--- a/tests/observe/metrics_registry_test.cc
+++ b/tests/observe/metrics_registry_test.cc
@@ -45,5 +45,30 @@
               HasSubstr("heatherspan_request_seconds{service=\"ledger\",quantile=\"0.5\"} 0.5"));
 }
 
+// Guards against latencies of several processes that can't be added up: quantiles can't.
+TEST(MetricsRegistry, CountsLatenciesInBuckets) {
+  MetricsRegistry metrics;
+  for (const int milliseconds : {5, 6, 90, 100, 2000, 60'000}) {
+    metrics.Observe(Metric::kRequestSeconds, {{"service", "ledger"}},
+                    std::chrono::milliseconds(milliseconds));
+  }
+  const auto text = metrics.Exposition();
+  const std::string name = "heatherspan_request_duration_seconds";
+  EXPECT_THAT(text, HasSubstr("# TYPE " + name + " histogram\n"));
+  for (const auto& [bound, count] :
+       std::initializer_list<std::pair<std::string, int>>{{"0.005", 1},
+                                                          {"0.01", 2},
+                                                          {"0.05", 2},
+                                                          {"0.1", 4},
+                                                          {"1", 4},
+                                                          {"2.5", 5},
+                                                          {"10", 5},
+                                                          {"+Inf", 6}}) {
+    EXPECT_THAT(text, HasSubstr(name + "_bucket{service=\"ledger\",le=\"" + bound + "\"} " +
+                                std::to_string(count) + "\n"));
+  }
+  EXPECT_THAT(text, HasSubstr(name + "_count{service=\"ledger\"} 6\n"));
+}
+
 }  // namespace
 }  // namespace heatherspan
