edge: callers can't take all descriptors

Cause: callers were limited to 10,000 connections whatever the process may open; with 4,100 descriptors, 200 of them for files, a rush of callers leaves none for targets and the store, and accepting fails without an answer.

Ruled out: reading the process's own limit (on the users' platform that of the machine is in the settings). Test: CallersLeaveDescriptorsForTargets.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -44,6 +44,9 @@
   /// A listing for 3,000 targets is about 1 MB, which a link of 10 Mbit/s takes 0.8 s for; the
   /// others are refused and come back.
   static constexpr std::size_t kPeersAtOnce = 4;
+  /// A caller's request under way needs one connection to a target, and some callers are idle; the
+  /// store, peers and the other listeners need a few.
+  static constexpr double kCallersPartOfSockets = 2.0 / 3;
   /// What is still under way gets its answer this long before the process would be killed.
   static constexpr Duration kStopMargin = std::chrono::milliseconds(500);
   /// For those answers to leave the machine.
@@ -72,7 +75,7 @@
                        {settings_.node, settings_.zone, settings_.region, settings_.callers})),
         carrier_(core_, target_client_, workers_, log_, metrics_),
         prober_(core_, target_client_, log_),
-        callers_server_(workers_, CallerServerLimits(CallerLimits()),
+        callers_server_(workers_, CallerServerLimits(settings_.descriptors, CallerLimits()),
                         [this](HttpRequest request, HttpServer::Responder respond) {
                           carrier_.Carry(std::move(request), std::move(respond));
                         }),
@@ -163,8 +166,11 @@
     return limits;
   }
 
-  static auto CallerServerLimits(const CallerLimits& callers) -> HttpServer::Limits {
+  static auto CallerServerLimits(int descriptors, const CallerLimits& callers)
+      -> HttpServer::Limits {
     HttpServer::Limits limits;
+    limits.max_connections = static_cast<std::size_t>(
+        (descriptors - EdgeSettings::kFileDescriptors) * kCallersPartOfSockets);
     limits.max_header_bytes = callers.header_bytes;
     limits.max_body_bytes = callers.body_bytes;
     limits.request_timeout = callers.header_timeout;
@@ -281,7 +287,7 @@
     const auto routes = policy->routes.size();
     const auto limits = policy->limits;
     const bool applied = core_.ApplyPolicy(*std::move(policy));
-    if (applied) callers_server_.SetLimits(CallerServerLimits(limits));
+    if (applied) callers_server_.SetLimits(CallerServerLimits(settings_.descriptors, limits));
     metrics_.Set(Metric::kConfigVersion, {}, static_cast<double>(core_.policy()->version.value()));
     log_.Write(LogLevel::kInfo, applied ? "configuration-applied" : "configuration-ignored",
                {{"version", version}, {"routes", routes}, {"revision", change.revision}});
--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -10,6 +10,7 @@
 constexpr auto kOptional = Presence::kOptional;
 /// Any one of them will do; each start without the store asks them all.
 constexpr std::size_t kMaxSeeds = 8;
+constexpr int kFileDescriptors = EdgeSettings::kFileDescriptors;
 constexpr const char* kZonesTable = "zones";
 
 template <class Member>
@@ -23,7 +24,12 @@
            "The entry VM's name; unique in the deployment.")
       .Add("zone", &EdgeSettings::zone, kRequired, Name<ZoneName>(),
            "The availability zone of the VM.")
-      .Add("region", &EdgeSettings::region, kRequired, Name<RegionName>(), "The region of the VM.");
+      .Add("region", &EdgeSettings::region, kRequired, Name<RegionName>(), "The region of the VM.")
+      .Add(
+          "descriptors", &EdgeSettings::descriptors, kOptional,
+          WholeNumber<int>(kFileDescriptors + 3, 10'000'000),
+          "Files and sockets that the process may open. Without the 200 for files, callers get two "
+          "thirds; further connections are refused.");
 }
 
 auto ListenKeys() -> KeyTable<EdgeSettings> {
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -15,6 +15,9 @@
 
 /// What a gateway process is told at its start and at a reload.
 struct EdgeSettings {
+  /// Kept for files; the users' platform reserves as many.
+  static constexpr int kFileDescriptors = 200;
+
   /// Keys of [bounds]: what the deployment promises its users.
   struct Bounds {
     double retry_ratio = 0.1;
@@ -28,6 +31,7 @@
   NodeName node;
   ZoneName zone;
   RegionName region;
+  int descriptors = 1024;  ///< Files and sockets that the process may open.
   Endpoint callers;
   Endpoint readiness;
   Endpoint directory;
--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -355,6 +355,21 @@
   EXPECT_EQ(Get(settings_.peers, "/elsewhere").status, 404);
 }
 
+// Guards against callers who take all descriptors, so that none is left for targets and the store.
+TEST_F(EdgeNodeTest, CallersLeaveDescriptorsForTargets) {
+  ScriptedBackend target("i-1");
+  settings_.descriptors = 203;  // Two connections of callers, one of the node's own.
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  HttpClient second(caller_workers_, HttpClient::Limits{.forward_host = true});
+  HttpClient third(caller_workers_, HttpClient::Limits{.forward_host = true});
+  EXPECT_EQ(Ask("/read/x").response.status, 200);
+  EXPECT_EQ(second.SendAndWait(settings_.callers, Request("/read/x"), kLong).response.status, 200);
+  EXPECT_EQ(third.SendAndWait(settings_.callers, Request("/read/x"), kLong).response.status, 503);
+  EXPECT_EQ(target.Requests().size(), 2U);
+}
+
 // Guards against a gateway that stops serving when the store does, and one that forgets to return.
 TEST_F(EdgeNodeTest, ServesWithoutTheStoreAndComesBack) {
   ScriptedBackend target("i-1");
