--- a/tests/fleet_platform/decoder_fuzz_test.cc
+++ b/tests/fleet_platform/decoder_fuzz_test.cc
@@ -41,14 +41,14 @@
 
  private:
   auto MutateOnce(std::string text) -> std::string {
-    static const std::vector<std::string> kPieces = {"1e300",     "-1",
-                                                     "1e18",      "18446744073709551616",
-                                                     "null",      "[]",
-                                                     "{}",        "\"\"",
-                                                     "\xff\xfe",  std::string(1, '\0'),
-                                                     "0.0000001", "true",
-                                                     "\"ready\"", "[[[[[[[[",
-                                                     "%",         "\r\n"};
+    static const std::vector<std::string> pieces = {"1e300",     "-1",
+                                                    "1e18",      "18446744073709551616",
+                                                    "null",      "[]",
+                                                    "{}",        "\"\"",
+                                                    "\xff\xfe",  std::string(1, '\0'),
+                                                    "0.0000001", "true",
+                                                    "\"ready\"", "[[[[[[[[",
+                                                    "%",         "\r\n"};
     if (text.empty()) return "x";
     const auto at = static_cast<std::size_t>(Below(text.size()));
     const auto length =
@@ -62,10 +62,10 @@
       case 2:
         return text.insert(at, text.substr(at, length));
       case 3:
-        return text.insert(at, kPieces[static_cast<std::size_t>(Below(kPieces.size()))]);
+        return text.insert(at, pieces[static_cast<std::size_t>(Below(pieces.size()))]);
       default:
         return ReplaceNumber(std::move(text), at,
-                             kPieces[static_cast<std::size_t>(Below(kPieces.size()))]);
+                             pieces[static_cast<std::size_t>(Below(pieces.size()))]);
     }
   }
 
--- a/tests/net/http_reader_fuzz_test.cc
+++ b/tests/net/http_reader_fuzz_test.cc
@@ -41,20 +41,20 @@
   }
 
   auto Mutate(std::string text) -> std::string {
-    static const std::vector<std::string> kPieces = {"\r\n",
-                                                     "\n",
-                                                     "\r\n\r\n",
-                                                     "Content-Length: 3\r\n",
-                                                     "Transfer-Encoding: chunked\r\n",
-                                                     "0",
-                                                     "-1",
-                                                     "ffffffffffffffffff",
-                                                     ":",
-                                                     " ",
-                                                     std::string(1, '\0'),
-                                                     "\xff",
-                                                     "HTTP/1.1 200 OK\r\n",
-                                                     "GET / HTTP/1.1\r\n"};
+    static const std::vector<std::string> pieces = {"\r\n",
+                                                    "\n",
+                                                    "\r\n\r\n",
+                                                    "Content-Length: 3\r\n",
+                                                    "Transfer-Encoding: chunked\r\n",
+                                                    "0",
+                                                    "-1",
+                                                    "ffffffffffffffffff",
+                                                    ":",
+                                                    " ",
+                                                    std::string(1, '\0'),
+                                                    "\xff",
+                                                    "HTTP/1.1 200 OK\r\n",
+                                                    "GET / HTTP/1.1\r\n"};
     for (auto changes = Below(4) + 1; changes > 0; --changes) {
       if (text.empty()) return text;
       const auto at = Below(text.size());
@@ -66,7 +66,7 @@
           text.erase(at, Below(12));
           break;
         case 2:
-          text.insert(at, kPieces[Below(kPieces.size())]);
+          text.insert(at, pieces[Below(pieces.size())]);
           break;
         default:
           text.resize(at);
--- a/tests/observe/metrics_registry_test.cc
+++ b/tests/observe/metrics_registry_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "base/reason.h"
+#include "fmt/format.h"
 
 namespace heatherspan {
 namespace {
@@ -64,8 +65,8 @@
                                                           {"2.5", 5},
                                                           {"10", 5},
                                                           {"+Inf", 6}}) {
-    EXPECT_THAT(text, HasSubstr(name + "_bucket{service=\"ledger\",le=\"" + bound + "\"} " +
-                                std::to_string(count) + "\n"));
+    EXPECT_THAT(text, HasSubstr(fmt::format("{}_bucket{{service=\"ledger\",le=\"{}\"}} {}\n", name,
+                                            bound, count)));
   }
   EXPECT_THAT(text, HasSubstr(name + "_count{service=\"ledger\"} 6\n"));
 }
