--- /dev/null
+++ b/tests/soak/soak_run_steps.cc
@@ -0,0 +1,206 @@
+#include <signal.h>
+
+#include "platform/names.h"
+#include "soak/soak_figures.h"
+#include "soak/soak_run.h"
+
+// What each step of a plan does to the gateways, the store and the targets.
+namespace heatherspan {
+namespace {
+
+namespace names = platform_names;
+
+auto Now() -> MonotonicTime { return SystemClock().Now(); }
+
+}  // namespace
+
+auto SoakRun::Do(const SoakStep& step) -> void {
+  Log(StepText(step));
+  switch (step.action) {
+    case SoakAction::kPolicy:
+      PutPolicy();
+      break;
+    case SoakAction::kEvacuate: {
+      const auto zone = ZoneOf(step.party);
+      const auto key = std::string(names::kEvacuationPrefix) + zone;
+      if (store_.Has(key)) break;
+      ledger_.With([&](PromiseLedger& ledger) { ledger.OnEvacuated(zone, true, Now()); });
+      store_.Put(key, "{}");
+      After(step.length, [this, zone, key] {
+        ledger_.With([&](PromiseLedger& ledger) { ledger.OnEvacuated(zone, false, Now()); });
+        store_.Remove(key);
+      });
+      break;
+    }
+    case SoakAction::kBurst:
+      caller_workers_.Post([this] { world_.burst = true; });
+      After(step.length, [this] { caller_workers_.Post([this] { world_.burst = false; }); });
+      break;
+    case SoakAction::kKillAll:
+      for (auto& gateway : gateways_) Kill(gateway, step.length);
+      break;
+    default:
+      if (step.action <= SoakAction::kCallersReset) {
+        DoGateway(step);
+      } else if (step.action <= SoakAction::kStoreForgets) {
+        DoStore(step);
+      } else {
+        DoTarget(step);
+      }
+  }
+}
+
+auto SoakRun::DoGateway(const SoakStep& step) -> void {
+  auto& gateway = gateways_[step.party];
+  switch (step.action) {
+    case SoakAction::kStop:
+      Stop(gateway, step.length);
+      break;
+    case SoakAction::kKill:
+      Kill(gateway, step.length);
+      break;
+    case SoakAction::kPause:
+      Trouble(gateway.name, Kind::kUnplanned, step.length);
+      gateway.process->Signal(SIGSTOP);
+      After(step.length, [&gateway] { gateway.process->Signal(SIGCONT); });
+      break;
+    case SoakAction::kReload:
+      ++gateway.log_lines;
+      WriteSettings(gateway);
+      gateway.process->Signal(SIGHUP);
+      break;
+    case SoakAction::kCallersCut:
+      Trouble(gateway.name, Kind::kUnplanned, step.length);
+      gateway.callers_now.forward_to_client = false;
+      gateway.callers->SetBehaviour(gateway.callers_now);
+      After(step.length, [&gateway] {
+        gateway.callers_now.forward_to_client = true;
+        gateway.callers->SetBehaviour(gateway.callers_now);
+      });
+      break;
+    default:
+      Trouble(gateway.name, Kind::kUnplanned, Duration::zero());
+      gateway.callers->ResetConnections();
+  }
+}
+
+auto SoakRun::DoStore(const SoakStep& step) -> void {
+  auto& gateway = gateways_[step.party];
+  const auto change = [&gateway](const std::function<void(FaultProxy::Behaviour&)>& apply) {
+    apply(gateway.store_now);
+    gateway.store->SetBehaviour(gateway.store_now);
+  };
+  switch (step.action) {
+    case SoakAction::kStoreDown:
+      Trouble(TroubleLog::kStore, Kind::kUnplanned, step.length);
+      if (stores_down_++ == 0) store_.SetDown(true);
+      After(step.length, [this] {
+        if (--stores_down_ == 0) store_.SetDown(false);
+      });
+      break;
+    case SoakAction::kStoreCut:
+      Trouble(gateway.name, Kind::kUnplanned, step.length);
+      change([](auto& now) { now.forward_to_server = now.forward_to_client = false; });
+      After(step.length, [change] {
+        change([](auto& now) { now.forward_to_server = now.forward_to_client = true; });
+      });
+      break;
+    case SoakAction::kStoreLosesAnswers:
+      Trouble(gateway.name, Kind::kUnplanned, step.length);
+      change([](auto& now) { now.forward_to_client = false; });
+      After(step.length, [change, &gateway] {
+        // A connection on which an answer was lost carries nothing more.
+        gateway.store->ResetConnections();
+        change([](auto& now) { now.forward_to_client = true; });
+      });
+      break;
+    case SoakAction::kStoreSlow:
+      Trouble(TroubleLog::kStore, Kind::kUnplanned, step.length);
+      for (auto& other : gateways_) {
+        other.store_now.delay = kSlowLink;
+        other.store->SetBehaviour(other.store_now);
+      }
+      After(step.length, [this] {
+        for (auto& other : gateways_) {
+          other.store_now.delay = Duration::zero();
+          other.store->SetBehaviour(other.store_now);
+        }
+      });
+      break;
+    case SoakAction::kStoreReset:
+      Trouble(gateway.name, Kind::kUnplanned, Duration::zero());
+      gateway.store->ResetConnections();
+      break;
+    case SoakAction::kStoreSilence:
+      Trouble(gateway.name, Kind::kUnplanned, kSilenceTime);
+      gateway.store->SilenceConnections();
+      break;
+    default:
+      store_.ForgetHistory();
+  }
+}
+
+auto SoakRun::HarmTarget(int number, Duration length,
+                         const std::function<void(FaultProxy::Behaviour&)>& harm) -> void {
+  auto& target = targets_[number];
+  Trouble(target.identity.name, Kind::kUnplanned, length);
+  harm(target.now);
+  target.proxy->SetBehaviour(target.now);
+  After(length, [&target, life = target.lives] {
+    if (target.lives != life) return;
+    const bool refuse = target.now.refuse;
+    target.now = {};
+    target.now.refuse = refuse;
+    target.proxy->SetBehaviour(target.now);
+  });
+}
+
+auto SoakRun::DoTarget(const SoakStep& step) -> void {
+  auto& target = targets_[step.party];
+  if (target.away) return;
+  using Behaviour = FaultProxy::Behaviour;
+  switch (step.action) {
+    case SoakAction::kTargetCut:
+      HarmTarget(step.party, step.length,
+                 [](Behaviour& now) { now.forward_to_server = now.forward_to_client = false; });
+      break;
+    case SoakAction::kTargetLosesAnswers:
+      HarmTarget(step.party, step.length, [](Behaviour& now) { now.forward_to_client = false; });
+      break;
+    case SoakAction::kTargetSlow:
+      HarmTarget(step.party, step.length, [](Behaviour& now) { now.delay = kSlowLink; });
+      break;
+    case SoakAction::kTargetTruncates:
+      HarmTarget(step.party, step.length,
+                 [](Behaviour& now) { now.spoil = FaultProxy::Spoil::kTruncate; });
+      break;
+    case SoakAction::kTargetAddsBytes:
+      HarmTarget(step.party, step.length,
+                 [](Behaviour& now) { now.spoil = FaultProxy::Spoil::kExtra; });
+      break;
+    case SoakAction::kTargetReset:
+      Trouble(target.identity.name, Kind::kUnplanned, Duration::zero());
+      target.proxy->ResetConnections();
+      break;
+    case SoakAction::kTargetSilence:
+      Trouble(target.identity.name, Kind::kUnplanned, kRouteTimeout);
+      target.proxy->SilenceConnections();
+      break;
+    case SoakAction::kTargetSheds:
+      target.target->SetShedding(true);
+      After(step.length, [&target] { target.target->SetShedding(false); });
+      break;
+    case SoakAction::kTargetLeave:
+      target.away = true;
+      target.target->SetDraining(true);
+      ledger_.With([&](PromiseLedger& ledger) { ledger.OnLeaving(target.identity.name, Now()); });
+      Register(target, "draining");
+      After(kDrainTime + kAfterDrain,
+            [this, &target, length = step.length] { EndLife(target, length); });
+      break;
+    default:
+      EndLife(target, step.length);
+  }
+}
+
+}  // namespace heatherspan
