--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -8,7 +8,7 @@
 
 constexpr auto kRequired = Presence::kRequired;
 constexpr auto kOptional = Presence::kOptional;
-/// Any one of them will do; each start without the store asks them all.
+/// They are asked one after the other, so that more only lengthen the search.
 constexpr std::size_t kMaxSeeds = 8;
 constexpr int kFileDescriptors = EdgeSettings::kFileDescriptors;
 constexpr const char* kZonesTable = "zones";
