daemon tests: the scripted target says that its connection ends

Cause: the scripted target answers without Connection: close and then closes. A node keeps the connection, and may write its next request before the end has arrived. The node's verdict is right: it can't know whether the request has run.

The test's checks and bounds are unchanged; the default answer of the stand-in now says that the connection ends, as its answers to probes already did.

--- a/tests/daemon/scripted_target.h
+++ b/tests/daemon/scripted_target.h
@@ -35,7 +35,9 @@
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   mutable std::mutex mutex_;
-  std::string answer_ = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  /// Says that the connection ends: a node that keeps it may write its next request before the end
+  /// arrives, and then can't tell whether it has run.
+  std::string answer_ = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
   bool holding_ = false;
   int requests_ = 0;
   std::vector<std::shared_ptr<Connection>> held_;
