--- a/tests/soak/promise_ledger.cc
+++ b/tests/soak/promise_ledger.cc
@@ -99,6 +99,7 @@
   CheckLate(*entry, now);
   if (answer.status >= 200 && answer.status < 300) {
     CheckSuccess(*entry, answer);
+    entry->served = true;
     ++served_;
   } else if (IsNotRun(answer.status)) {
     CheckRefusal(*entry, answer, now);
@@ -172,7 +173,7 @@
   const bool passed_on = entry.arrivals > 0;
   const bool at_work = passed_on && !entry.work_end.has_value();
   if (!passed_on && taken <= bounds_.loss_slack) return;
-  if (taken >= limit - kClockMargin || entry.request.id.empty()) return;
+  if (taken >= limit - kClockMargin) return;
   const auto begin = entry.sent - bounds_.stable;
   if (!troubles_.HasOnlyPlanned(gateway, begin, now) ||
       !troubles_.HasOnlyPlanned(TroubleLog::kStore, begin, now) ||
@@ -460,7 +461,7 @@
   for (const auto& [id, entry] : requests_) {
     if (entry.sent < *recovered_) continue;
     ++sent;
-    if (entry.answered.has_value() && entry.runs > 0 && !entry.refused) ++served;
+    if (entry.served) ++served;
   }
   if (sent == 0 || served < static_cast<int>(bounds_.recovered_part * sent)) {
     Report("RECOVER",
--- a/tests/soak/promise_ledger.h
+++ b/tests/soak/promise_ledger.h
@@ -138,6 +138,7 @@
     std::optional<MonotonicTime> answered;
     std::optional<MonotonicTime> gone;
     bool refused = false;
+    bool served = false;
     int runs = 0;
     int arrivals = 0;
     MonotonicTime last_arrival;
--- a/tests/soak/promise_ledger_test.cc
+++ b/tests/soak/promise_ledger_test.cc
@@ -330,7 +330,8 @@
   ledger_.OnRecovered(kStart);
   for (int i = 0; i < 8; ++i) {
     Send(std::to_string(i), "read", milliseconds(1));
-    Answer(std::to_string(i), 503, milliseconds(10));
+    Arrive(std::to_string(i), "read", milliseconds(2));
+    Answer(std::to_string(i), 502, milliseconds(10));
   }
   EXPECT_THAT(BrokenAtTheEnd(), ElementsAre("RECOVER"));
 }
