--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -11,12 +11,14 @@
 #include "absl/status/status.h"
 #include "edge/edge_settings.h"
 #include "edge/peer_reader.h"
+#include "edge/peer_sync.h"
 #include "edge/platform_ports.h"
 #include "edge/request_forwarder.h"
 #include "edge/store_follower.h"
 #include "edge/target_prober.h"
 #include "edge/vm_announcer.h"
 #include "gateway/gateway_core.h"
+#include "gateway/peer_selection.h"
 #include "gateway/pending_removals.h"
 #include "gateway/store_snapshot.h"
 #include "net/http_client.h"
@@ -44,12 +46,16 @@
   /// faster.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
   static constexpr std::size_t kConnectionsPerTarget = 40;
+  /// A few peers ask for changes all the time; after a restart of many VMs, others want a listing.
+  static constexpr std::size_t kMaxPeerConnections = 64;
   /// A listing for 3,000 targets is about 1 MB, which takes 0.8 s on a link of 10 Mbit/s. Further
   /// peers are refused and ask again.
-  static constexpr std::size_t kMaxPeerConnections = 4;
+  static constexpr int kMaxListingsPerTick = 1;
   /// Each request in flight also needs one connection to a target, but some caller connections are
   /// idle. The store, peers and the other listeners need a few sockets.
   static constexpr double kCallerFractionOfSockets = 2.0 / 3;
+  /// Callers send a few requests ahead. Each may hold a body of the largest size that is allowed.
+  static constexpr std::size_t kMaxPipelinedRequests = 8;
   /// Requests still in flight get their final answer this long before the process would be killed.
   static constexpr Duration kStopMargin = std::chrono::milliseconds(500);
   /// Time for the final answers to leave the machine.
@@ -68,15 +74,25 @@
         store_client_(workers_, StoreLimits()),
         store_(store_client_, settings_.store),
         follower_(
-            store_, workers_, log_, [this](const StoreChange& change) { OnChange(change); },
+            store_, workers_, log_,
+            [this](const StoreChange& change, bool unconfirmed) { OnChange(change, unconfirmed); },
             [this] { OnBatchApplied(); }),
         peer_reader_(
             store_client_, settings_.seeds, workers_, log_, std::random_device()(),
             [this] { return PeerStateNeed(); },
             [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
+        peer_sync_(
+            store_client_, workers_, [this] { return SyncedRevision(); },
+            [this] {
+              return SelectPeers(core_.entry_vms().Announced(Now()), settings_.node,
+                                 settings_.region);
+            },
+            [this](const Endpoint& peer, StoreChanges changes) {
+              OnPeerChanges(peer, std::move(changes));
+            }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
-                   Formats::WriteEntryVm(
-                       {settings_.node, settings_.zone, settings_.region, settings_.callers})),
+                   Formats::WriteEntryVm({settings_.node, settings_.zone, settings_.region,
+                                          settings_.callers, settings_.peers})),
         forwarder_(core_, target_client_, workers_, log_, metrics_),
         prober_(core_, target_client_, log_),
         callers_server_(workers_, CallerServerLimits(settings_.descriptors, CallerLimits()),
@@ -86,7 +102,7 @@
         readiness_server_(workers_, {}, Handler(&EdgeNode::Readiness)),
         directory_server_(workers_, {}, Handler(&EdgeNode::Directory)),
         metrics_server_(workers_, {}, Handler(&EdgeNode::Metrics)),
-        peers_server_(workers_, PeerServerLimits(), Handler(&EdgeNode::PeerState)) {}
+        peers_server_(workers_, PeerServerLimits(), Handler(&EdgeNode::PeerQuestion)) {}
 
   ~EdgeNode() { workers_.Stop(); }
   EdgeNode(const EdgeNode&) = delete;
@@ -110,6 +126,7 @@
     workers_.Post([this] {
       follower_.Start();
       peer_reader_.Start();
+      peer_sync_.Start();
       tick_ = workers_.RunEvery(kTickInterval, [this] { OnTick(); });
     });
     return absl::OkStatus();
@@ -180,6 +197,7 @@
     limits.request_timeout = callers.header_timeout;
     limits.idle_timeout = callers.idle_timeout;
     limits.watch_disconnects = true;
+    limits.max_pipelined = kMaxPipelinedRequests;
     return limits;
   }
 
@@ -202,7 +220,7 @@
   }
 
   auto IsReady() const -> bool {
-    return !stopping_ && core_.policy() != nullptr && follower_.sync_state().usable();
+    return !stopping_ && core_.policy() != nullptr && follower_.sync_state().synced();
   }
 
   auto Readiness(const HttpRequest& request) -> HttpResponse {
@@ -241,15 +259,36 @@
   auto PeerStateNeed() const -> typename PeerReader<Store>::Need {
     using Need = typename PeerReader<Store>::Need;
     const auto& sync_state = follower_.sync_state();
-    if (sync_state.usable()) return Need::kNone;
+    if (sync_state.synced()) return Need::kNone;
     return sync_state.lost() ? Need::kNow : Need::kLater;
   }
 
-  auto PeerState(const HttpRequest& request) -> HttpResponse {
-    if (!Store::IsListCall(request)) return WithStatus(404);
+  /// Answers a peer that can't read the store.
+  auto PeerQuestion(const HttpRequest& request) -> HttpResponse {
+    if (const auto revision = Store::WatchedRevision(request)) return ChangesForPeer(*revision);
+    return Store::IsListCall(request) ? ListingForPeer() : WithStatus(404);
+  }
+
+  auto ListingForPeer() -> HttpResponse {
+    const auto& sync_state = follower_.sync_state();
+    if (!sync_state.synced() || listings_this_tick_ >= kMaxListingsPerTick) return WithStatus(503);
+    ++listings_this_tick_;
+    return Store::ListAnswer(snapshot_.Page(sync_state.revision()));
+  }
+
+  auto ChangesForPeer(std::uint64_t after_revision) -> HttpResponse {
     const auto& sync_state = follower_.sync_state();
-    return sync_state.synced() ? Store::ListAnswer(snapshot_.Page(sync_state.revision()))
-                               : WithStatus(503);
+    if (!sync_state.synced()) return WithStatus(503);
+    const auto changes = after_revision < sync_state.history_start()
+                             ? std::nullopt
+                             : snapshot_.ChangesAfter(after_revision);
+    return Store::WatchAnswer(changes, sync_state.revision(),
+                              sync_state.RemovalsUnconfirmed(Now()));
+  }
+
+  auto SyncedRevision() const -> std::optional<std::uint64_t> {
+    const auto& sync_state = follower_.sync_state();
+    return sync_state.synced() ? std::optional(sync_state.revision()) : std::nullopt;
   }
 
   auto OnPeerState(const Endpoint& peer, StorePage state) -> void {
@@ -257,10 +296,20 @@
     const auto change_count = follower_.ApplyPeerState(std::move(state));
     log_.Write(LogLevel::kInfo, "peer-state-applied",
                {{"peer", peer.Text()}, {"changes", change_count}, {"revision", revision}});
-    if (IsReady()) announcer_.Start();
   }
 
-  auto OnChange(const StoreChange& change) -> void {
+  auto OnPeerChanges(const Endpoint& peer, StoreChanges changes) -> void {
+    const auto revision = changes.revision;
+    const auto change_count = follower_.ApplyPeerChanges(std::move(changes));
+    if (change_count == 0) return;
+    log_.Write(LogLevel::kInfo, "peer-changes-applied",
+               {{"peer", peer.Text()},
+                {"changes", change_count},
+                {"revision", revision},
+                {"store_lost", follower_.sync_state().lost() ? 1 : 0}});
+  }
+
+  auto OnChange(const StoreChange& change, bool unconfirmed) -> void {
     snapshot_.Apply(change);
     if (Formats::IsPolicyKey(change.key)) {
       OnPolicy(change);
@@ -272,9 +321,9 @@
                   {"evacuated", evacuated ? 1 : 0},
                   {"revision", change.revision}});
     } else if (const auto target = Formats::TargetOf(change.key)) {
-      OnTarget(*target, change);
+      OnTarget(*target, change, unconfirmed);
     } else if (const auto node = Formats::EntryVmOf(change.key)) {
-      OnEntryVm(*node, change);
+      OnEntryVm(*node, change, unconfirmed);
     }
   }
 
@@ -299,9 +348,8 @@
                {{"version", version}, {"routes", routes}, {"revision", change.revision}});
   }
 
-  auto OnTarget(const TargetName& name, const StoreChange& change) -> void {
+  auto OnTarget(const TargetName& name, const StoreChange& change, bool unconfirmed) -> void {
     if (!change.value.has_value()) {
-      const bool unconfirmed = follower_.sync_state().RemovalsUnconfirmed(Now());
       log_.Write(LogLevel::kInfo, "target-removed",
                  {{"target", name.value()},
                   {"in_doubt", unconfirmed ? 1 : 0},
@@ -337,9 +385,8 @@
                 {"revision", change.revision}});
   }
 
-  auto OnEntryVm(const NodeName& name, const StoreChange& change) -> void {
+  auto OnEntryVm(const NodeName& name, const StoreChange& change, bool unconfirmed) -> void {
     if (!change.value.has_value()) {
-      const bool unconfirmed = follower_.sync_state().RemovalsUnconfirmed(Now());
       core_.entry_vms().Withdraw(name, unconfirmed, Now());
       log_.Write(LogLevel::kInfo, "entry-vm-removed",
                  {{"node", name.value()},
@@ -368,6 +415,7 @@
 
   auto OnTick() -> void {
     const auto now = Now();
+    listings_this_tick_ = 0;
     for (const auto& name : pending_removals_.TakeExpired(now)) {
       log_.Write(LogLevel::kInfo, "target-lapsed", {{"target", name.value()}});
       core_.fleet().Unregister(name);
@@ -433,6 +481,8 @@
   StoreFollower<Store> follower_;
   StoreSnapshot snapshot_;
   PeerReader<Store> peer_reader_;
+  PeerSync<Store> peer_sync_;
+  int listings_this_tick_ = 0;
   VmAnnouncer<Store> announcer_;
   RequestForwarder<Messages> forwarder_;
   TargetProber<Messages> prober_;
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "base/ids.h"
@@ -25,7 +27,8 @@
                                 typename T::ChangesCallback on_changes,
                                 typename T::LeaseCallback on_lease,
                                 typename T::StatusCallback on_status, const HttpRequest& request,
-                                const StorePage& page) {
+                                const StorePage& page,
+                                const std::optional<std::vector<StoreChange>>& changes) {
   store.List(key, on_page);
   store.Watch(number, wait, on_changes);
   store.Grant(wait, on_lease);
@@ -34,6 +37,8 @@
   store.Put(key, key, number, on_status);
   { T::IsListCall(request) } -> std::same_as<bool>;
   { T::ListAnswer(page) } -> std::same_as<HttpResponse>;
+  { T::WatchedRevision(request) } -> std::same_as<std::optional<std::uint64_t>>;
+  { T::WatchAnswer(changes, number, true) } -> std::same_as<HttpResponse>;
 };
 
 /// The formats of the items in the store.
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -17,7 +17,8 @@
 template <GatewayStore Store>
 class StoreFollower {
  public:
-  using OnChange = std::function<void(const StoreChange&)>;
+  /// `unconfirmed`: if the item was removed, its owner may still run.
+  using OnChange = std::function<void(const StoreChange&, bool unconfirmed)>;
   using OnBatchApplied = std::function<void()>;
 
   /// Each watch counts as a call to the store, also one that only waits. A shorter timeout detects
@@ -41,12 +42,19 @@
 
   auto Start() -> void { CallNext(); }
   auto sync_state() const -> const StoreSyncState& { return sync_state_; }
-  /// Applies the state of the store as another node has seen it. Returns the number of changes.
+  /// Applies a peer's complete listing of the store. Returns the number of changes.
   auto ApplyPeerState(StorePage state) -> std::size_t {
     const auto changes = sync_state_.OnPeerState(std::move(state));
-    for (const auto& change : changes) on_change_(change);
+    ApplyAll(changes, true);
     return changes.size();
   }
+  /// Applies changes that a peer has read. Returns the number of changes.
+  auto ApplyPeerChanges(StoreChanges changes) -> std::size_t {
+    const bool unconfirmed = changes.removals_unconfirmed;
+    const auto new_changes = sync_state_.OnPeerChanges(std::move(changes));
+    if (!new_changes.empty()) ApplyAll(new_changes, unconfirmed);
+    return new_changes.size();
+  }
 
  private:
   auto Now() const -> MonotonicTime { return SystemClock().Now(); }
@@ -78,8 +86,7 @@
       log_.Write(LogLevel::kInfo, "store-regained", {{"revision", sync_state_.revision()}});
     }
     backoff_ = kMinBackoff;
-    for (const auto& change : changes) on_change_(change);
-    on_batch_applied_();
+    ApplyAll(changes, sync_state_.RemovalsUnconfirmed(Now()));
     if (changes.empty() || sync_state_.Next().list) {
       CallNext();
     } else {
@@ -87,6 +94,11 @@
     }
   }
 
+  auto ApplyAll(const std::vector<StoreChange>& changes, bool unconfirmed) -> void {
+    for (const auto& change : changes) on_change_(change, unconfirmed);
+    on_batch_applied_();
+  }
+
   auto OnFailure(const absl::Status& status) -> void {
     const bool history_truncated = absl::IsOutOfRange(status);
     if (history_truncated || !lost_) {
--- /dev/null
+++ b/src/experiment/store_spread_simulation.cc
@@ -0,0 +1,220 @@
+#include "experiment/store_spread_simulation.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "base/number_text.h"
+#include "gateway/peer_selection.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kZoneDelay = std::chrono::microseconds(500);
+constexpr Duration kRegionDelay = milliseconds(35);
+/// The store stands in this region.
+constexpr std::size_t kStoreRegion = 0;
+/// Timing of the gateway: the pause after a batch of changes, the wait of a watch, the timeout of a
+/// call, the longest pause after a failed one, and the pause between two questions to peers.
+constexpr Duration kBatchDelay = milliseconds(900);
+constexpr Duration kWatchTimeout = milliseconds(2500);
+constexpr Duration kCallTimeout = milliseconds(2000);
+constexpr Duration kBackoff = milliseconds(800);
+constexpr Duration kPollInterval = milliseconds(400);
+/// A frozen VM looks again after this time.
+constexpr Duration kFreezeCheck = milliseconds(50);
+/// Items of one page. Small, so that listings have several pages.
+constexpr std::size_t kPageItems = 7;
+constexpr std::string_view kNamePrefix = "vm-";
+
+}  // namespace
+
+StoreSpreadSimulation::StoreSpreadSimulation(const Options& options)
+    : options_(options),
+      random_(options.seed),
+      scheduler_(MonotonicTime(std::chrono::hours(1))),
+      vms_(options.vm_count) {
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) Restart(vm);
+}
+
+auto StoreSpreadSimulation::Name(std::size_t vm) const -> std::string {
+  return std::string(kNamePrefix) + std::to_string(vm);
+}
+
+auto StoreSpreadSimulation::Put(const std::string& key) -> void {
+  store_items_[key] = ++revision_;
+  history_[revision_] = {key, "value", revision_};
+  OnStoreChanged();
+}
+
+auto StoreSpreadSimulation::Remove(const std::string& key) -> void {
+  if (store_items_.erase(key) == 0) return;
+  ++revision_;
+  history_[revision_] = {key, std::nullopt, revision_};
+  OnStoreChanged();
+}
+
+auto StoreSpreadSimulation::Restart(std::size_t vm) -> void {
+  auto& state = vms_[vm];
+  const auto life = state.life + 1;
+  const auto reach = state.reach;
+  state = Vm();
+  state.reach = reach;
+  state.life = life;
+  std::vector<EntryVm> announced;
+  for (std::size_t peer = 0; peer < vms_.size(); ++peer) {
+    const auto name = NodeName(Name(peer));
+    const auto region = RegionName(std::to_string(Region(peer)));
+    announced.push_back({name, ZoneName(region.value()), region, {}, {Name(peer), 1}});
+  }
+  state.rotation.SetPeers(
+      SelectPeers(announced, NodeName(Name(vm)), RegionName(std::to_string(Region(vm)))));
+  CallStore(vm, life);
+  const auto first_poll =
+      Duration(std::uniform_int_distribution<Duration::rep>(0, kPollInterval.count())(random_));
+  if (options_.peers_ask) {
+    RunAt(vm, life, first_poll, [this, vm, life] { AskPeer(vm, life); });
+  }
+}
+
+auto StoreSpreadSimulation::Delay(std::size_t from_region, std::size_t to_region) -> Duration {
+  return from_region == to_region ? kZoneDelay : kRegionDelay;
+}
+
+auto StoreSpreadSimulation::RunAt(std::size_t vm, std::uint64_t life, Duration delay,
+                                  std::function<void()> task) -> void {
+  scheduler_.RunAfter(delay, [this, vm, life, task = std::move(task)]() mutable {
+    if (vms_[vm].life != life) return;
+    if (IsUp(vm)) {
+      task();
+    } else {
+      RunAt(vm, life, kFreezeCheck, std::move(task));
+    }
+  });
+}
+
+auto StoreSpreadSimulation::CallStore(std::size_t vm, std::uint64_t life) -> void {
+  ++store_calls_;
+  const auto call = vms_[vm].sync_state.Next();
+  scheduler_.RunAfter(Delay(Region(vm), kStoreRegion), [this, vm, life, call] {
+    if (!vms_[vm].reach.store) {
+      RunAt(vm, life, kCallTimeout + (call.list ? Duration::zero() : kWatchTimeout),
+            [this, vm, life] {
+              vms_[vm].sync_state.OnFailure(absl::UnavailableError("no answer"), now());
+              CallAgain(vm, life, kBackoff);
+            });
+    } else if (call.list) {
+      AnswerList(vm, life, call.after_key);
+    } else if (call.after_revision < revision_) {
+      AnswerWatch({vm, life, call.after_revision});
+    } else {
+      const auto number = ++last_watch_;
+      watches_[number] = {vm, life, call.after_revision};
+      scheduler_.RunAfter(kWatchTimeout, [this, number] {
+        if (const auto watch = watches_.extract(number)) AnswerWatch(watch.mapped());
+      });
+    }
+  });
+}
+
+auto StoreSpreadSimulation::CallAgain(std::size_t vm, std::uint64_t life, Duration pause) -> void {
+  RunAt(vm, life, pause, [this, vm, life] { CallStore(vm, life); });
+}
+
+auto StoreSpreadSimulation::OnStoreChanged() -> void {
+  for (const auto& [number, watch] : std::exchange(watches_, {})) AnswerWatch(watch);
+}
+
+auto StoreSpreadSimulation::AnswerList(std::size_t vm, std::uint64_t life,
+                                       const std::string& after_key) -> void {
+  StorePage page;
+  page.revision = revision_;
+  for (auto item = store_items_.upper_bound(after_key); item != store_items_.end(); ++item) {
+    if (page.items.size() == kPageItems) {
+      page.more = true;
+      break;
+    }
+    page.items.push_back({item->first, "value", item->second});
+  }
+  RunAt(vm, life, Delay(kStoreRegion, Region(vm)), [this, vm, life, page] {
+    Apply(vm, vms_[vm].sync_state.OnPage(page, now()));
+    CallAgain(vm, life, Duration::zero());
+  });
+}
+
+auto StoreSpreadSimulation::AnswerWatch(const Watch& watch) -> void {
+  const auto vm = watch.vm;
+  const auto life = watch.life;
+  const bool history_gone = watch.after_revision < history_start_;
+  StoreChanges changes;
+  changes.revision = revision_;
+  for (auto event = history_.upper_bound(watch.after_revision); event != history_.end(); ++event) {
+    changes.changes.push_back(event->second);
+  }
+  RunAt(vm, life, Delay(kStoreRegion, Region(vm)), [this, vm, life, history_gone, changes] {
+    if (history_gone) {
+      vms_[vm].sync_state.OnFailure(absl::OutOfRangeError("history gone"), now());
+      CallAgain(vm, life, Duration::zero());
+      return;
+    }
+    const auto new_changes = vms_[vm].sync_state.OnChanges(changes, now());
+    Apply(vm, new_changes);
+    CallAgain(vm, life, new_changes.empty() ? Duration::zero() : kBatchDelay);
+  });
+}
+
+auto StoreSpreadSimulation::IndexOf(const Endpoint& endpoint) const -> std::size_t {
+  return ParseNumber<std::size_t>(endpoint.address.substr(kNamePrefix.size())).value_or(0);
+}
+
+auto StoreSpreadSimulation::AskPeer(std::size_t vm, std::uint64_t life) -> void {
+  RunAt(vm, life, kPollInterval, [this, vm, life] { AskPeer(vm, life); });
+  const auto peer = vms_[vm].rotation.Next();
+  if (!peer.has_value() || !vms_[vm].sync_state.synced()) return;
+  const auto to = IndexOf(*peer);
+  const auto after = vms_[vm].sync_state.revision();
+  const auto delay = Delay(Region(vm), Region(to));
+  RunAt(to, vms_[to].life, delay, [this, vm, life, to, after, delay] {
+    if (!vms_[vm].reach.peers || !vms_[to].reach.peers) return;
+    const auto& state = vms_[to].sync_state;
+    if (!state.synced() || after < state.history_start()) return;
+    auto changes = vms_[to].snapshot.ChangesAfter(after);
+    if (!changes.has_value()) return;
+    const StoreChanges answer{*std::move(changes), state.revision()};
+    RunAt(vm, life, delay,
+          [this, vm, answer] { Apply(vm, vms_[vm].sync_state.OnPeerChanges(answer)); });
+  });
+}
+
+auto StoreSpreadSimulation::Apply(std::size_t vm, const std::vector<StoreChange>& changes) -> void {
+  auto& state = vms_[vm];
+  for (const auto& change : changes) {
+    auto& highest = state.highest[change.key];
+    if (change.revision < highest) ++reversals_;
+    highest = std::max(highest, change.revision);
+    if (change.value.has_value()) {
+      state.items[change.key] = change.revision;
+    } else {
+      state.items.erase(change.key);
+    }
+    state.snapshot.Apply(change);
+  }
+}
+
+auto StoreSpreadSimulation::RevisionAt(std::size_t vm, const std::string& key) const
+    -> std::uint64_t {
+  const auto found = vms_[vm].items.find(key);
+  return found == vms_[vm].items.end() ? 0 : found->second;
+}
+
+auto StoreSpreadSimulation::ItemsAt(std::size_t vm) const -> std::map<std::string, std::uint64_t> {
+  return vms_[vm].items;
+}
+
+auto StoreSpreadSimulation::StoreItems() const -> std::map<std::string, std::uint64_t> {
+  return store_items_;
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/experiment/store_spread_simulation.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "experiment/event_scheduler.h"
+#include "gateway/peer_rotation.h"
+#include "gateway/store_snapshot.h"
+#include "gateway/store_sync_state.h"
+
+namespace heatherspan {
+
+/// A store and the entry VMs that follow it, in virtual time, driven by the decisions of the
+/// gateway. The load pattern: items are written and removed all the time, while the store turns
+/// some VMs away, leaves their calls without an answer, drops its history, and VMs are cut off from
+/// each other, freeze and restart.
+class StoreSpreadSimulation {
+ public:
+  /// What a VM can reach. Both hold in both directions.
+  struct Reach {
+    bool store = true;
+    bool peers = true;
+    bool frozen = false;
+  };
+
+  struct Options {
+    std::size_t vm_count = 7;
+    std::size_t region_count = 3;
+    bool peers_ask = true;  ///< Otherwise each VM knows only what it reads from the store.
+    std::uint64_t seed = 1;
+  };
+
+  explicit StoreSpreadSimulation(const Options& options);
+  StoreSpreadSimulation(const StoreSpreadSimulation&) = delete;
+  auto operator=(const StoreSpreadSimulation&) -> StoreSpreadSimulation& = delete;
+
+  auto Put(const std::string& key) -> void;
+  auto Remove(const std::string& key) -> void;
+  /// Drops the history: a watch after an older revision fails.
+  auto DropHistory() -> void { history_start_ = revision_; }
+  auto SetReach(std::size_t vm, Reach reach) -> void { vms_[vm].reach = reach; }
+  /// Starts the VM's process anew, without any state.
+  auto Restart(std::size_t vm) -> void;
+  auto RunFor(Duration duration) -> void { scheduler_.RunUntil(scheduler_.now() + duration); }
+
+  auto now() const -> MonotonicTime { return scheduler_.now(); }
+  auto vm_count() const -> std::size_t { return vms_.size(); }
+  auto reach(std::size_t vm) const -> const Reach& { return vms_[vm].reach; }
+  /// The revision of the key's last write that the VM knows, or 0.
+  auto RevisionAt(std::size_t vm, const std::string& key) const -> std::uint64_t;
+  /// The revision of each present item at the VM.
+  auto ItemsAt(std::size_t vm) const -> std::map<std::string, std::uint64_t>;
+  auto StoreItems() const -> std::map<std::string, std::uint64_t>;
+  /// How often a VM applied an older revision of an item after a newer one in one life.
+  auto reversals() const -> int { return reversals_; }
+  auto store_calls() const -> int { return store_calls_; }
+
+ private:
+  struct Vm {
+    Reach reach;
+    std::uint64_t life = 1;  ///< Answers to an earlier life are dropped.
+    StoreSyncState sync_state;
+    StoreSnapshot snapshot;
+    PeerRotation rotation;
+    std::map<std::string, std::uint64_t> items;
+    std::map<std::string, std::uint64_t> highest;  ///< Highest revision applied, by key.
+  };
+
+  auto Name(std::size_t vm) const -> std::string;
+  auto Region(std::size_t vm) const -> std::size_t { return vm % options_.region_count; }
+  auto Delay(std::size_t from_region, std::size_t to_region) -> Duration;
+  auto IsUp(std::size_t vm) const -> bool { return !vms_[vm].reach.frozen; }
+  /// A watch that the store answers at the next change.
+  struct Watch {
+    std::size_t vm = 0;
+    std::uint64_t life = 0;
+    std::uint64_t after_revision = 0;
+  };
+
+  auto CallStore(std::size_t vm, std::uint64_t life) -> void;
+  auto AnswerList(std::size_t vm, std::uint64_t life, const std::string& after_key) -> void;
+  auto AnswerWatch(const Watch& watch) -> void;
+  auto OnStoreChanged() -> void;
+  auto CallAgain(std::size_t vm, std::uint64_t life, Duration pause) -> void;
+  auto AskPeer(std::size_t vm, std::uint64_t life) -> void;
+  auto Apply(std::size_t vm, const std::vector<StoreChange>& changes) -> void;
+  auto IndexOf(const Endpoint& endpoint) const -> std::size_t;
+  /// Runs the task at a VM after the delay, once the VM is not frozen and if its process still
+  /// lives.
+  auto RunAt(std::size_t vm, std::uint64_t life, Duration delay, std::function<void()> task)
+      -> void;
+
+  Options options_;
+  Random random_;
+  EventScheduler scheduler_;
+  std::vector<Vm> vms_;
+  std::map<std::string, std::uint64_t> store_items_;
+  std::map<std::uint64_t, StoreChange> history_;
+  std::map<std::uint64_t, Watch> watches_;  ///< Waiting for a change, by number.
+  std::uint64_t last_watch_ = 0;
+  std::uint64_t revision_ = 1;
+  std::uint64_t history_start_ = 0;
+  int reversals_ = 0;
+  int store_calls_ = 0;
+};
+
+}  // namespace heatherspan
--- a/src/gateway/entry_vm_directory.h
+++ b/src/gateway/entry_vm_directory.h
@@ -16,7 +16,8 @@
   NodeName name;
   ZoneName zone;
   RegionName region;
-  Endpoint caller_endpoint;  ///< Listens for callers' requests.
+  Endpoint caller_endpoint;     ///< Listens for callers' requests.
+  Endpoint peer_endpoint = {};  ///< Listens for other entry VMs. Empty if it doesn't.
 
   friend auto operator==(const EntryVm&, const EntryVm&) -> bool = default;
 };
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -27,6 +27,9 @@
 struct StoreChanges {
   std::vector<StoreChange> changes;
   std::uint64_t revision = 0;  ///< The changes are complete up to this revision.
+  /// Items whose owners still run may be among the removed ones: whoever gives the changes has lost
+  /// the store or has just regained it.
+  bool removals_unconfirmed = false;
 };
 
 struct StoreLease {
--- a/src/gateway/store_snapshot.h
+++ b/src/gateway/store_snapshot.h
@@ -1,22 +1,39 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
+#include "absl/container/flat_hash_map.h"
 #include "gateway/store_changes.h"
 
 namespace heatherspan {
 
-/// The items of the store as this node last saw them, for peers that can't read the store. The
-/// snapshot is as large as the store itself: a few hundred bytes for each target and entry VM, and
-/// the configuration.
+/// The items of the store as this node last saw them, and the last removals, for peers that can't
+/// read the store. The snapshot is as large as the store itself: a few hundred bytes for each
+/// target and entry VM, and the configuration.
 class StoreSnapshot {
  public:
+  /// Removals beyond this number are forgotten, the oldest first. A peer that has missed more reads
+  /// a listing.
+  static constexpr std::size_t kMaxRemovals = 4096;
+
   auto Apply(const StoreChange& change) -> void;
   auto Page(std::uint64_t revision) const -> StorePage;
+  /// Returns the last change of each key that changed after the revision, in order, or nothing if
+  /// removals after it have been forgotten.
+  auto ChangesAfter(std::uint64_t revision) const -> std::optional<std::vector<StoreChange>>;
 
  private:
-  std::map<std::string, StoreChange> items_;
+  auto ForgetOldRemovals() -> void;
+
+  absl::flat_hash_map<std::string, StoreChange> last_changes_;
+  /// Keys by the revision of their last change. One transaction may change several keys.
+  std::multimap<std::uint64_t, std::string> keys_by_revision_;
+  std::multimap<std::uint64_t, std::string> removals_by_revision_;
+  std::uint64_t forgotten_revision_ = 0;  ///< Removals up to this revision may be missing.
 };
 
 }  // namespace heatherspan
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -24,10 +24,11 @@
   if (change.value.has_value()) {
     if (known != known_revisions_.end() && known->second >= change.revision) return;
     known_revisions_[change.key] = change.revision;
-  } else {
-    if (known == known_revisions_.end() || known->second > change.revision) return;
+  } else if (known != known_revisions_.end()) {
+    if (known->second > change.revision) return;
     known_revisions_.erase(known);
   }
+  // The removal of an unknown item is a change, too: a peer may know the item.
   new_changes.push_back(std::move(change));
 }
 
@@ -45,40 +46,67 @@
     Accept(std::move(item), new_changes);
   }
   if (page.more && !page.items.empty()) return new_changes;
-  for (const auto& [key, revision] : std::exchange(known_revisions_, {})) {
-    if (listed_revisions_.contains(key)) {
-      known_revisions_.emplace(key, revision);
-    } else {
-      new_changes.push_back({key, std::nullopt, page.revision});
-    }
-  }
-  listing_ = false;
-  after_key_.clear();
-  listed_revisions_.clear();
   // The watch starts at the first page's revision, so that it repeats changes made between two
   // pages.
-  revision_ = std::max(revision_, list_revision_);
+  CompleteListing(list_revision_, new_changes);
+  return new_changes;
+}
+
+auto StoreSyncState::CompleteListing(std::uint64_t revision, std::vector<StoreChange>& new_changes)
+    -> void {
+  absl::erase_if(known_revisions_, [&](const auto& item) {
+    const auto& [key, known_revision] = item;
+    // A later change is not shown by the listing.
+    if (known_revision > revision || listed_revisions_.contains(key)) return false;
+    new_changes.push_back({key, std::nullopt, revision});
+    return true;
+  });
+  EndListing();
+  revision_ = std::max(revision_, revision);
+  history_start_ = revision_;
   synced_ = true;
+}
+
+auto StoreSyncState::EndListing() -> void {
+  listing_ = false;
+  after_key_.clear();
+  listed_revisions_.clear();
+}
+
+auto StoreSyncState::AcceptAll(StoreChanges changes) -> std::vector<StoreChange> {
+  std::vector<StoreChange> new_changes;
+  for (auto& change : changes.changes) {
+    // A response that was delayed may lack the removal of an item that it shows.
+    if (change.revision > revision_) Accept(std::move(change), new_changes);
+  }
+  revision_ = std::max(revision_, changes.revision);
   return new_changes;
 }
 
 auto StoreSyncState::OnChanges(StoreChanges changes, MonotonicTime now)
     -> std::vector<StoreChange> {
   OnContact(now);
-  std::vector<StoreChange> new_changes;
-  for (auto& change : changes.changes) Accept(std::move(change), new_changes);
-  revision_ = std::max(revision_, changes.revision);
-  return new_changes;
+  return AcceptAll(std::move(changes));
 }
 
 auto StoreSyncState::OnPeerState(StorePage state) -> std::vector<StoreChange> {
   std::vector<StoreChange> new_changes;
   if (synced_) return new_changes;
-  for (auto& item : state.items) Accept(std::move(item), new_changes);
-  has_peer_state_ = true;
+  listed_revisions_.clear();
+  for (auto& item : state.items) {
+    listed_revisions_[item.key] = item.revision;
+    Accept(std::move(item), new_changes);
+  }
+  CompleteListing(state.revision, new_changes);
   return new_changes;
 }
 
+auto StoreSyncState::OnPeerChanges(StoreChanges changes) -> std::vector<StoreChange> {
+  if (!synced_ || changes.revision <= revision_) return {};
+  EndListing();
+  return AcceptAll(std::move(changes));
+}
+
 auto StoreSyncState::OnFailure(const absl::Status& status, MonotonicTime now) -> void {
   if (absl::IsOutOfRange(status)) {
     OnContact(now);
--- a/src/gateway/store_sync_state.h
+++ b/src/gateway/store_sync_state.h
@@ -11,8 +11,9 @@
 
 namespace heatherspan {
 
-/// Tracks what this node has read from the store: the next call, which items of a response are new,
-/// and whether removals are reliable. The class does no I/O.
+/// Tracks what this node has read of the store, from the store itself or from a peer: the next
+/// call, which items of a response are new, and whether removals are reliable. Whatever the source,
+/// the state is complete up to one revision, which never decreases. The class does no I/O.
 class StoreSyncState {
  public:
   /// Registrations that expired during an outage return within about two seconds of its end.
@@ -30,14 +31,15 @@
   auto OnPage(StorePage page, MonotonicTime now) -> std::vector<StoreChange>;
   auto OnChanges(StoreChanges changes, MonotonicTime now) -> std::vector<StoreChange>;
   auto OnFailure(const absl::Status& status, MonotonicTime now) -> void;
-  /// Applies a peer's copy of the store as long as this node has no complete listing of its own.
-  /// Copies of several peers are merged: the latest revision of each item wins.
+  /// Applies a peer's complete listing as long as this node has none. The watch continues from its
+  /// revision.
   auto OnPeerState(StorePage state) -> std::vector<StoreChange>;
+  /// Applies what a peer has read after this node's revision. The watch continues from the peer's
+  /// revision; a listing in progress is no longer needed.
+  auto OnPeerChanges(StoreChanges changes) -> std::vector<StoreChange>;
 
-  /// A complete listing has been read at least once.
+  /// A complete listing has been read at least once, from the store or from a peer.
   auto synced() const -> bool { return synced_; }
-  /// A complete listing of this node or of a peer is available.
-  auto usable() const -> bool { return synced_ || has_peer_state_; }
   /// The last call succeeded.
   auto in_contact() const -> bool { return in_contact_; }
   /// The last call failed.
@@ -45,11 +47,17 @@
   /// Contact was lost recently. Removals may be expired registrations whose owners still run.
   auto RemovalsUnconfirmed(MonotonicTime now) const -> bool;
   auto revision() const -> std::uint64_t { return revision_; }
+  /// Removals up to this revision may be unknown: the node has read a listing there.
+  auto history_start() const -> std::uint64_t { return history_start_; }
   auto last_contact() const -> MonotonicTime { return last_contact_; }
 
  private:
   auto OnContact(MonotonicTime now) -> void;
   auto Accept(StoreChange change, std::vector<StoreChange>& new_changes) -> void;
+  auto AcceptAll(StoreChanges changes) -> std::vector<StoreChange>;
+  /// Ends a listing that shows the state at the revision: items that it lacks have been removed.
+  auto CompleteListing(std::uint64_t revision, std::vector<StoreChange>& new_changes) -> void;
+  auto EndListing() -> void;
 
   absl::flat_hash_map<std::string, std::uint64_t>
       known_revisions_;  ///< Revisions of present items.
@@ -59,8 +67,8 @@
   std::string after_key_;
   std::uint64_t list_revision_ = 0;  ///< Revision of the store at the first page.
   std::uint64_t revision_ = 0;       ///< All changes up to this revision have been read.
+  std::uint64_t history_start_ = 0;
   bool synced_ = false;
-  bool has_peer_state_ = false;
   bool in_contact_ = false;
   MonotonicTime last_contact_{};
   MonotonicTime contact_regained_at_{};
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -1,21 +1,21 @@
 #include "net/http_connection.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
-#include <cerrno>
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -42,6 +42,16 @@
 // Bodies up to this size are copied behind the header, which is cheaper than a second buffer.
 constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} * 1024;
 
+/// A request that was handed over, or an error in the input, and its response. Responses leave in
+/// the order of the requests.
+struct Exchange {
+  bool keep_alive = true;
+  bool http_1_0 = false;
+  bool head = false;
+  std::shared_ptr<DisconnectHook> disconnect;
+  std::optional<HttpResponse> response;
+};
+
 /// Private methods run on the strand.
 class Connection final : public HttpConnection, public std::enable_shared_from_this<Connection> {
  public:
@@ -56,7 +66,7 @@
 
   auto Start() -> void override {
     Post([](Connection& self) {
-      self.SetDeadline(self.server_->limits.load()->idle_timeout);
+      self.SetReadDeadline(self.server_->limits.load()->idle_timeout);
       self.ReadMore();
     });
   }
@@ -67,7 +77,7 @@
 
   auto CloseIfIdle() -> void override {
     Post([](Connection& self) {
-      if (self.state_ == State::kReading && !self.request_started_) self.CloseNow();
+      if (self.exchanges_.empty() && !self.request_started_) self.CloseNow();
     });
   }
 
@@ -83,46 +93,53 @@
     Post([](Connection& self) { self.OnOverdue(); });
   }
 
-  auto Respond(HttpResponse response) -> void {
-    asio::dispatch(strand_, [self = shared_from_this(), response = std::move(response)]() mutable {
-      self->OnResponse(std::move(response));
-    });
+  auto Respond(const std::shared_ptr<Exchange>& exchange, HttpResponse response) -> void {
+    asio::dispatch(strand_,
+                   [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
+                     self->OnResponse(*exchange, std::move(response));
+                   });
   }
 
  private:
-  enum class State { kReading, kHandling, kWriting, kLingering, kClosed };
+  enum class State { kOpen, kLingering, kClosed };
 
   template <class Action>
   auto Post(Action action) -> void {
     asio::post(strand_, [self = shared_from_this(), action] { action(*self); });
   }
 
-  auto SetDeadline(Duration delay) -> void {
-    deadline_.store((SteadyClock::now() + delay).time_since_epoch().count(),
-                    std::memory_order_relaxed);
+  auto SetReadDeadline(Duration delay) -> void {
+    read_deadline_ = SteadyClock::now() + delay;
+    PublishDeadline();
   }
-
-  auto ClearDeadline() -> void {
-    deadline_.store(std::numeric_limits<std::int64_t>::max(), std::memory_order_relaxed);
+  auto ClearReadDeadline() -> void {
+    read_deadline_ = SteadyClock::time_point::max();
+    PublishDeadline();
+  }
+  auto PublishDeadline() -> void {
+    deadline_.store(std::min(read_deadline_, write_deadline_).time_since_epoch().count(),
+                    std::memory_order_relaxed);
   }
 
   auto CloseNow() -> void;
+  auto Abort() -> void;
   auto OnOverdue() -> void;
-  auto EndActive() -> void;
+  auto HasUnanswered() const -> bool;
+  auto MayHandOver() const -> bool;
   auto ReadMore() -> void;
   auto OnRead(const ErrorCode& error, std::size_t size) -> void;
+  auto OnEndOfInput(const ErrorCode& error) -> void;
   auto ParseInput() -> void;
+  auto OnIncompleteRequest() -> void;
+  auto RefuseInput(HttpReadError error) -> void;
   auto MakeRoom() -> void;
-  auto SendContinue() -> void;
+  auto SendContinueIfDue() -> void;
   auto HandOver() -> void;
-  auto WatchDisconnect() -> void;
-  auto OnWatched() -> void;
   auto Refuse(int status) -> void;
-  auto OnResponse(HttpResponse response) -> void;
-  auto Write(HttpResponse response) -> void;
-  auto OnWritten(const ErrorCode& error) -> void;
+  auto OnResponse(Exchange& exchange, HttpResponse response) -> void;
+  auto WriteNext() -> void;
+  auto OnWritten(const ErrorCode& error, bool is_last) -> void;
   auto Linger() -> void;
-  auto DropInput() -> void;
 
   Strand strand_;
   Socket socket_;
@@ -135,23 +152,26 @@
   std::size_t end_ = 0;
   std::string output_;
   std::string body_;
-  State state_ = State::kReading;
+  State state_ = State::kOpen;
+  /// Requests without a complete response, in their order.
+  std::deque<std::shared_ptr<Exchange>> exchanges_;
+  bool reading_ = false;  ///< A read of the socket is pending.
+  bool writing_ = false;  ///< A write to the socket is pending.
   bool request_started_ = false;
   bool continue_sent_ = false;
-  bool keep_alive_ = true;
-  bool http_1_0_ = false;
-  bool head_ = false;
-  bool watching_ = false;  ///< A wait for input is pending while the request is handled.
-  std::shared_ptr<DisconnectHook> disconnect_;
-  bool active_ = false;  ///< Counted among the active requests of the server.
+  /// No further request is handed over: the last response closes the connection.
+  bool closing_ = false;
+  bool input_ended_ = false;  ///< The caller has closed its side.
+  SteadyClock::time_point read_deadline_ = SteadyClock::time_point::max();
+  SteadyClock::time_point write_deadline_ = SteadyClock::time_point::max();
   std::atomic<std::int64_t> deadline_{std::numeric_limits<std::int64_t>::max()};
 };
 
 /// The right to answer one request, held by the copies of its responder.
 class PendingResponse {
  public:
-  explicit PendingResponse(std::shared_ptr<Connection> connection)
-      : connection_(std::move(connection)) {}
+  PendingResponse(std::shared_ptr<Connection> connection, std::shared_ptr<Exchange> exchange)
+      : connection_(std::move(connection)), exchange_(std::move(exchange)) {}
 
   ~PendingResponse() {
     // A handler that drops its responder must not leave the caller without an answer.
@@ -165,42 +185,70 @@
   auto operator=(const PendingResponse&) -> PendingResponse& = delete;
 
   auto Answer(HttpResponse response) -> void {
-    if (!answered_.exchange(true)) connection_->Respond(std::move(response));
+    if (!answered_.exchange(true)) connection_->Respond(exchange_, std::move(response));
   }
 
  private:
   const std::shared_ptr<Connection> connection_;
+  const std::shared_ptr<Exchange> exchange_;
   std::atomic<bool> answered_{false};
 };
 
 auto Connection::CloseNow() -> void {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
-  ClearDeadline();
-  EndActive();
+  read_deadline_ = write_deadline_ = SteadyClock::time_point::max();
+  PublishDeadline();
+  server_->active.fetch_sub(exchanges_.size());
+  exchanges_.clear();
   ErrorCode ignored;
   socket_.close(ignored);
   const std::lock_guard lock(server_->mutex);
   server_->connections.erase(shared_from_this());
 }
 
-auto Connection::EndActive() -> void {
-  if (active_) server_->active.fetch_sub(1);
-  active_ = false;
+/// Closes the connection of a caller who can't get the responses, and ends its requests.
+auto Connection::Abort() -> void {
+  std::vector<std::shared_ptr<DisconnectHook>> hooks;
+  for (const auto& exchange : exchanges_) {
+    if (exchange->disconnect != nullptr) hooks.push_back(std::move(exchange->disconnect));
+  }
+  CloseNow();
+  for (const auto& hook : hooks) {
+    if (hook->on_disconnect) hook->on_disconnect();
+  }
 }
 
 auto Connection::OnOverdue() -> void {
-  if (!Overdue(SteadyClock::now())) return;
-  if (state_ == State::kReading && request_started_) {
+  const auto now = SteadyClock::now();
+  if (write_deadline_ <= now) {
+    Abort();
+  } else if (read_deadline_ <= now && state_ == State::kOpen && request_started_) {
     server_->request_timeout.fetch_add(1);
     Refuse(408);
-    return;
+  } else if (read_deadline_ <= now) {
+    CloseNow();
   }
-  CloseNow();
 }
 
+auto Connection::HasUnanswered() const -> bool {
+  return std::any_of(exchanges_.begin(), exchanges_.end(),
+                     [](const auto& exchange) { return !exchange->response.has_value(); });
+}
+
+auto Connection::MayHandOver() const -> bool {
+  return state_ == State::kOpen && !closing_ && exchanges_.size() < limits_->max_pipelined;
+}
+
+/// Reads also while requests are handled, so that the end of the connection is seen. What a caller
+/// sends ahead is bounded.
 auto Connection::ReadMore() -> void {
+  if (reading_ || state_ == State::kClosed || input_ended_) return;
+  // Nothing that follows the last request is read.
+  if (closing_ || state_ == State::kLingering) begin_ = end_ = 0;
+  if (end_ - begin_ >= kMaxPieceBytes && !MayHandOver()) return;
   MakeRoom();
+  reading_ = true;
   socket_.async_read_some(asio::buffer(buffer_.data() + end_, buffer_.size() - end_),
                           [self = shared_from_this()](const ErrorCode& error, std::size_t size) {
                             self->OnRead(error, size);
@@ -226,9 +274,10 @@
 }
 
 auto Connection::OnRead(const ErrorCode& error, std::size_t size) -> void {
-  if (state_ != State::kReading) return;
+  reading_ = false;
+  if (state_ == State::kClosed) return;
   if (error) {
-    CloseNow();
+    OnEndOfInput(error);
     return;
   }
   end_ += size;
@@ -236,11 +285,35 @@
   ParseInput();
 }
 
+auto Connection::OnEndOfInput(const ErrorCode& error) -> void {
+  input_ended_ = true;
+  const bool may_answer = error == asio::error::eof && state_ == State::kOpen &&
+                          !exchanges_.empty() && !(limits_->watch_disconnects && HasUnanswered());
+  if (!may_answer) {
+    Abort();
+    return;
+  }
+  // The caller may have closed only its own side.
+  closing_ = true;
+}
+
 auto Connection::ParseInput() -> void {
-  begin_ += reader_.Read({buffer_.data() + begin_, end_ - begin_});
-  switch (reader_.error()) {
-    case HttpReadError::kNone:
+  while (begin_ < end_ && MayHandOver()) {
+    begin_ += reader_.Read({buffer_.data() + begin_, end_ - begin_});
+    if (reader_.error() != HttpReadError::kNone) {
+      RefuseInput(reader_.error());
+    } else if (reader_.done()) {
+      HandOver();
+    } else {
+      OnIncompleteRequest();
       break;
+    }
+  }
+  ReadMore();
+}
+
+auto Connection::RefuseInput(HttpReadError error) -> void {
+  switch (error) {
     case HttpReadError::kHeaderTooLarge:
       server_->header_too_large.fetch_add(1);
       Refuse(431);
@@ -252,40 +325,39 @@
     default:
       server_->bad_request.fetch_add(1);
       Refuse(400);
-      return;
-  }
-  if (reader_.done()) {
-    HandOver();
-    return;
   }
+}
+
+auto Connection::OnIncompleteRequest() -> void {
   // The reader leaves only incomplete lines in the buffer, of a header or between chunks.
   if (end_ - begin_ > limits_->max_header_bytes) {
-    server_->header_too_large.fetch_add(1);
-    Refuse(431);
+    RefuseInput(HttpReadError::kHeaderTooLarge);
     return;
   }
   if (!request_started_) {
     request_started_ = true;
-    SetDeadline(server_->limits.load()->request_timeout);
-  }
-  if (reader_.expects_continue() && !continue_sent_) {
-    SendContinue();
-    return;
+    SetReadDeadline(server_->limits.load()->request_timeout);
   }
-  ReadMore();
+  SendContinueIfDue();
 }
 
-auto Connection::SendContinue() -> void {
+auto Connection::SendContinueIfDue() -> void {
   constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  // The responses to earlier requests go first.
+  if (!request_started_ || continue_sent_ || !reader_.expects_continue() || !exchanges_.empty()) {
+    return;
+  }
   continue_sent_ = true;
+  writing_ = true;
   asio::async_write(socket_, asio::buffer(kContinue.data(), kContinue.size()),
                     [self = shared_from_this()](const ErrorCode& error, std::size_t /*size*/) {
-                      if (self->state_ != State::kReading) return;
+                      self->writing_ = false;
+                      if (self->state_ != State::kOpen) return;
                       if (error) {
-                        self->CloseNow();
+                        self->Abort();
                         return;
                       }
-                      self->ReadMore();
+                      self->WriteNext();
                     });
 }
 
@@ -294,132 +366,118 @@
     CloseNow();
     return;
   }
-  state_ = State::kHandling;
-  ClearDeadline();
+  ClearReadDeadline();
   request_started_ = false;
   continue_sent_ = false;
-  keep_alive_ = reader_.keep_alive();
-  http_1_0_ = reader_.http_1_0();
+  auto exchange = std::make_shared<Exchange>();
+  exchange->keep_alive = reader_.keep_alive();
+  exchange->http_1_0 = reader_.http_1_0();
   auto request = reader_.Take();
-  head_ = request.method == "HEAD";
+  exchange->head = request.method == "HEAD";
+  closing_ = !exchange->keep_alive || server_->closing.load();
   request.remote = remote_;
-  active_ = true;
-  server_->active.fetch_add(1);
   if (limits_->watch_disconnects) {
-    disconnect_ = std::make_shared<DisconnectHook>();
-    request.disconnect = disconnect_;
+    exchange->disconnect = std::make_shared<DisconnectHook>();
+    request.disconnect = exchange->disconnect;
   }
-  auto pending = std::make_shared<PendingResponse>(shared_from_this());
+  exchanges_.push_back(exchange);
+  server_->active.fetch_add(1);
+  auto pending = std::make_shared<PendingResponse>(shared_from_this(), std::move(exchange));
   server_->handler(std::move(request), [pending = std::move(pending)](HttpResponse response) {
     pending->Answer(std::move(response));
   });
-  if (disconnect_ != nullptr && state_ == State::kHandling) WatchDisconnect();
-}
-
-auto Connection::WatchDisconnect() -> void {
-  // Bytes of a pipelined request are in the way of the end of the connection.
-  if (begin_ < end_ || watching_) return;
-  watching_ = true;
-  socket_.async_wait(Socket::wait_read, [self = shared_from_this()](const ErrorCode& /*error*/) {
-    self->watching_ = false;
-    self->OnWatched();
-  });
-}
-
-auto Connection::OnWatched() -> void {
-  if (state_ != State::kHandling || disconnect_ == nullptr) return;
-  char byte = 0;
-  const auto size = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (size > 0) return;
-  if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
-    WatchDisconnect();
-    return;
-  }
-  const auto hook = std::exchange(disconnect_, nullptr);
-  CloseNow();
-  if (hook->on_disconnect) hook->on_disconnect();
 }
 
 auto Connection::Refuse(int status) -> void {
+  if (state_ != State::kOpen) return;
+  ClearReadDeadline();
+  request_started_ = false;
+  closing_ = true;
+  auto exchange = std::make_shared<Exchange>();
+  exchange->keep_alive = false;
+  exchanges_.push_back(exchange);
+  server_->active.fetch_add(1);
   HttpResponse response;
   response.status = status;
-  response.close = true;
-  http_1_0_ = false;
-  head_ = false;
-  Write(std::move(response));
+  OnResponse(*exchange, std::move(response));
 }
 
-auto Connection::OnResponse(HttpResponse response) -> void {
-  if (state_ != State::kHandling) return;
-  disconnect_ = nullptr;
-  Write(std::move(response));
+auto Connection::OnResponse(Exchange& exchange, HttpResponse response) -> void {
+  if (state_ != State::kOpen) return;
+  exchange.disconnect = nullptr;
+  exchange.response = std::move(response);
+  WriteNext();
 }
 
-auto Connection::Write(HttpResponse response) -> void {
-  state_ = State::kWriting;
-  SetDeadline(server_->limits.load()->write_timeout);
-  keep_alive_ = keep_alive_ && !response.close && !server_->closing.load();
-  const ResponseContext context{.keep_alive = keep_alive_, .http_1_0 = http_1_0_, .head = head_};
+auto Connection::WriteNext() -> void {
+  if (writing_ || exchanges_.empty() || !exchanges_.front()->response.has_value()) return;
+  auto& exchange = *exchanges_.front();
+  auto& response = *exchange.response;
+  // Requests that were handed over are answered before the connection closes.
+  closing_ = closing_ || response.close || server_->closing.load();
+  const bool is_last = closing_ && exchanges_.size() == 1;
+  const ResponseContext context{
+      .keep_alive = !is_last, .http_1_0 = exchange.http_1_0, .head = exchange.head};
   output_.clear();
   AppendResponseHead(response, context, output_);
   body_.clear();
-  if (!head_ && StatusHasBody(response.status)) {
+  if (!exchange.head && StatusHasBody(response.status)) {
     if (response.body.size() <= kMaxCopiedBodyBytes) {
       output_.append(response.body);
     } else {
       body_ = std::move(response.body);
     }
   }
+  writing_ = true;
+  write_deadline_ = SteadyClock::now() + server_->limits.load()->write_timeout;
+  PublishDeadline();
   const std::array buffers{asio::buffer(output_), asio::buffer(body_)};
-  asio::async_write(socket_, buffers,
-                    [self = shared_from_this()](const ErrorCode& error, std::size_t /*size*/) {
-                      self->OnWritten(error);
-                    });
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this(), is_last](const ErrorCode& error, std::size_t /*size*/) {
+        self->OnWritten(error, is_last);
+      });
 }
 
-auto Connection::OnWritten(const ErrorCode& error) -> void {
-  if (state_ != State::kWriting) return;
-  EndActive();
+auto Connection::OnWritten(const ErrorCode& error, bool is_last) -> void {
+  writing_ = false;
+  if (state_ != State::kOpen) return;
+  write_deadline_ = SteadyClock::time_point::max();
+  PublishDeadline();
   if (error) {
-    CloseNow();
+    Abort();
     return;
   }
+  exchanges_.pop_front();
+  server_->active.fetch_sub(1);
   if (body_.capacity() > kMaxCopiedBodyBytes) body_ = std::string();
-  if (!keep_alive_) {
+  if (is_last) {
     Linger();
     return;
   }
-  state_ = State::kReading;
-  SetDeadline(server_->limits.load()->idle_timeout);
-  if (begin_ < end_) {
-    ParseInput();
-    return;
-  }
-  if (server_->draining.load()) {
+  const bool idle = exchanges_.empty() && !request_started_ && begin_ == end_;
+  if (idle && (input_ended_ || server_->draining.load())) {
     CloseNow();
     return;
   }
-  ReadMore();
+  if (exchanges_.empty() && !request_started_) {
+    SetReadDeadline(server_->limits.load()->idle_timeout);
+  }
+  SendContinueIfDue();
+  WriteNext();
+  ParseInput();
 }
 
 auto Connection::Linger() -> void {
+  if (input_ended_) {
+    CloseNow();
+    return;
+  }
   state_ = State::kLingering;
-  SetDeadline(kLingerTime);
+  SetReadDeadline(kLingerTime);
   ErrorCode ignored;
   socket_.shutdown(Socket::shutdown_send, ignored);
-  DropInput();
-}
-
-auto Connection::DropInput() -> void {
-  socket_.async_read_some(asio::buffer(buffer_),
-                          [self = shared_from_this()](const ErrorCode& error, std::size_t) {
-                            if (self->state_ != State::kLingering) return;
-                            if (error) {
-                              self->CloseNow();
-                              return;
-                            }
-                            self->DropInput();
-                          });
+  ReadMore();
 }
 
 }  // namespace
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -10,8 +10,9 @@
 class WorkerPool;
 struct HttpServerState;
 
-/// One connection of an HttpServer. It reads a request, waits for its response, writes it, and only
-/// then looks at the next request. Thread-safe: the methods post to the connection's strand.
+/// One connection of an HttpServer. It hands over pipelined requests up to a limit and writes their
+/// responses in order. A response closes the connection only if it is the last one of those: what
+/// follows was not handed over. Thread-safe: the methods post to the connection's strand.
 class HttpConnection {
  public:
   /// A close with unread input resets the connection, and the peer may lose the response. Input is
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -26,6 +26,8 @@
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
     std::size_t max_connections = 10'000;
+    /// Requests of one connection that are handled at once. Further ones wait unread.
+    std::size_t max_pipelined = 1;
     Duration request_timeout = std::chrono::seconds(10);  ///< To read one whole request.
     Duration idle_timeout = std::chrono::seconds(60);     ///< Between two requests.
     Duration write_timeout = std::chrono::seconds(30);
--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -65,6 +65,18 @@
             18080};
   }
 
+  /// The settings of a further entry VM of the same zone.
+  auto SecondNodeSettings() const -> EdgeSettings {
+    auto settings = settings_;
+    settings.node = NodeName("n-2");
+    settings.callers = OwnEndpoint(6);
+    settings.readiness = OwnEndpoint(7);
+    settings.directory = OwnEndpoint(8);
+    settings.metrics = OwnEndpoint(9);
+    settings.peers = OwnEndpoint(10);
+    return settings;
+  }
+
   auto Register(const TargetStub& target, const std::string& state = "ready") -> void {
     store_.Put("servers/" + target.name(), target.Registration(state));
   }
@@ -334,13 +346,7 @@
   Start();
   ASSERT_EQ(Send("/read/x").response.status, 200);
 
-  auto settings = settings_;
-  settings.node = NodeName("n-2");
-  settings.callers = OwnEndpoint(6);
-  settings.readiness = OwnEndpoint(7);
-  settings.directory = OwnEndpoint(8);
-  settings.metrics = OwnEndpoint(9);
-  settings.peers = OwnEndpoint(10);
+  auto settings = SecondNodeSettings();
   settings.store = OwnEndpoint(11);  // No process listens there.
   settings.seeds = {OwnEndpoint(12), settings_.peers};
   EdgeNode<FleetPlatform> restarted(settings, log_, [] {});
@@ -352,12 +358,43 @@
   EXPECT_TRUE(log_capture_.Contains("event=peer-state-applied peer=" + settings_.peers.Text()));
 }
 
+// Guards against an entry VM that goes on with an old configuration, an evacuated zone and a target
+// that has left, because the store leaves its calls without an answer while it serves other VMs.
+TEST_F(EdgeNodeTest, LearnsFromAPeerWhatTheStoreDoesNotTellIt) {
+  TargetStub leaving("i-1");
+  TargetStub staying("i-2");
+  store_.Put("op/config", Policy(1));
+  Register(leaving);
+  Register(staying);
+  Start();
+  auto settings = SecondNodeSettings();
+  settings.store = store_.second_endpoint();
+  LogCapture capture;
+  std::ostream stream(&capture);
+  EventLog log(LogLevel::kInfo, stream);
+  EdgeNode<FleetPlatform> second(settings, log, [] {});
+  ASSERT_TRUE(second.Start().ok());
+  ASSERT_TRUE(Eventually([&] { return store_.Has("entry/n-2"); }));
+  store_.SetSecondSilent(true);
+  store_.Put("op/config", Policy(2, "t"));
+  store_.Remove("servers/i-1");
+  store_.Put("op/evacuate/a", "{}");
+  EXPECT_TRUE(Eventually([&] {
+    return capture.Contains("event=configuration-applied version=2") &&
+           capture.Contains("event=target-removed target=i-1 in_doubt=0") &&
+           capture.Contains("event=evacuation zone=a evacuated=1");
+  })) << capture.Text();
+  EXPECT_TRUE(capture.Contains("event=peer-changes-applied peer=" + settings_.peers.Text()));
+}
+
 // Guards against a node that gives an incomplete listing to its peers as the state of the store.
 TEST_F(EdgeNodeTest, GivesNoStateToPeersBeforeACompleteListing) {
   settings_.store = OwnEndpoint(11);
   node_.emplace(settings_, log_, [] {});
   ASSERT_TRUE(node_->Start().ok());
   EXPECT_EQ(Get(settings_.peers, "/heatherspan/kv-range").status, 503);
+  EXPECT_EQ(Get(settings_.peers, "/heatherspan/kv-watch?path_prefix=&after=1&wait_ms=0").status,
+            503);
   EXPECT_EQ(Get(settings_.peers, "/elsewhere").status, 404);
 }
 
--- /dev/null
+++ b/tests/experiment/store_spread_test.cc
@@ -0,0 +1,144 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "experiment/store_spread_simulation.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Reach = StoreSpreadSimulation::Reach;
+
+constexpr std::uint64_t kSchedules = 1500;
+/// The shortest time within which a configuration has to be in force, of all deployments.
+constexpr Duration kApplyBound = milliseconds(2500);
+const std::string kConfiguration = "configuration";
+
+auto Item(std::uint64_t number) -> std::string { return "item-" + std::to_string(number % 30); }
+
+/// Writes items, then lets the store turn away all VMs but one of each region, and returns how long
+/// a configuration takes to reach all VMs, at most 10 s.
+auto TimeToReachTurnedAwayVms(bool peers_ask, std::uint64_t seed) -> Duration {
+  StoreSpreadSimulation simulation({.peers_ask = peers_ask, .seed = seed});
+  for (int i = 0; i < 30; ++i) simulation.Put(Item(i));
+  simulation.Put(kConfiguration);
+  simulation.RunFor(seconds(3));
+  Random random(seed);
+  for (std::size_t vm = 3; vm < simulation.vm_count(); ++vm) {
+    simulation.SetReach(vm, {.store = false});
+  }
+  simulation.RunFor(milliseconds(random() % 3000));
+  simulation.Put(kConfiguration);
+  const auto written = simulation.StoreItems().at(kConfiguration);
+  const auto start = simulation.now();
+  const auto is_known = [&] {
+    for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
+      if (simulation.RevisionAt(vm, kConfiguration) != written) return false;
+    }
+    return true;
+  };
+  while (!is_known() && simulation.now() - start < seconds(10)) simulation.RunFor(milliseconds(20));
+  return simulation.now() - start;
+}
+
+// Guards against an entry VM that goes on with an old configuration because the store turns just
+// this VM away or doesn't answer its calls.
+TEST(StoreSpread, AVmThatTheStoreTurnsAwayLearnsFromItsPeers) {
+  auto slowest = Duration::zero();
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    slowest = std::max(slowest, TimeToReachTurnedAwayVms(true, seed));
+  }
+  EXPECT_LE(slowest, kApplyBound);
+  // The check can fail: without peers, a VM that is turned away learns nothing.
+  EXPECT_GT(TimeToReachTurnedAwayVms(false, 1), kApplyBound);
+}
+
+// Guards against a VM that is back from a cut, finds the store's history gone and goes on with what
+// it knew while it lists the store.
+TEST(StoreSpread, AVmBackFromACutCatchesUpWithinASecondAndAHalf) {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    StoreSpreadSimulation simulation({.vm_count = 30, .seed = seed});
+    for (int i = 0; i < 200; ++i) simulation.Put("target-" + std::to_string(i));
+    simulation.RunFor(seconds(5));
+    simulation.SetReach(8, {.store = false, .peers = false});
+    simulation.RunFor(seconds(12));
+    simulation.Remove("target-150");
+    simulation.RunFor(seconds(2));
+    simulation.DropHistory();
+    simulation.SetReach(8, {});
+    simulation.RunFor(milliseconds(1500));
+    EXPECT_EQ(simulation.RevisionAt(8, "target-150"), 0U) << "seed " << seed;
+  }
+}
+
+/// Draws writes, removals and faults for some seconds.
+class RandomSchedule {
+ public:
+  explicit RandomSchedule(std::uint64_t seed)
+      : random_(seed), simulation_({.vm_count = 4 + seed % 9, .seed = seed}) {}
+
+  auto Run() -> void {
+    constexpr int kSteps = 60;
+    for (int i = 0; i < kSteps; ++i) {
+      Step();
+      simulation_.RunFor(milliseconds(Draw(300)));
+    }
+    for (std::size_t vm = 0; vm < simulation_.vm_count(); ++vm) simulation_.SetReach(vm, {});
+    // A call that got no answer times out, the next one follows a pause, and a listing may follow.
+    simulation_.RunFor(seconds(9));
+  }
+  auto simulation() const -> const StoreSpreadSimulation& { return simulation_; }
+
+ private:
+  auto Draw(std::uint64_t limit) -> std::uint64_t { return random_() % limit; }
+
+  auto Step() -> void {
+    const auto vm = Draw(simulation_.vm_count());
+    switch (Draw(9)) {
+      case 0:
+        simulation_.SetReach(vm, {.store = false, .peers = Draw(2) == 0});
+        break;
+      case 1:
+        simulation_.SetReach(vm, {.frozen = true});
+        break;
+      case 2:
+        simulation_.SetReach(vm, {});
+        break;
+      case 3:
+        simulation_.Restart(vm);
+        break;
+      case 4:
+        simulation_.DropHistory();
+        break;
+      case 5:
+      case 6:
+        simulation_.Remove(Item(Draw(30)));
+        break;
+      default:
+        simulation_.Put(Item(Draw(30)));
+    }
+  }
+
+  Random random_;
+  StoreSpreadSimulation simulation_;
+};
+
+// Guards against an item that goes back to an older state, against a removed item that stays in use
+// or returns, and against VMs that don't agree again once the faults are over.
+TEST(StoreSpread, AllVmsAgreeWithTheStoreAfterFaults) {
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    RandomSchedule schedule(seed);
+    schedule.Run();
+    const auto& simulation = schedule.simulation();
+    ASSERT_EQ(simulation.reversals(), 0) << "seed " << seed;
+    for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
+      ASSERT_EQ(simulation.ItemsAt(vm), simulation.StoreItems()) << "seed " << seed << " vm " << vm;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace heatherspan
--- a/tests/fleet_platform/policy_format_test.cc
+++ b/tests/fleet_platform/policy_format_test.cc
@@ -93,10 +93,13 @@
 }
 
 TEST(PolicyFormat, EntryVmsRoundTrip) {
-  const EntryVm vm{NodeName("n"), ZoneName("a"), RegionName("r"), {"10.0.0.1", 80}};
-  const auto read = PolicyFormat::ReadEntryVm(NodeName("n"), PolicyFormat::WriteEntryVm(vm));
-  ASSERT_TRUE(read.ok());
-  EXPECT_EQ(*read, vm);
+  EntryVm vm{NodeName("n"), ZoneName("a"), RegionName("r"), {"10.0.0.1", 80}};
+  for (const auto& peer_endpoint : {Endpoint(), Endpoint{"10.0.0.1", 90}}) {
+    vm.peer_endpoint = peer_endpoint;
+    const auto read = PolicyFormat::ReadEntryVm(NodeName("n"), PolicyFormat::WriteEntryVm(vm));
+    ASSERT_TRUE(read.ok());
+    EXPECT_EQ(*read, vm);
+  }
   EXPECT_FALSE(PolicyFormat::ReadEntryVm(NodeName("n"), "{}").ok());
 }
 
--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -93,6 +93,33 @@
   EXPECT_TRUE(absl::IsUnavailable(List().status()));
 }
 
+// Guards against a peer's answer that the client of the store reads differently, and against a
+// question that is taken for another call.
+TEST_F(StoreClientTest, ReadsThePeersAnswers) {
+  const std::vector<StoreChange> changes = {{"k", "val", 42}, {"gone", std::nullopt, 43}};
+  auto answer = StoreClient::WatchAnswer(changes, 44, true);
+  Answer(answer.status, answer.body);
+  const auto read = Watch();
+  ASSERT_TRUE(read.ok()) << read.status();
+  ASSERT_EQ(read->changes.size(), 2U);
+  EXPECT_EQ(read->changes[0].value, "val");
+  EXPECT_EQ(read->changes[1].key, "gone");
+  EXPECT_FALSE(read->changes[1].value.has_value());
+  EXPECT_EQ(read->revision, 44U);
+  EXPECT_TRUE(read->removals_unconfirmed);
+  EXPECT_EQ(StoreClient::WatchedRevision(last_), 41U);
+  EXPECT_FALSE(StoreClient::IsListCall(last_));
+  answer = StoreClient::WatchAnswer(std::nullopt, 44, false);
+  Answer(answer.status, answer.body);
+  EXPECT_TRUE(absl::IsOutOfRange(Watch().status()));
+  for (const auto* target : {"/heatherspan/kv-watch?after=-1", "/heatherspan/kv-watch",
+                             "/heatherspan/kv-range?after=4", "/?after=4"}) {
+    HttpRequest request;
+    request.target = target;
+    EXPECT_EQ(StoreClient::WatchedRevision(request), std::nullopt) << target;
+  }
+}
+
 TEST_F(StoreClientTest, SendsLeaseCallsAndWrites) {
   Answer(200, R"({"lease":77,"ttl_s_time":3.5})");
   const auto lease =
--- a/tests/fleet_standins/kv_standin.cc
+++ b/tests/fleet_standins/kv_standin.cc
@@ -46,8 +46,13 @@
     : server_(workers_, {},
               [this](const HttpRequest& request, const HttpServer::Responder& respond) {
                 Handle(request, respond);
-              }) {
+              }),
+      second_server_(workers_, {},
+                     [this](const HttpRequest& request, const HttpServer::Responder& respond) {
+                       HandleSecond(request, respond);
+                     }) {
   endpoint_ = *server_.Listen(listen);
+  second_endpoint_ = *second_server_.Listen({listen.address, 0});
   expiry_timer_ = workers_.RunEvery(kExpiryCheckInterval, [this] { ExpireLeasesAndWatches(); });
 }
 
@@ -83,6 +88,21 @@
   for (const auto& watch : std::exchange(watches_, {})) watch.respond(Answer(503, "{}"));
 }
 
+auto KvStandin::SetSecondSilent(bool silent) -> void {
+  const std::lock_guard lock(mutex_);
+  second_silent_ = silent;
+}
+
+auto KvStandin::HandleSecond(const HttpRequest& request, const HttpServer::Responder& respond)
+    -> void {
+  const std::lock_guard lock(mutex_);
+  if (second_silent_) {
+    unanswered_.push_back(respond);
+  } else {
+    Handle(request, respond);
+  }
+}
+
 auto KvStandin::Notify() -> void {
   std::vector<Watch> waiting;
   for (auto& watch : std::exchange(watches_, {})) {
--- a/tests/fleet_standins/kv_standin.h
+++ b/tests/fleet_standins/kv_standin.h
@@ -20,6 +20,10 @@
   ~KvStandin();
 
   auto endpoint() const -> const Endpoint& { return endpoint_; }
+  /// A second address of the store, for the entry VMs that it can turn away.
+  auto second_endpoint() const -> const Endpoint& { return second_endpoint_; }
+  /// Leaves calls to the second address without an answer, while calls to the first are answered.
+  auto SetSecondSilent(bool silent) -> void;
   auto Put(const std::string& key, const std::string& value) -> void;
   auto Remove(const std::string& key) -> void;
   auto Has(const std::string& key) const -> bool;
@@ -41,6 +45,7 @@
   };
 
   auto Handle(const HttpRequest& request, const HttpServer::Responder& respond) -> void;
+  auto HandleSecond(const HttpRequest& request, const HttpServer::Responder& respond) -> void;
   auto List() const -> std::string;
   auto EventsAfter(std::uint64_t revision) const -> std::string;
   auto Write(const std::string& body) -> std::string;
@@ -59,7 +64,11 @@
   bool down_ = false;
   WorkerPool workers_{1};
   HttpServer server_;
+  HttpServer second_server_;
   Endpoint endpoint_;
+  Endpoint second_endpoint_;
+  bool second_silent_ = false;
+  std::vector<HttpServer::Responder> unanswered_;  ///< Of calls to the silent address.
   std::vector<Watch> watches_;  ///< Declared after workers_; the responders use the workers.
   std::shared_ptr<WorkerPool::Timer> expiry_timer_;
 };
--- a/tests/gateway/store_sync_state_test.cc
+++ b/tests/gateway/store_sync_state_test.cc
@@ -84,15 +84,52 @@
   EXPECT_EQ(ListAll({Put("b", 7)}, 7), "+b-a");
 }
 
-// Guards against a peer's older state that replaces data read from the store.
+// Guards against a peer's older state that replaces newer data, and against the late page of a
+// listing that was made before it.
 TEST_F(StoreSyncStateTest, PeerStateIsUsedOnlyBeforeFirstListing) {
-  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("a", 5), Put("b", 6)}, false, 6})), "+a+b");
-  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("a", 4), Put("b", 7)}, false, 7})), "+b");
-  EXPECT_TRUE(sync_state_.usable());
-  EXPECT_FALSE(sync_state_.synced());
+  EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 3), Put("c", 9)}, true, 9}, now_)), "+a+c");
+  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("b", 6)}, false, 6})), "+b-a");
+  EXPECT_TRUE(sync_state_.synced());
+  EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 3), Put("d", 4)}, false, 9}, now_)), "");
+  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("a", 5), Put("e", 99)}, false, 99})), "");
+  // The watch repeats what the store has shown after the peer's revision.
+  EXPECT_FALSE(sync_state_.Next().list);
+  EXPECT_EQ(sync_state_.Next().after_revision, 6U);
+  EXPECT_EQ(Keys(sync_state_.OnChanges({{Put("c", 9), {"c", std::nullopt, 10}}, 10}, now_)), "-c");
+  // If the store no longer has that history, a listing replaces the peer's state.
+  sync_state_.OnFailure(absl::OutOfRangeError("gone"), now_);
   EXPECT_TRUE(sync_state_.Next().list);
-  EXPECT_EQ(ListAll({Put("a", 8)}, 9), "+a-b");
-  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("a", 5), Put("c", 99)}, false, 99})), "");
+  EXPECT_EQ(ListAll({Put("a", 18)}, 19), "+a-b");
+}
+
+// Guards against a node that the store turns away and that stays at an old revision, against
+// changes of a peer that is behind, and against a delayed answer of the store that restores a
+// removed item.
+TEST_F(StoreSyncStateTest, PeerChangesContinueTheState) {
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 2)}, 2})), "");
+  ListAll({Put("a", 1)}, 5);
+  sync_state_.OnFailure(absl::UnavailableError("turned away"), now_);
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 7), Put("b", 8)}, 9})), "+a+b");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{{"b", std::nullopt, 10}}, 10})), "-b");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 6), {"a", std::nullopt, 7}}, 7})), "");
+  EXPECT_EQ(sync_state_.revision(), 10U);
+  EXPECT_EQ(sync_state_.Next().after_revision, 10U);
+  EXPECT_EQ(Keys(sync_state_.OnChanges({{Put("b", 8)}, 8}, now_)), "");
+  // A peer may know an item that this node has never seen.
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{{"c", std::nullopt, 12}}, 12})), "-c");
+}
+
+// Guards against a node whose listing takes seconds while a peer already has the changes, and
+// against a page of that listing that is applied after them.
+TEST_F(StoreSyncStateTest, PeerChangesReplaceAListing) {
+  ListAll({Put("a", 1), Put("b", 2)}, 5);
+  sync_state_.OnFailure(absl::OutOfRangeError("gone"), now_);
+  EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 6)}, true, 12}, now_)), "+a");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 6), {"b", std::nullopt, 14}}, 15})), "-b");
+  EXPECT_FALSE(sync_state_.Next().list);
+  EXPECT_EQ(Keys(sync_state_.OnPage({{Put("b", 2)}, false, 13}, now_)), "");
+  EXPECT_EQ(sync_state_.Next().after_revision, 15U);
+  EXPECT_EQ(sync_state_.history_start(), 5U);
 }
 
 }  // namespace
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -36,6 +36,22 @@
     endpoint_ = *bound;
   }
 
+  /// Starts a server that hands over several requests of a connection and tells `gone_` of each
+  /// whose caller has gone.
+  auto StartPipelined(std::size_t max_pipelined) -> void {
+    HttpServer::Limits limits;
+    limits.max_pipelined = max_pipelined;
+    limits.watch_disconnects = true;
+    server_ = std::make_unique<HttpServer>(
+        workers_, limits, [this](HttpRequest request, HttpServer::Responder respond) {
+          request.disconnect->on_disconnect = [this, target = request.target] {
+            gone_.Push(target);
+          };
+          calls_.Push({std::move(request), std::move(respond)});
+        });
+    endpoint_ = *server_->Listen(AnyPort());
+  }
+
   auto Exchange(std::string_view input) -> std::string {
     auto socket = RawSocket::Connect(endpoint_);
     socket.Send(input);
@@ -43,6 +59,7 @@
   }
 
   BlockingQueue<Call> calls_;
+  BlockingQueue<std::string> gone_;
   WorkerPool workers_{2};
   std::unique_ptr<HttpServer> server_;
   Endpoint endpoint_;
@@ -96,6 +113,143 @@
   EXPECT_EQ(output.find("second"), std::string::npos);
 }
 
+auto Get(const std::string& target, const std::string& header = "") -> std::string {
+  return "GET " + target + " HTTP/1.1\r\nHost: h\r\n" + header + "\r\n";
+}
+
+// Guards against crossed answers of requests that are handled at once, and against a request that
+// waits for the work of the one before it.
+TEST_F(HttpServerTest, AnswersPipelinedRequestsInOrder) {
+  StartPipelined(3);
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send(Get("/1") + Get("/2") + Get("/3") + Get("/4", "Connection: close\r\n"));
+  std::vector<Call> calls;
+  for (int i = 0; i < 3; ++i) calls.push_back(*calls_.Pop());
+  EXPECT_EQ(calls_.size(), 0U);
+  for (const int i : {2, 1, 0}) calls[i].respond(Answer("answer" + calls[i].request.target + "\n"));
+  const auto last = calls_.Pop();
+  EXPECT_EQ(last->request.target, "/4");
+  last->respond(Answer("answer/4\n"));
+  const auto output = socket.ReadUntilClosed();
+  std::size_t position = 0;
+  for (const auto* body : {"answer/1\n", "answer/2\n", "answer/3\n", "answer/4\n"}) {
+    const auto found = output.find(body);
+    EXPECT_NE(found, std::string::npos) << body;
+    EXPECT_LE(position, found);
+    position = found;
+  }
+  EXPECT_EQ(output.find("Connection: close"), output.rfind("Connection: close"));
+}
+
+// Guards against a request that is sent again by its caller although it was handed over: callers
+// take requests behind a response that closes the connection for unread.
+TEST_F(HttpServerTest, HandsOverNothingBehindAResponseThatCloses) {
+  StartPipelined(8);
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send(Get("/1") + Get("/2", "Connection: close\r\n") + Get("/3"));
+  auto first = calls_.Pop();
+  auto second = calls_.Pop();
+  first->respond(Answer("a"));
+  second->respond(Answer("b"));
+  const auto output = socket.ReadUntilClosed();
+  EXPECT_NE(output.find("b"), std::string::npos);
+  EXPECT_EQ(calls_.size(), 0U);
+}
+
+// Guards against the same at a planned stop: the first answer must not close the connection while
+// the second request is handled.
+TEST_F(HttpServerTest, ClosesBehindTheLastOfPipelinedRequests) {
+  StartPipelined(2);
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send(Get("/1") + Get("/2") + Get("/3"));
+  auto first = calls_.Pop();
+  auto second = calls_.Pop();
+  server_->BeginClosing();
+  first->respond(Answer("first answer"));
+  EXPECT_EQ(socket.ReadUntil("first answer").find("Connection: close"), std::string::npos);
+  second->respond(Answer("second answer"));
+  EXPECT_NE(socket.ReadUntilClosed().find("Connection: close"), std::string::npos);
+  EXPECT_EQ(calls_.size(), 0U);
+  EXPECT_EQ(server_->active_requests(), 0U);
+}
+
+// Guards against a handler's error that closes the connection in front of a request that is
+// handled.
+TEST_F(HttpServerTest, AFailedHandlerClosesBehindTheLastRequest) {
+  StartPipelined(2);
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send(Get("/1") + Get("/2"));
+  auto first = calls_.Pop();
+  auto second = calls_.Pop();
+  first.reset();  // Drops the responder.
+  EXPECT_EQ(socket.ReadUntil("\r\n\r\n").find("Connection: close"), std::string::npos);
+  second->respond(Answer("second answer"));
+  EXPECT_NE(socket.ReadUntilClosed().find("second answer"), std::string::npos);
+}
+
+// Guards against work that goes on for a caller who left with several requests outstanding, also if
+// some of them are not handed over yet.
+TEST_F(HttpServerTest, ADisconnectEndsAllPipelinedRequests) {
+  StartPipelined(2);
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send(Get("/1") + Get("/2") + Get("/3") + Get("/4"));
+  auto first = calls_.Pop();
+  auto second = calls_.Pop();
+  socket.Close();
+  EXPECT_EQ(gone_.Pop(), "/1");
+  EXPECT_EQ(gone_.Pop(), "/2");
+  first->respond(Answer("too late"));
+  second->respond(Answer("too late"));
+  EXPECT_EQ(calls_.size(), 0U);
+  EXPECT_EQ(server_->active_requests(), 0U);
+}
+
+// Guards against memory that grows with a caller who pipelines without end and reads nothing.
+TEST_F(HttpServerTest, EndlessPipeliningIsBounded) {
+  StartPipelined(4);
+  auto socket = RawSocket::Connect(endpoint_);
+  const auto requests = Get("/endless", "X-Filler: " + std::string(2000, 'x') + "\r\n");
+  // The buffers of both sockets hold some megabytes; the server itself holds its read-ahead.
+  constexpr std::size_t kMaxAccepted = std::size_t{32} * 1024 * 1024;
+  std::size_t accepted = 0;
+  while (accepted < kMaxAccepted && socket.TrySend(requests)) accepted += requests.size();
+  EXPECT_LT(accepted, kMaxAccepted);
+  std::vector<Call> calls;
+  for (int i = 0; i < 4; ++i) calls.push_back(*calls_.Pop());
+  EXPECT_EQ(calls_.size(), 0U);
+}
+
+// Guards against pipelined requests whose pieces are read as something else.
+TEST_F(HttpServerTest, PipelinedRequestsDoNotDependOnThePieces) {
+  StartPipelined(4);
+  const std::string input = Get("/1") +
+                            "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody" +
+                            "POST /3 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            "2\r\nab\r\n0\r\n\r\n" +
+                            Get("/4", "Connection: close\r\n");
+  for (std::size_t split = 1; split < input.size(); ++split) {
+    auto socket = RawSocket::Connect(endpoint_);
+    socket.Send(std::string_view(input).substr(0, split));
+    // The server has read the first piece once it has handed over what is complete in it.
+    std::string output;
+    std::vector<std::string> seen;
+    const auto answer_next = [&] {
+      auto call = calls_.Pop();
+      ASSERT_TRUE(call.has_value()) << split;
+      seen.push_back(call->request.target + call->request.body);
+      call->respond(Answer("answer" + call->request.target + "\n"));
+    };
+    if (split >= Get("/1").size()) answer_next();
+    socket.Send(std::string_view(input).substr(split));
+    while (seen.size() < 4) answer_next();
+    output = socket.ReadUntilClosed();
+    EXPECT_EQ(seen, (std::vector<std::string>{"/1", "/2body", "/3ab", "/4"})) << split;
+    EXPECT_LT(output.find("answer/1"), output.find("answer/2")) << split;
+    EXPECT_LT(output.find("answer/2"), output.find("answer/3")) << split;
+    EXPECT_LT(output.find("answer/3"), output.find("answer/4")) << split;
+  }
+}
+
 TEST_F(HttpServerTest, RefusesWhatIsBeyondItsLimits) {
   Start({.max_header_bytes = 512,
          .max_body_bytes = 64,
--- a/tests/net/raw_socket.cc
+++ b/tests/net/raw_socket.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int kTimeoutMs = 10'000;
+constexpr int kTrySendTimeoutMs = 500;
 
 auto LoopbackAddress(std::uint16_t port) -> sockaddr_in {
   sockaddr_in address{};
@@ -23,9 +24,19 @@
   return address;
 }
 
-auto WaitFor(int descriptor, std::int16_t events) -> bool {
+auto WaitFor(int descriptor, std::int16_t events, int timeout_ms = kTimeoutMs) -> bool {
   pollfd entry{.fd = descriptor, .events = events, .revents = 0};
-  return ::poll(&entry, 1, kTimeoutMs) == 1;
+  return ::poll(&entry, 1, timeout_ms) == 1;
+}
+
+auto SendAll(int descriptor, std::string_view bytes, int timeout_ms) -> bool {
+  while (!bytes.empty()) {
+    if (!WaitFor(descriptor, POLLOUT, timeout_ms)) return false;
+    const auto sent = ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+  return true;
 }
 
 }  // namespace
@@ -48,13 +59,11 @@
 }
 
 auto RawSocket::Send(std::string_view bytes) const -> bool {
-  while (!bytes.empty()) {
-    if (!WaitFor(descriptor_, POLLOUT)) return false;
-    const auto sent = ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    if (sent <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(sent));
-  }
-  return true;
+  return SendAll(descriptor_, bytes, kTimeoutMs);
+}
+
+auto RawSocket::TrySend(std::string_view bytes) const -> bool {
+  return SendAll(descriptor_, bytes, kTrySendTimeoutMs);
 }
 
 auto RawSocket::ReadSome(std::string& out, std::size_t limit) const -> bool {
--- a/tests/net/raw_socket.h
+++ b/tests/net/raw_socket.h
@@ -24,6 +24,8 @@
   }
 
   auto Send(std::string_view bytes) const -> bool;
+  /// Sends unless the peer reads nothing for a while. Returns whether all bytes were taken.
+  auto TrySend(std::string_view bytes) const -> bool;
   /// Reads until the text has come; returns all that was read, also if the peer closed before.
   auto ReadUntil(std::string_view text) const -> std::string;
   auto ReadSize(std::size_t size) const -> std::string;
