--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -83,11 +83,8 @@
             [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
         peer_sync_(
             store_client_, workers_, [this] { return SyncedRevision(); },
-            [this] {
-              return SelectPeers(core_.entry_vms().Announced(Now()), settings_.node,
-                                 settings_.region);
-            },
-            [this](const Endpoint& peer, StoreChanges changes) {
+            [this] { return Peers(); },
+            [this](const Peer& peer, StoreChanges changes) {
               OnPeerChanges(peer, std::move(changes));
             }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
@@ -282,8 +279,17 @@
     const auto changes = after_revision < sync_state.history_start()
                              ? std::nullopt
                              : snapshot_.ChangesAfter(after_revision);
-    return Store::WatchAnswer(changes, sync_state.revision(),
-                              sync_state.RemovalsUnconfirmed(Now()));
+    const auto now = Now();
+    return Store::WatchAnswer(changes, sync_state.revision(), sync_state.RemovalsUnconfirmed(now),
+                              now - sync_state.last_contact());
+  }
+
+  auto Peers() -> std::vector<Peer> {
+    const auto now = Now();
+    auto selection = SelectPeers(core_.entry_vms().Announced(now), settings_.node, settings_.zone,
+                                 settings_.region);
+    follower_.role().SetReader(selection.is_reader, now);
+    return std::move(selection.peers);
   }
 
   auto SyncedRevision() const -> std::optional<std::uint64_t> {
@@ -298,12 +304,13 @@
                {{"peer", peer.Text()}, {"changes", change_count}, {"revision", revision}});
   }
 
-  auto OnPeerChanges(const Endpoint& peer, StoreChanges changes) -> void {
+  auto OnPeerChanges(const Peer& peer, StoreChanges changes) -> void {
     const auto revision = changes.revision;
+    if (peer.is_zone_reader) follower_.role().OnReaderAnswer(changes.age, Now());
     const auto change_count = follower_.ApplyPeerChanges(std::move(changes));
     if (change_count == 0) return;
     log_.Write(LogLevel::kInfo, "peer-changes-applied",
-               {{"peer", peer.Text()},
+               {{"peer", peer.endpoint.Text()},
                 {"changes", change_count},
                 {"revision", revision},
                 {"store_lost", follower_.sync_state().lost() ? 1 : 0}});
--- a/src/edge/peer_sync.h
+++ b/src/edge/peer_sync.h
@@ -23,14 +23,14 @@
 template <GatewayStore Store>
 class PeerSync {
  public:
-  /// One peer is asked in each interval, in turn. With three peers, of which one has the state, a
+  /// One peer is asked in each interval, in turn. With four peers, of which one has the state, a
   /// change arrives within half of the shortest time in which configurations have to be in force.
-  static constexpr Duration kPollInterval = std::chrono::milliseconds(400);
+  static constexpr Duration kPollInterval = std::chrono::milliseconds(300);
 
   /// Returns the revision up to which this node has the state, or nothing before the first listing.
   using RevisionCallback = std::function<std::optional<std::uint64_t>()>;
-  using PeersCallback = std::function<std::vector<Endpoint>()>;
-  using OnChanges = std::function<void(const Endpoint& peer, StoreChanges changes)>;
+  using PeersCallback = std::function<std::vector<Peer>()>;
+  using OnChanges = std::function<void(const Peer& peer, StoreChanges changes)>;
 
   PeerSync(HttpClient& client, WorkerPool& workers, RevisionCallback revision, PeersCallback peers,
            OnChanges on_changes)
@@ -50,13 +50,13 @@
     if (!revision.has_value()) return;
     rotation_.SetPeers(peers_());
     const auto peer = rotation_.Next();
-    if (!peer.has_value() || !asked_.insert(peer->Text()).second) return;
-    Store(client_, *peer)
+    if (!peer.has_value() || !asked_.insert(peer->endpoint.Text()).second) return;
+    Store(client_, peer->endpoint)
         .Watch(*revision, Duration::zero(),
-               [this, endpoint = *peer](absl::StatusOr<StoreChanges> changes) {
-                 asked_.erase(endpoint.Text());
+               [this, peer = *peer](absl::StatusOr<StoreChanges> changes) {
+                 asked_.erase(peer.endpoint.Text());
                  // A peer that doesn't answer or lacks the history is asked again in its turn.
-                 if (changes.ok()) on_changes_(endpoint, *std::move(changes));
+                 if (changes.ok()) on_changes_(peer, *std::move(changes));
                });
   }
 
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -38,7 +38,7 @@
   { T::IsListCall(request) } -> std::same_as<bool>;
   { T::ListAnswer(page) } -> std::same_as<HttpResponse>;
   { T::WatchedRevision(request) } -> std::same_as<std::optional<std::uint64_t>>;
-  { T::WatchAnswer(changes, number, true) } -> std::same_as<HttpResponse>;
+  { T::WatchAnswer(changes, number, true, wait) } -> std::same_as<HttpResponse>;
 };
 
 /// The formats of the items in the store.
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "edge/platform_ports.h"
+#include "gateway/store_reader_role.h"
 #include "gateway/store_sync_state.h"
 #include "net/worker_pool.h"
 #include "observe/event_log.h"
@@ -14,6 +15,7 @@
 
 /// Follows the store: lists it once, then watches for changes, and lists it again when the store no
 /// longer has the history of changes since the last one seen. One call is outstanding at any time.
+/// After the first listing, a node reads the store only as long as that is its role.
 template <GatewayStore Store>
 class StoreFollower {
  public:
@@ -28,6 +30,8 @@
   /// together. It is a tenth of the time within which a configuration has to be in force in a
   /// deployment of full size.
   static constexpr Duration kBatchDelay = std::chrono::milliseconds(900);
+  /// How often a node that doesn't read the store looks whether it has to.
+  static constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(250);
   static constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
   static constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
 
@@ -41,6 +45,7 @@
         on_batch_applied_(std::move(on_batch_applied)) {}
 
   auto Start() -> void { CallNext(); }
+  auto role() -> StoreReaderRole& { return role_; }
   auto sync_state() const -> const StoreSyncState& { return sync_state_; }
   /// Applies a peer's complete listing of the store. Returns the number of changes.
   auto ApplyPeerState(StorePage state) -> std::size_t {
@@ -51,7 +56,7 @@
   /// Applies changes that a peer has read. Returns the number of changes.
   auto ApplyPeerChanges(StoreChanges changes) -> std::size_t {
     const bool unconfirmed = changes.removals_unconfirmed;
-    const auto new_changes = sync_state_.OnPeerChanges(std::move(changes));
+    const auto new_changes = sync_state_.OnPeerChanges(std::move(changes), Now());
     if (!new_changes.empty()) ApplyAll(new_changes, unconfirmed);
     return new_changes.size();
   }
@@ -60,6 +65,15 @@
   auto Now() const -> MonotonicTime { return SystemClock().Now(); }
 
   auto CallNext() -> void {
+    const bool reads = !sync_state_.synced() || role_.ReadsStore(Now());
+    if (reads != std::exchange(reads_, reads)) {
+      log_.Write(LogLevel::kInfo, "store-reading",
+                 {{"reads", reads ? 1 : 0}, {"revision", sync_state_.revision()}});
+    }
+    if (!reads) {
+      timer_ = workers_.RunAfter(kRoleCheckInterval, [this] { CallNext(); });
+      return;
+    }
     const auto next = sync_state_.Next();
     if (next.list) {
       store_.List(next.after_key, [this](absl::StatusOr<StorePage> page) {
@@ -121,6 +135,8 @@
   const OnChange on_change_;
   const OnBatchApplied on_batch_applied_;
   StoreSyncState sync_state_;
+  StoreReaderRole role_;
+  bool reads_ = true;
   bool lost_ = false;
   Duration backoff_ = kMinBackoff;
   std::shared_ptr<WorkerPool::Timer> timer_;
--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -22,7 +22,8 @@
 constexpr Duration kWatchTimeout = milliseconds(2500);
 constexpr Duration kCallTimeout = milliseconds(2000);
 constexpr Duration kBackoff = milliseconds(800);
-constexpr Duration kPollInterval = milliseconds(400);
+constexpr Duration kPollInterval = milliseconds(300);
+constexpr Duration kRoleCheckInterval = milliseconds(250);
 /// A frozen VM looks again after this time.
 constexpr Duration kFreezeCheck = milliseconds(50);
 /// Items of one page. Small, so that listings have several pages.
@@ -63,14 +64,11 @@
   state = Vm();
   state.reach = reach;
   state.life = life;
-  std::vector<EntryVm> announced;
-  for (std::size_t peer = 0; peer < vms_.size(); ++peer) {
-    const auto name = NodeName(Name(peer));
-    const auto region = RegionName(std::to_string(Region(peer)));
-    announced.push_back({name, ZoneName(region.value()), region, {}, {Name(peer), 1}});
+  if (options_.peers_ask) {
+    auto selection = SelectPeersOf(vm);
+    state.role.SetReader(selection.is_reader, now());
+    state.rotation.SetPeers(std::move(selection.peers));
   }
-  state.rotation.SetPeers(
-      SelectPeers(announced, NodeName(Name(vm)), RegionName(std::to_string(Region(vm)))));
   CallStore(vm, life);
   const auto first_poll =
       Duration(std::uniform_int_distribution<Duration::rep>(0, kPollInterval.count())(random_));
@@ -79,6 +77,19 @@
   }
 }
 
+auto StoreSpreadSimulation::SelectPeersOf(std::size_t vm) const -> PeerSelection {
+  std::vector<EntryVm> announced;
+  for (std::size_t peer = 0; peer < vms_.size(); ++peer) {
+    announced.push_back({NodeName(Name(peer)),
+                         ZoneName(std::to_string(Zone(peer))),
+                         RegionName(std::to_string(Region(peer))),
+                         {},
+                         {Name(peer), 1}});
+  }
+  const auto& self = announced[vm];
+  return SelectPeers(announced, self.name, self.zone, self.region);
+}
+
 auto StoreSpreadSimulation::Delay(std::size_t from_region, std::size_t to_region) -> Duration {
   return from_region == to_region ? kZoneDelay : kRegionDelay;
 }
@@ -96,6 +107,11 @@
 }
 
 auto StoreSpreadSimulation::CallStore(std::size_t vm, std::uint64_t life) -> void {
+  const auto& state = vms_[vm];
+  if (state.sync_state.synced() && !state.role.ReadsStore(now())) {
+    CallAgain(vm, life, kRoleCheckInterval);
+    return;
+  }
   ++store_calls_;
   const auto call = vms_[vm].sync_state.Next();
   scheduler_.RunAfter(Delay(Region(vm), kStoreRegion), [this, vm, life, call] {
@@ -173,18 +189,22 @@
   RunAt(vm, life, kPollInterval, [this, vm, life] { AskPeer(vm, life); });
   const auto peer = vms_[vm].rotation.Next();
   if (!peer.has_value() || !vms_[vm].sync_state.synced()) return;
-  const auto to = IndexOf(*peer);
+  const auto to = IndexOf(peer->endpoint);
   const auto after = vms_[vm].sync_state.revision();
   const auto delay = Delay(Region(vm), Region(to));
-  RunAt(to, vms_[to].life, delay, [this, vm, life, to, after, delay] {
+  const bool is_zone_reader = peer->is_zone_reader;
+  RunAt(to, vms_[to].life, delay, [this, vm, life, to, after, delay, is_zone_reader] {
     if (!vms_[vm].reach.peers || !vms_[to].reach.peers) return;
     const auto& state = vms_[to].sync_state;
     if (!state.synced() || after < state.history_start()) return;
     auto changes = vms_[to].snapshot.ChangesAfter(after);
     if (!changes.has_value()) return;
-    const StoreChanges answer{*std::move(changes), state.revision()};
-    RunAt(vm, life, delay,
-          [this, vm, answer] { Apply(vm, vms_[vm].sync_state.OnPeerChanges(answer)); });
+    const StoreChanges answer{*std::move(changes), state.revision(),
+                              state.RemovalsUnconfirmed(now()), now() - state.last_contact()};
+    RunAt(vm, life, delay, [this, vm, answer, is_zone_reader] {
+      if (is_zone_reader) vms_[vm].role.OnReaderAnswer(answer.age, now());
+      Apply(vm, vms_[vm].sync_state.OnPeerChanges(answer, now()));
+    });
   });
 }
 
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "experiment/event_scheduler.h"
 #include "gateway/peer_rotation.h"
+#include "gateway/store_reader_role.h"
 #include "gateway/store_snapshot.h"
 #include "gateway/store_sync_state.h"
 
@@ -32,6 +33,7 @@
   struct Options {
     std::size_t vm_count = 7;
     std::size_t region_count = 3;
+    std::size_t zones_per_region = 2;
     bool peers_ask = true;  ///< Otherwise each VM knows only what it reads from the store.
     std::uint64_t seed = 1;
   };
@@ -52,6 +54,7 @@
   auto now() const -> MonotonicTime { return scheduler_.now(); }
   auto vm_count() const -> std::size_t { return vms_.size(); }
   auto reach(std::size_t vm) const -> const Reach& { return vms_[vm].reach; }
+  auto IsReader(std::size_t vm) const -> bool { return SelectPeersOf(vm).is_reader; }
   /// The revision of the key's last write that the VM knows, or 0.
   auto RevisionAt(std::size_t vm, const std::string& key) const -> std::uint64_t;
   /// The revision of each present item at the VM.
@@ -68,12 +71,17 @@
     StoreSyncState sync_state;
     StoreSnapshot snapshot;
     PeerRotation rotation;
+    StoreReaderRole role;
     std::map<std::string, std::uint64_t> items;
     std::map<std::string, std::uint64_t> highest;  ///< Highest revision applied, by key.
   };
 
   auto Name(std::size_t vm) const -> std::string;
   auto Region(std::size_t vm) const -> std::size_t { return vm % options_.region_count; }
+  auto Zone(std::size_t vm) const -> std::size_t {
+    return vm % (options_.region_count * options_.zones_per_region);
+  }
+  auto SelectPeersOf(std::size_t vm) const -> PeerSelection;
   auto Delay(std::size_t from_region, std::size_t to_region) -> Duration;
   auto IsUp(std::size_t vm) const -> bool { return !vms_[vm].reach.frozen; }
   /// A watch that the store answers at the next change.
--- a/src/gateway/entry_vm_directory.cc
+++ b/src/gateway/entry_vm_directory.cc
@@ -19,6 +19,7 @@
 
 auto EntryVmDirectory::Announce(const EntryVm& vm, MonotonicTime now) -> void {
   entries_[vm.name] = {vm, MonotonicTime::max()};
+  sorted_is_current_ = false;
   RecentMaxCount(now);
 }
 
@@ -28,22 +29,32 @@
   if (unconfirmed) {
     found->second.listed_until =
         std::min(found->second.listed_until, now + options_.unconfirmed_removal_grace);
+    next_expiry_ = std::min(next_expiry_, found->second.listed_until);
   } else {
     entries_.erase(found);
+    sorted_is_current_ = false;
   }
 }
 
 auto EntryVmDirectory::Expire(MonotonicTime now) -> void {
+  if (now < next_expiry_) return;
+  next_expiry_ = MonotonicTime::max();
   absl::erase_if(entries_, [now](const auto& entry) { return entry.second.listed_until <= now; });
+  for (const auto& [name, entry] : entries_) {
+    next_expiry_ = std::min(next_expiry_, entry.listed_until);
+  }
+  sorted_is_current_ = false;
 }
 
-auto EntryVmDirectory::Announced(MonotonicTime now) -> std::vector<EntryVm> {
+auto EntryVmDirectory::Announced(MonotonicTime now) -> const std::vector<EntryVm>& {
   Expire(now);
-  std::vector<EntryVm> vms;
-  for (const auto& [name, entry] : entries_) vms.push_back(entry.vm);
-  std::sort(vms.begin(), vms.end(),
+  if (sorted_is_current_) return sorted_;
+  sorted_.clear();
+  for (const auto& [name, entry] : entries_) sorted_.push_back(entry.vm);
+  std::sort(sorted_.begin(), sorted_.end(),
             [](const EntryVm& a, const EntryVm& b) { return a.name < b.name; });
-  return vms;
+  sorted_is_current_ = true;
+  return sorted_;
 }
 
 auto EntryVmDirectory::RecentMaxCount(MonotonicTime now) -> int {
@@ -59,7 +70,7 @@
 auto EntryVmDirectory::Answer(const ZoneName& zone, const RegionName& region,
                               const std::vector<RegionName>& allowed_regions, MonotonicTime now)
     -> EntryVmSelection {
-  const auto vms = Announced(now);
+  const auto& vms = Announced(now);
   EntryVmSelection answer;
   answer.lifetime = options_.answer_lifetime;
   const auto add = [&](auto matches) {
--- a/src/gateway/entry_vm_directory.h
+++ b/src/gateway/entry_vm_directory.h
@@ -52,8 +52,8 @@
   auto Answer(const ZoneName& zone, const RegionName& region,
               const std::vector<RegionName>& allowed_regions, MonotonicTime now)
       -> EntryVmSelection;
-  /// Returns the announced VMs, sorted by name.
-  auto Announced(MonotonicTime now) -> std::vector<EntryVm>;
+  /// Returns the announced VMs, sorted by name. Valid until the next call.
+  auto Announced(MonotonicTime now) -> const std::vector<EntryVm>&;
   /// Returns an upper bound of the number of running entry VMs, including those that this node no
   /// longer sees.
   auto RecentMaxCount(MonotonicTime now) -> int;
@@ -68,6 +68,9 @@
 
   Options options_;
   absl::flat_hash_map<NodeName, Entry> entries_;
+  std::vector<EntryVm> sorted_;
+  bool sorted_is_current_ = true;
+  MonotonicTime next_expiry_ = MonotonicTime::max();
   int recent_max_ = 1;
   MonotonicTime recent_max_at_{};
 };
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -118,7 +118,7 @@
   query.attempted_targets = &request.attempted_targets();
   query.may_spill = spillover_.MaySpill(now);
   const int sender_count = ColdTargetSenderCount(attributes.service);
-  const auto vms = entry_vms_.Announced(now);
+  const auto& vms = entry_vms_.Announced(now);
   query.primary_region = primary_regions_.PrimaryRegionOf(attributes.service, attributes.object,
                                                           placer_.Capacities(query), now);
   const auto sends_to_cold = [&](const FleetTarget& target) {
--- a/src/gateway/peer_selection.cc
+++ b/src/gateway/peer_selection.cc
@@ -8,35 +8,63 @@
 namespace heatherspan {
 namespace {
 
-/// Two peers may be lost or cut off from the store together with this node.
-constexpr std::size_t kPeerCount = 3;
-constexpr std::size_t kMaxNearPeers = 2;
+/// With two, a zone goes on without a gap when one is lost, frozen or turned away by the store.
+constexpr std::size_t kReadersPerZone = 2;
+
+using Vms = std::vector<const EntryVm*>;
+
+/// Moves the VMs with the highest scores for the key to the front.
+auto RankFirst(Vms& vms, std::uint64_t key, std::size_t count) -> void {
+  const auto score = [key](const EntryVm* vm) {
+    return RendezvousScore(key, StableHash(vm->name.value()));
+  };
+  std::partial_sort(vms.begin(),
+                    vms.begin() + static_cast<std::ptrdiff_t>(std::min(count, vms.size())),
+                    vms.end(), [&](const auto* a, const auto* b) { return score(a) > score(b); });
+  vms.resize(std::min(count, vms.size()));
+}
 
 }  // namespace
 
-auto SelectPeers(const std::vector<EntryVm>& vms, const NodeName& self, const RegionName& region)
-    -> std::vector<Endpoint> {
-  std::vector<const EntryVm*> near;
-  std::vector<const EntryVm*> far;
+auto SelectPeers(const std::vector<EntryVm>& vms, const NodeName& self, const ZoneName& zone,
+                 const RegionName& region) -> PeerSelection {
+  Vms readers;
+  Vms near;
+  Vms far;
+  bool is_announced = false;
   for (const auto& vm : vms) {
-    if (vm.name == self || vm.peer_endpoint.address.empty()) continue;
-    (vm.region == region ? near : far).push_back(&vm);
+    if (vm.peer_endpoint.address.empty()) continue;
+    if (vm.name == self) is_announced = true;
+    if (vm.zone == zone) {
+      readers.push_back(&vm);
+    } else {
+      (vm.region == region ? near : far).push_back(&vm);
+    }
   }
-  const auto rank = [&](std::vector<const EntryVm*>& peers) {
-    const auto score = [&](const EntryVm* vm) {
-      return RendezvousScore(StableHash(self.value()), StableHash(vm->name.value()));
-    };
-    std::sort(peers.begin(), peers.end(),
-              [&](const auto* a, const auto* b) { return score(a) > score(b); });
-  };
-  rank(near);
-  rank(far);
-  const auto near_count = std::min(near.size(), far.empty() ? kPeerCount : kMaxNearPeers);
-  const auto far_count = std::min(far.size(), kPeerCount - near_count);
-  std::vector<Endpoint> peers;
-  for (std::size_t i = 0; i < near_count; ++i) peers.push_back(near[i]->peer_endpoint);
-  for (std::size_t i = 0; i < far_count; ++i) peers.push_back(far[i]->peer_endpoint);
-  return peers;
+  const auto own_key = StableHash(self.value());
+  RankFirst(readers, StableHash(zone.value()), kReadersPerZone);
+  RankFirst(near, own_key, 1);
+  // A region of a single zone has no near peer.
+  RankFirst(far, own_key, near.empty() ? 2 : 1);
+  PeerSelection selection;
+  selection.is_reader = !is_announced;
+  std::vector<Peer> zone_readers;
+  for (const auto* vm : readers) {
+    if (vm->name == self) {
+      selection.is_reader = true;
+    } else {
+      zone_readers.push_back({vm->peer_endpoint, true});
+    }
+  }
+  // Readers and others in turn.
+  std::vector<Peer> others;
+  for (const auto* vm : near) others.push_back({vm->peer_endpoint, false});
+  for (const auto* vm : far) others.push_back({vm->peer_endpoint, false});
+  for (std::size_t i = 0; i < std::max(zone_readers.size(), others.size()); ++i) {
+    if (i < zone_readers.size()) selection.peers.push_back(zone_readers[i]);
+    if (i < others.size()) selection.peers.push_back(others[i]);
+  }
+  return selection;
 }
 
 }  // namespace heatherspan
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -30,6 +30,8 @@
   /// Items whose owners still run may be among the removed ones: whoever gives the changes has lost
   /// the store or has just regained it.
   bool removals_unconfirmed = false;
+  Duration
+      age{};  ///< Since whoever gives the changes has heard from the store, also through others.
 };
 
 struct StoreLease {
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -101,8 +101,15 @@
   return new_changes;
 }
 
-auto StoreSyncState::OnPeerChanges(StoreChanges changes) -> std::vector<StoreChange> {
-  if (!synced_ || changes.revision <= revision_) return {};
+auto StoreSyncState::OnPeerChanges(StoreChanges changes, MonotonicTime now)
+    -> std::vector<StoreChange> {
+  if (!synced_ || changes.revision < revision_) return {};
+  last_contact_ = std::max(last_contact_, now - changes.age);
+  if (!changes.removals_unconfirmed) {
+    in_contact_ = true;
+    contact_was_lost_ = false;
+  }
+  if (changes.revision == revision_) return {};
   EndListing();
   return AcceptAll(std::move(changes));
 }
--- a/src/gateway/store_sync_state.h
+++ b/src/gateway/store_sync_state.h
@@ -35,14 +35,15 @@
   /// revision.
   auto OnPeerState(StorePage state) -> std::vector<StoreChange>;
   /// Applies what a peer has read after this node's revision. The watch continues from the peer's
-  /// revision; a listing in progress is no longer needed.
-  auto OnPeerChanges(StoreChanges changes) -> std::vector<StoreChange>;
+  /// revision; a listing in progress is no longer needed. A peer in contact with the store counts
+  /// as contact.
+  auto OnPeerChanges(StoreChanges changes, MonotonicTime now) -> std::vector<StoreChange>;
 
   /// A complete listing has been read at least once, from the store or from a peer.
   auto synced() const -> bool { return synced_; }
-  /// The last call succeeded.
+  /// The last call succeeded, or a peer's state has been read since.
   auto in_contact() const -> bool { return in_contact_; }
-  /// The last call failed.
+  /// The last call failed, and no peer has given its state since.
   auto lost() const -> bool { return contact_was_lost_ && !in_contact_; }
   /// Contact was lost recently. Removals may be expired registrations whose owners still run.
   auto RemovalsUnconfirmed(MonotonicTime now) const -> bool;
--- a/tests/experiment/store_spread_test.cc
+++ b/tests/experiment/store_spread_test.cc
@@ -19,24 +19,28 @@
 
 auto Item(std::uint64_t number) -> std::string { return "item-" + std::to_string(number % 30); }
 
-/// Writes items, then lets the store turn away all VMs but one of each region, and returns how long
-/// a configuration takes to reach all VMs, at most 10 s.
-auto TimeToReachTurnedAwayVms(bool peers_ask, std::uint64_t seed) -> Duration {
-  StoreSpreadSimulation simulation({.peers_ask = peers_ask, .seed = seed});
+/// Writes items, then breaks the reach of the chosen VMs, and returns how long a configuration
+/// takes to reach all VMs that are not frozen, at most 10 s.
+template <class Choose>
+auto TimeToReachAll(StoreSpreadSimulation::Options options, Reach reach, Choose is_chosen)
+    -> Duration {
+  StoreSpreadSimulation simulation(options);
   for (int i = 0; i < 30; ++i) simulation.Put(Item(i));
   simulation.Put(kConfiguration);
-  simulation.RunFor(seconds(3));
-  Random random(seed);
-  for (std::size_t vm = 3; vm < simulation.vm_count(); ++vm) {
-    simulation.SetReach(vm, {.store = false});
+  simulation.RunFor(seconds(6));
+  for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
+    if (is_chosen(simulation, vm)) simulation.SetReach(vm, reach);
   }
+  Random random(options.seed);
   simulation.RunFor(milliseconds(random() % 3000));
   simulation.Put(kConfiguration);
   const auto written = simulation.StoreItems().at(kConfiguration);
   const auto start = simulation.now();
   const auto is_known = [&] {
     for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
-      if (simulation.RevisionAt(vm, kConfiguration) != written) return false;
+      if (!simulation.reach(vm).frozen && simulation.RevisionAt(vm, kConfiguration) != written) {
+        return false;
+      }
     }
     return true;
   };
@@ -44,16 +48,55 @@
   return simulation.now() - start;
 }
 
+auto NoVm(const StoreSpreadSimulation& /*simulation*/, std::size_t /*vm*/) -> bool { return false; }
+
 // Guards against an entry VM that goes on with an old configuration because the store turns just
 // this VM away or doesn't answer its calls.
 TEST(StoreSpread, AVmThatTheStoreTurnsAwayLearnsFromItsPeers) {
+  const auto all_but_three = [](const auto& /*simulation*/, std::size_t vm) { return vm >= 3; };
   auto slowest = Duration::zero();
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-    slowest = std::max(slowest, TimeToReachTurnedAwayVms(true, seed));
+    slowest = std::max(slowest, TimeToReachAll({.seed = seed}, {.store = false}, all_but_three));
   }
   EXPECT_LE(slowest, kApplyBound);
   // The check can fail: without peers, a VM that is turned away learns nothing.
-  EXPECT_GT(TimeToReachTurnedAwayVms(false, 1), kApplyBound);
+  EXPECT_GT(TimeToReachAll({.peers_ask = false}, {.store = false}, all_but_three), kApplyBound);
+}
+
+// Guards against VMs that wait for the readers of their zone while these are frozen or turned away.
+TEST(StoreSpread, VmsDoNotDependOnTheReadersOfTheirZone) {
+  const auto readers_of_three_zones = [](const StoreSpreadSimulation& simulation, std::size_t vm) {
+    return vm % 2 == 0 && simulation.IsReader(vm);
+  };
+  for (const auto& reach : {Reach{.store = false}, Reach{.frozen = true}, Reach{.peers = false}}) {
+    auto slowest = Duration::zero();
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+      slowest = std::max(
+          slowest, TimeToReachAll({.vm_count = 34, .seed = seed}, reach, readers_of_three_zones));
+    }
+    EXPECT_LE(slowest, kApplyBound);
+  }
+}
+
+// Guards against calls to the store that grow with the number of VMs, and against changes that
+// arrive late at those that don't read it.
+TEST(StoreSpread, CallsGrowWithTheZones) {
+  const auto calls_with = [](std::size_t vm_count) {
+    StoreSpreadSimulation simulation({.vm_count = vm_count});
+    for (int i = 0; i < 10; ++i) simulation.Put(Item(i));
+    simulation.RunFor(seconds(5));
+    const auto before = simulation.store_calls();
+    for (int i = 0; i < 100; ++i) {
+      simulation.Put(Item(i));
+      simulation.RunFor(milliseconds(300));
+    }
+    return simulation.store_calls() - before;
+  };
+  const auto calls = calls_with(24);
+  EXPECT_LT(calls_with(119), calls * 5 / 4);
+  for (const std::size_t vm_count : {7, 34, 119, 301}) {
+    EXPECT_LE(TimeToReachAll({.vm_count = vm_count}, {}, NoVm), milliseconds(2000)) << vm_count;
+  }
 }
 
 // Guards against a VM that is back from a cut, finds the store's history gone and goes on with what
--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -97,7 +97,7 @@
 // question that is taken for another call.
 TEST_F(StoreClientTest, ReadsThePeersAnswers) {
   const std::vector<StoreChange> changes = {{"k", "val", 42}, {"gone", std::nullopt, 43}};
-  auto answer = StoreClient::WatchAnswer(changes, 44, true);
+  auto answer = StoreClient::WatchAnswer(changes, 44, true, milliseconds(2500));
   Answer(answer.status, answer.body);
   const auto read = Watch();
   ASSERT_TRUE(read.ok()) << read.status();
@@ -107,9 +107,10 @@
   EXPECT_FALSE(read->changes[1].value.has_value());
   EXPECT_EQ(read->revision, 44U);
   EXPECT_TRUE(read->removals_unconfirmed);
+  EXPECT_EQ(read->age, milliseconds(2500));
   EXPECT_EQ(StoreClient::WatchedRevision(last_), 41U);
   EXPECT_FALSE(StoreClient::IsListCall(last_));
-  answer = StoreClient::WatchAnswer(std::nullopt, 44, false);
+  answer = StoreClient::WatchAnswer(std::nullopt, 44, false, Duration::zero());
   Answer(answer.status, answer.body);
   EXPECT_TRUE(absl::IsOutOfRange(Watch().status()));
   for (const auto* target : {"/heatherspan/kv-watch?after=-1", "/heatherspan/kv-watch",
--- a/tests/gateway/store_snapshot_test.cc
+++ b/tests/gateway/store_snapshot_test.cc
@@ -2,7 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <set>
+#include <string>
+
 #include "gateway/peer_selection.h"
+#include "gateway/store_reader_role.h"
 
 namespace heatherspan {
 namespace {
@@ -46,39 +51,81 @@
   EXPECT_EQ(snapshot.ChangesAfter(10)->size(), StoreSnapshot::kMaxRemovals);
 }
 
-auto Vm(const std::string& name, const std::string& region) -> EntryVm {
-  return {NodeName(name), ZoneName(region), RegionName(region), {}, {name, 1}};
+/// The first letter of a zone is its region.
+auto Vm(const std::string& name, const std::string& zone) -> EntryVm {
+  return {NodeName(name), ZoneName(zone), RegionName(zone.substr(0, 1)), {}, {name, 1}};
+}
+
+auto SelectFor(const EntryVm& vm, const std::vector<EntryVm>& vms) -> PeerSelection {
+  return SelectPeers(vms, vm.name, vm.zone, vm.region);
 }
 
-auto Names(const std::vector<Endpoint>& peers) -> std::string {
+auto Names(const PeerSelection& selection) -> std::string {
   std::string names;
-  for (const auto& peer : peers) names += peer.address;
+  for (const auto& peer : selection.peers) {
+    names += peer.endpoint.address + (peer.is_zone_reader ? "! " : " ");
+  }
   return names;
 }
 
-// Guards against a node that asks itself, that asks only peers which are cut off together with it,
-// and against few peers that are asked by all.
-TEST(PeerSelection, ChoosesNearPeersAndOneElsewhere) {
-  const auto self = NodeName("a");
-  const auto region = RegionName("r");
-  EXPECT_EQ(Names(SelectPeers({Vm("a", "r")}, self, region)), "");
-  EXPECT_EQ(Names(SelectPeers({Vm("a", "r"), Vm("b", "r"), Vm("c", "s")}, self, region)), "bc");
-  EXPECT_EQ(
-      SelectPeers({Vm("a", "r"), Vm("b", "r"), Vm("c", "r"), Vm("d", "r")}, self, region).size(),
-      3U);
-  auto without_listener = Vm("b", "r");
+// Guards against a node that asks itself, and against one that nobody reads the store for.
+TEST(PeerSelection, SmallFleetsReadTheStoreThemselves) {
+  const auto self = Vm("a", "r1");
+  EXPECT_EQ(Names(SelectFor(self, {self})), "");
+  EXPECT_TRUE(SelectFor(self, {self}).is_reader);
+  EXPECT_TRUE(SelectFor(self, {}).is_reader);
+  EXPECT_EQ(Names(SelectFor(self, {self, Vm("b", "r1"), Vm("c", "r2"), Vm("d", "s1")})), "b! c d ");
+  EXPECT_TRUE(SelectFor(self, {self, Vm("b", "r1")}).is_reader);
+  auto without_listener = Vm("b", "r1");
   without_listener.peer_endpoint = {};
-  EXPECT_EQ(Names(SelectPeers({without_listener}, self, region)), "");
+  EXPECT_EQ(Names(SelectFor(self, {self, without_listener})), "");
+}
 
+// Guards against readers that the VMs of a zone don't agree on, against peers that are cut off
+// together, and against few peers that are asked by all.
+TEST(PeerSelection, EachZoneHasTwoReaders) {
   std::vector<EntryVm> fleet;
-  for (int i = 0; i < 90; ++i) fleet.push_back(Vm("vm-" + std::to_string(i), i < 45 ? "r" : "s"));
-  std::map<std::string, int> questions;
+  for (int i = 0; i < 90; ++i) {
+    fleet.push_back(
+        Vm("vm-" + std::to_string(i), std::string(i % 2 == 0 ? "r" : "s") + std::to_string(i % 3)));
+  }
+  std::map<ZoneName, int> readers;
+  std::map<ZoneName, std::set<std::string>> asked_readers;
+  std::map<std::string, int> other_questions;
   for (const auto& vm : fleet) {
-    const auto peers = SelectPeers(fleet, vm.name, vm.region);
-    ASSERT_EQ(peers.size(), 3U);
-    for (const auto& peer : peers) ++questions[peer.address];
+    const auto selection = SelectFor(vm, fleet);
+    if (selection.is_reader) ++readers[vm.zone];
+    EXPECT_EQ(selection.peers.size(), selection.is_reader ? 3U : 4U);
+    for (const auto& peer : selection.peers) {
+      if (peer.is_zone_reader) {
+        asked_readers[vm.zone].insert(peer.endpoint.address);
+      } else {
+        ++other_questions[peer.endpoint.address];
+      }
+    }
   }
-  for (const auto& [peer, count] : questions) EXPECT_LE(count, 12) << peer;
+  for (const auto& [zone, count] : readers) EXPECT_EQ(count, 2) << zone.value();
+  for (const auto& [zone, names] : asked_readers) EXPECT_EQ(names.size(), 2U) << zone.value();
+  for (const auto& [peer, count] : other_questions) EXPECT_LE(count, 10) << peer;
+}
+
+// Guards against a node that relies on a reader which is lost or has an old state, and against one
+// that reads the store beside a reader that is well.
+TEST(StoreReaderRole, ReadsTheStoreWhenReadersAreSilentOrBehind) {
+  constexpr auto kStart = MonotonicTime(std::chrono::hours(1));
+  constexpr auto kOld = StoreReaderRole::kMaxReaderAge + std::chrono::milliseconds(1);
+  constexpr auto kLate = StoreReaderRole::kReaderTimeout + std::chrono::milliseconds(1);
+  StoreReaderRole role;
+  EXPECT_TRUE(role.ReadsStore(kStart));
+  role.SetReader(false, kStart);
+  EXPECT_FALSE(role.ReadsStore(kStart));
+  EXPECT_TRUE(role.ReadsStore(kStart + kLate));
+  role.OnReaderAnswer(kOld, kStart + kLate);
+  EXPECT_TRUE(role.ReadsStore(kStart + kLate));
+  role.OnReaderAnswer(Duration::zero(), kStart + kLate);
+  EXPECT_FALSE(role.ReadsStore(kStart + kLate));
+  role.SetReader(true, kStart + kLate);
+  EXPECT_TRUE(role.ReadsStore(kStart + kLate));
 }
 
 }  // namespace
--- a/tests/gateway/store_sync_state_test.cc
+++ b/tests/gateway/store_sync_state_test.cc
@@ -106,17 +106,17 @@
 // changes of a peer that is behind, and against a delayed answer of the store that restores a
 // removed item.
 TEST_F(StoreSyncStateTest, PeerChangesContinueTheState) {
-  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 2)}, 2})), "");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 2)}, 2}, now_)), "");
   ListAll({Put("a", 1)}, 5);
   sync_state_.OnFailure(absl::UnavailableError("turned away"), now_);
-  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 7), Put("b", 8)}, 9})), "+a+b");
-  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{{"b", std::nullopt, 10}}, 10})), "-b");
-  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 6), {"a", std::nullopt, 7}}, 7})), "");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 7), Put("b", 8)}, 9}, now_)), "+a+b");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{{"b", std::nullopt, 10}}, 10}, now_)), "-b");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 6), {"a", std::nullopt, 7}}, 7}, now_)), "");
   EXPECT_EQ(sync_state_.revision(), 10U);
   EXPECT_EQ(sync_state_.Next().after_revision, 10U);
   EXPECT_EQ(Keys(sync_state_.OnChanges({{Put("b", 8)}, 8}, now_)), "");
   // A peer may know an item that this node has never seen.
-  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{{"c", std::nullopt, 12}}, 12})), "-c");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{{"c", std::nullopt, 12}}, 12}, now_)), "-c");
 }
 
 // Guards against a node whose listing takes seconds while a peer already has the changes, and
@@ -125,7 +125,8 @@
   ListAll({Put("a", 1), Put("b", 2)}, 5);
   sync_state_.OnFailure(absl::OutOfRangeError("gone"), now_);
   EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 6)}, true, 12}, now_)), "+a");
-  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 6), {"b", std::nullopt, 14}}, 15})), "-b");
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 6), {"b", std::nullopt, 14}}, 15}, now_)),
+            "-b");
   EXPECT_FALSE(sync_state_.Next().list);
   EXPECT_EQ(Keys(sync_state_.OnPage({{Put("b", 2)}, false, 13}, now_)), "");
   EXPECT_EQ(sync_state_.Next().after_revision, 15U);
