--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -83,9 +83,9 @@
             [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
         peer_sync_(
             store_client_, workers_, [this] { return SyncedRevision(); },
-            [this] { return Peers(); },
-            [this](const Peer& peer, StoreChanges changes) {
-              OnPeerChanges(peer, std::move(changes));
+            [this] { return NextPeerQuestion(); },
+            [this](const StoreReaderRole::Question& question, StoreChanges changes) {
+              OnPeerChanges(question, std::move(changes));
             }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
                    Formats::WriteEntryVm({settings_.node, settings_.zone, settings_.region,
@@ -284,12 +284,13 @@
                               now - sync_state.last_contact());
   }
 
-  auto Peers() -> std::vector<Peer> {
+  auto NextPeerQuestion() -> std::optional<StoreReaderRole::Question> {
     const auto now = Now();
-    auto selection = SelectPeers(core_.entry_vms().Announced(now), settings_.node, settings_.zone,
-                                 settings_.region);
-    follower_.role().SetReader(selection.is_reader, now);
-    return std::move(selection.peers);
+    auto& role = follower_.role();
+    role.SetPeers(SelectPeers(core_.entry_vms().Announced(now), settings_.node, settings_.zone,
+                              settings_.region),
+                  now);
+    return role.NextQuestion(now);
   }
 
   auto SyncedRevision() const -> std::optional<std::uint64_t> {
@@ -304,13 +305,13 @@
                {{"peer", peer.Text()}, {"changes", change_count}, {"revision", revision}});
   }
 
-  auto OnPeerChanges(const Peer& peer, StoreChanges changes) -> void {
+  auto OnPeerChanges(const StoreReaderRole::Question& question, StoreChanges changes) -> void {
     const auto revision = changes.revision;
-    if (peer.is_zone_reader) follower_.role().OnReaderAnswer(changes.age, Now());
+    if (question.is_zone_reader) follower_.role().OnReaderAnswer(changes.age, Now());
     const auto change_count = follower_.ApplyPeerChanges(std::move(changes));
     if (change_count == 0) return;
     log_.Write(LogLevel::kInfo, "peer-changes-applied",
-               {{"peer", peer.endpoint.Text()},
+               {{"peer", question.peer.Text()},
                 {"changes", change_count},
                 {"revision", revision},
                 {"store_lost", follower_.sync_state().lost() ? 1 : 0}});
--- a/src/edge/peer_sync.h
+++ b/src/edge/peer_sync.h
@@ -6,11 +6,10 @@
 #include <optional>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "absl/container/flat_hash_set.h"
 #include "edge/platform_ports.h"
-#include "gateway/peer_rotation.h"
+#include "gateway/store_reader_role.h"
 #include "net/http_client.h"
 #include "net/worker_pool.h"
 
@@ -23,21 +22,23 @@
 template <GatewayStore Store>
 class PeerSync {
  public:
-  /// One peer is asked in each interval, in turn. With four peers, of which one has the state, a
+  using Question = StoreReaderRole::Question;
+
+  /// One peer is asked in each interval, in turn. With three peers, of which one has the state, a
   /// change arrives within half of the shortest time in which configurations have to be in force.
   static constexpr Duration kPollInterval = std::chrono::milliseconds(300);
 
   /// Returns the revision up to which this node has the state, or nothing before the first listing.
   using RevisionCallback = std::function<std::optional<std::uint64_t>()>;
-  using PeersCallback = std::function<std::vector<Peer>()>;
-  using OnChanges = std::function<void(const Peer& peer, StoreChanges changes)>;
+  using QuestionCallback = std::function<std::optional<Question>()>;
+  using OnChanges = std::function<void(const Question& question, StoreChanges changes)>;
 
-  PeerSync(HttpClient& client, WorkerPool& workers, RevisionCallback revision, PeersCallback peers,
-           OnChanges on_changes)
+  PeerSync(HttpClient& client, WorkerPool& workers, RevisionCallback revision,
+           QuestionCallback next_question, OnChanges on_changes)
       : client_(client),
         workers_(workers),
         revision_(std::move(revision)),
-        peers_(std::move(peers)),
+        next_question_(std::move(next_question)),
         on_changes_(std::move(on_changes)) {}
 
   auto Start() -> void {
@@ -48,24 +49,23 @@
   auto AskNext() -> void {
     const auto revision = revision_();
     if (!revision.has_value()) return;
-    rotation_.SetPeers(peers_());
-    const auto peer = rotation_.Next();
-    if (!peer.has_value() || !asked_.insert(peer->endpoint.Text()).second) return;
-    Store(client_, peer->endpoint)
+    const auto question = next_question_();
+    // A peer that has not answered the last question is not asked again.
+    if (!question.has_value() || !asked_.insert(question->peer.Text()).second) return;
+    Store(client_, question->peer)
         .Watch(*revision, Duration::zero(),
-               [this, peer = *peer](absl::StatusOr<StoreChanges> changes) {
-                 asked_.erase(peer.endpoint.Text());
+               [this, question = *question](absl::StatusOr<StoreChanges> changes) {
+                 asked_.erase(question.peer.Text());
                  // A peer that doesn't answer or lacks the history is asked again in its turn.
-                 if (changes.ok()) on_changes_(peer, *std::move(changes));
+                 if (changes.ok()) on_changes_(question, *std::move(changes));
                });
   }
 
   HttpClient& client_;
   WorkerPool& workers_;
   const RevisionCallback revision_;
-  const PeersCallback peers_;
+  const QuestionCallback next_question_;
   const OnChanges on_changes_;
-  PeerRotation rotation_;
   absl::flat_hash_set<std::string> asked_;  ///< Peers that have yet to answer.
   std::shared_ptr<WorkerPool::Timer> timer_;
 };
--- a/src/edge/vm_announcer.h
+++ b/src/edge/vm_announcer.h
@@ -17,8 +17,8 @@
  public:
   /// Callers still get the address of a lost VM for at most this time plus the delay of a watch.
   static constexpr Duration kLeaseLifetime = std::chrono::seconds(3);
-  /// Two renewals may fail before the lease expires.
-  static constexpr Duration kRenewalInterval = std::chrono::milliseconds(900);
+  /// One renewal may fail before the lease expires.
+  static constexpr Duration kRenewalInterval = std::chrono::milliseconds(1300);
 
   VmAnnouncer(Store& store, WorkerPool& workers, EventLog& log, std::string key, std::string value)
       : store_(store),
--- a/src/gateway/peer_selection.cc
+++ b/src/gateway/peer_selection.cc
@@ -8,8 +8,7 @@
 namespace heatherspan {
 namespace {
 
-/// With two, a zone goes on without a gap when one is lost, frozen or turned away by the store.
-constexpr std::size_t kReadersPerZone = 2;
+constexpr std::size_t kReadersPerZone = 1;
 
 using Vms = std::vector<const EntryVm*>;
 
@@ -48,22 +47,15 @@
   RankFirst(far, own_key, near.empty() ? 2 : 1);
   PeerSelection selection;
   selection.is_reader = !is_announced;
-  std::vector<Peer> zone_readers;
   for (const auto* vm : readers) {
     if (vm->name == self) {
       selection.is_reader = true;
     } else {
-      zone_readers.push_back({vm->peer_endpoint, true});
+      selection.zone_readers.push_back(vm->peer_endpoint);
     }
   }
-  // Readers and others in turn.
-  std::vector<Peer> others;
-  for (const auto* vm : near) others.push_back({vm->peer_endpoint, false});
-  for (const auto* vm : far) others.push_back({vm->peer_endpoint, false});
-  for (std::size_t i = 0; i < std::max(zone_readers.size(), others.size()); ++i) {
-    if (i < zone_readers.size()) selection.peers.push_back(zone_readers[i]);
-    if (i < others.size()) selection.peers.push_back(others[i]);
-  }
+  for (const auto* vm : near) selection.others.push_back(vm->peer_endpoint);
+  for (const auto* vm : far) selection.others.push_back(vm->peer_endpoint);
   return selection;
 }
 
--- a/src/gateway/peer_selection.h
+++ b/src/gateway/peer_selection.h
@@ -8,25 +8,18 @@
 
 namespace heatherspan {
 
-/// A peer that this node asks for changes of the store.
-struct Peer {
-  Endpoint endpoint;
-  bool is_zone_reader = false;  ///< Reads the store for the zone of this node.
-
-  friend auto operator==(const Peer&, const Peer&) -> bool = default;
-};
-
-/// Whom a node asks for changes, and whether it reads the store itself for its zone.
+/// Whom a node asks for changes of the store, and whether it reads the store itself for its zone.
 struct PeerSelection {
-  bool is_reader = false;
-  std::vector<Peer> peers;  ///< In the order in which they are asked.
+  bool is_reader = true;
+  std::vector<Endpoint> zone_readers;  ///< Peers that read the store for the node's zone.
+  std::vector<Endpoint> others;
 };
 
-/// Few entry VMs of each zone read the store, so that its calls grow with the zones. The others ask
-/// these readers, and all ask one peer in another zone of the region and one in another region,
-/// because the store may be out of reach of a whole zone or region. The choice by rendezvous
-/// hashing is stable, so that connections stay in use, and spreads the questions over the entry
-/// VMs.
+/// One entry VM of each zone reads the store, so that its calls grow with the zones. The others of
+/// the zone ask it. Readers, and VMs whose reader is silent, ask one peer in another zone of the
+/// region and one in another region, because the store may be out of reach of a whole zone or
+/// region. The choice by rendezvous hashing is stable, so that connections stay in use, and spreads
+/// the questions over the entry VMs.
 auto SelectPeers(const std::vector<EntryVm>& vms, const NodeName& self, const ZoneName& zone,
                  const RegionName& region) -> PeerSelection;
 
