--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -48,9 +48,12 @@
   static constexpr std::size_t kConnectionsPerTarget = 40;
   /// A few peers ask for changes all the time; after a restart of many VMs, others want a listing.
   static constexpr std::size_t kMaxPeerConnections = 64;
-  /// A listing for 3,000 targets is about 1 MB, which takes 0.8 s on a link of 10 Mbit/s. Further
-  /// peers are refused and ask again.
-  static constexpr int kMaxListingsPerTick = 1;
+  /// Peers get listings up to this rate; the next ones are refused and ask again. A listing for 3,000
+  /// targets is about 1 MB, and a link may have 10 Mbit/s.
+  static constexpr std::size_t kMaxListingBytesPerTick = std::size_t{256} * 1024;
+  /// A store that has not answered the first call by then may be silent. A call times out only
+  /// after 2 s, and callers are refused meanwhile.
+  static constexpr Duration kStorePatienceAtStart = std::chrono::milliseconds(400);
   /// Each request in flight also needs one connection to a target, but some caller connections are
   /// idle. The store, peers and the other listeners need a few sockets.
   static constexpr double kCallerFractionOfSockets = 2.0 / 3;
@@ -121,6 +124,7 @@
                 {"callers", settings_.callers.Text()},
                 {"store", settings_.store.Text()}});
     workers_.Post([this] {
+      started_at_ = Now();
       follower_.Start();
       peer_reader_.Start();
       peer_sync_.Start();
@@ -257,7 +261,8 @@
     using Need = typename PeerReader<Store>::Need;
     const auto& sync_state = follower_.sync_state();
     if (sync_state.synced()) return Need::kNone;
-    return sync_state.lost() ? Need::kNow : Need::kLater;
+    const bool silent = !sync_state.in_contact() && Now() - started_at_ > kStorePatienceAtStart;
+    return sync_state.lost() || silent ? Need::kNow : Need::kLater;
   }
 
   /// Answers a peer that can't read the store.
@@ -268,9 +273,12 @@
 
   auto ListingForPeer() -> HttpResponse {
     const auto& sync_state = follower_.sync_state();
-    if (!sync_state.synced() || listings_this_tick_ >= kMaxListingsPerTick) return WithStatus(503);
-    ++listings_this_tick_;
-    return Store::ListAnswer(snapshot_.Page(sync_state.revision()));
+    if (!sync_state.synced() || listing_bytes_this_tick_ >= kMaxListingBytesPerTick) {
+      return WithStatus(503);
+    }
+    auto answer = Store::ListAnswer(snapshot_.Page(sync_state.revision()));
+    listing_bytes_this_tick_ += answer.body.size();
+    return answer;
   }
 
   auto ChangesForPeer(std::uint64_t after_revision) -> HttpResponse {
@@ -423,7 +431,7 @@
 
   auto OnTick() -> void {
     const auto now = Now();
-    listings_this_tick_ = 0;
+    listing_bytes_this_tick_ = 0;
     for (const auto& name : pending_removals_.TakeExpired(now)) {
       log_.Write(LogLevel::kInfo, "target-lapsed", {{"target", name.value()}});
       core_.fleet().Unregister(name);
@@ -490,7 +498,8 @@
   StoreSnapshot snapshot_;
   PeerReader<Store> peer_reader_;
   PeerSync<Store> peer_sync_;
-  int listings_this_tick_ = 0;
+  std::size_t listing_bytes_this_tick_ = 0;
+  MonotonicTime started_at_{};
   VmAnnouncer<Store> announcer_;
   RequestForwarder<Messages> forwarder_;
   TargetProber<Messages> prober_;
--- a/src/edge/peer_reader.h
+++ b/src/edge/peer_reader.h
@@ -14,7 +14,7 @@
 
 namespace heatherspan {
 
-/// Reads the content of the store from other entry VMs if the store can't be read at a start. Seeds
+/// Reads the content of the store from other entry VMs if the store fails or is silent at a start. Seeds
 /// are asked one after another in random order, because a whole deployment may start at once and a
 /// listing is as large as the store.
 template <GatewayStore Store>
@@ -23,14 +23,14 @@
   /// Whether this process needs the state of a peer.
   enum class Need {
     kNone,   ///< The process has a complete listing, or the state of a peer.
-    kLater,  ///< The store has not failed so far, but its listing is still incomplete.
+    kLater,  ///< The store answers or has just been asked, but its listing is still incomplete.
     kNow,
   };
 
   /// How often the need is checked. A store that refuses connections has failed by the first check.
   static constexpr Duration kNeedCheckInterval = std::chrono::milliseconds(200);
   /// The pause after all seeds have failed.
-  static constexpr Duration kRoundInterval = std::chrono::seconds(1);
+  static constexpr Duration kRoundInterval = std::chrono::milliseconds(400);
 
   using NeedCallback = std::function<Need()>;
   using OnState = std::function<void(const Endpoint& peer, StorePage state)>;
--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -358,6 +358,28 @@
   EXPECT_TRUE(log_capture_.Contains("event=peer-state-applied peer=" + settings_.peers.Text()));
 }
 
+// Guards against an entry VM that refuses all requests until its first call of a silent store times
+// out, although its peers know the configuration.
+TEST_F(EdgeNodeTest, RestartWithASilentStoreDoesNotWaitForItsTimeout) {
+  TargetStub target("i-1");
+  store_.Put("op/config", Policy(7));
+  Register(target);
+  Start();
+  store_.SetSecondSilent(true);
+  auto settings = SecondNodeSettings();
+  settings.store = store_.second_endpoint();
+  settings.seeds = {settings_.peers};
+  LogCapture capture;
+  std::ostream stream(&capture);
+  EventLog log(LogLevel::kInfo, stream);
+  EdgeNode<FleetPlatform> restarted(settings, log, [] {});
+  ASSERT_TRUE(restarted.Start().ok());
+  EXPECT_TRUE(
+      Eventually([&] { return Get(settings.readiness, "/heatherspan/ready").status == 200; }));
+  EXPECT_TRUE(capture.Contains("event=peer-state-applied"));
+  EXPECT_FALSE(capture.Contains("event=store-lost"));
+}
+
 // Guards against an entry VM that goes on with an old configuration, an evacuated zone and a target
 // that has left, because the store leaves its calls without an answer while it serves other VMs.
 TEST_F(EdgeNodeTest, LearnsFromAPeerWhatTheStoreDoesNotTellIt) {
