--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -48,8 +48,8 @@
   static constexpr std::size_t kConnectionsPerTarget = 40;
   /// A few peers ask for changes all the time; after a restart of many VMs, others want a listing.
   static constexpr std::size_t kMaxPeerConnections = 64;
-  /// Peers get listings up to this rate; the next ones are refused and ask again. A listing for 3,000
-  /// targets is about 1 MB, and a link may have 10 Mbit/s.
+  /// Peers get listings up to this rate; the next ones are refused and ask again. A listing for
+  /// 3,000 targets is about 1 MB, and a link may have 10 Mbit/s.
   static constexpr std::size_t kMaxListingBytesPerTick = std::size_t{256} * 1024;
   /// A store that has not answered the first call by then may be silent. A call times out only
   /// after 2 s, and callers are refused meanwhile.
--- a/src/edge/peer_reader.h
+++ b/src/edge/peer_reader.h
@@ -14,9 +14,9 @@
 
 namespace heatherspan {
 
-/// Reads the content of the store from other entry VMs if the store fails or is silent at a start. Seeds
-/// are asked one after another in random order, because a whole deployment may start at once and a
-/// listing is as large as the store.
+/// Reads the content of the store from other entry VMs if the store fails or is silent at a start.
+/// Seeds are asked one after another in random order, because a whole deployment may start at once
+/// and a listing is as large as the store.
 template <GatewayStore Store>
 class PeerReader {
  public:
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -16,6 +16,8 @@
 
 namespace http = boost::beast::http;
 
+/// More in front of one response come from a peer that sends without end.
+constexpr int kMaxInformationalResponses = 16;
 constexpr std::size_t kMaxResponseHeaderBytes = std::size_t{64} * 1024;
 // A length that a message only claims must not decide how much memory is taken for its body.
 constexpr std::size_t kMaxReservedBodyBytes = std::size_t{64} * 1024;
@@ -198,8 +200,8 @@
 
   auto Start(bool head_request) -> void {
     head_request_ = head_request;
-    Restart();
-    parser().skip(head_request);
+    informational_count_ = 0;
+    StartMessage();
   }
 
   auto ReadAll(std::string_view input) -> std::size_t {
@@ -209,7 +211,11 @@
       if (error() != HttpReadError::kNone || !parser().is_header_done()) return used;
       const int status = parser().message.status;
       if (done() && status >= 100 && status < 200) {
-        Start(head_request_);
+        if (++informational_count_ > kMaxInformationalResponses) {
+          SetError(HttpReadError::kMalformed);
+          return used;
+        }
+        StartMessage();
         if (used < input.size()) continue;
         return used;
       }
@@ -219,8 +225,14 @@
   }
 
  private:
+  auto StartMessage() -> void {
+    Restart();
+    parser().skip(head_request_);
+  }
+
   const bool accept_unframed_;
   bool head_request_ = false;
+  int informational_count_ = 0;
 };
 
 HttpResponseReader::HttpResponseReader(std::size_t max_body_bytes, bool accept_unframed)
--- /dev/null
+++ b/tests/edge/target_trouble_test.cc
@@ -0,0 +1,200 @@
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include "edge_node_fixture.h"
+#include "fmt/format.h"
+#include "raw_socket.h"
+
+namespace heatherspan {
+namespace {
+
+/// A target that sends exactly the bytes that a test asks for.
+class RawTarget {
+ public:
+  using Script = std::function<void(const RawSocket&)>;
+
+  /// Runs the script on each of the first connections, one after the other.
+  RawTarget(int connections, Script script)
+      : thread_([this, connections, script = std::move(script)] {
+          for (int i = 0; i < connections; ++i) script(listener_.Accept());
+        }) {}
+  ~RawTarget() { thread_.join(); }
+  RawTarget(const RawTarget&) = delete;
+  auto operator=(const RawTarget&) -> RawTarget& = delete;
+
+  auto Registration() const -> std::string {
+    return fmt::format(
+        R"({{"address":"{}","info":{{"service":"s","version":"v1","zone":"a","max_concurrency":3}},)"
+        R"("status":{{"state":"ready","sequence":1,"cold_left_s":0}}}})",
+        listener_.endpoint().Text());
+  }
+
+ private:
+  RawListener listener_;
+  std::thread thread_;
+};
+
+auto AnswerTo(const std::string& id, const std::string& body) -> std::string {
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\nHeatherspan-Request-Id: {}\r\n"
+      "Content-Length: {}\r\n\r\n{}",
+      id, body.size(), body);
+}
+
+class TargetTroubleTest : public EdgeNodeFixture {
+ protected:
+  auto StartWith(const RawTarget& target) -> void {
+    store_.Put("op/config", Policy(1));
+    store_.Put("servers/i-1", target.Registration());
+    Start();
+  }
+  auto SendWithId(const std::string& id) -> HttpResponse {
+    auto request = Request("/book/x", "POST");
+    for (auto& header : request.headers) {
+      if (header.name == "Heatherspan-Request-Id") header.value = id;
+    }
+    return caller_.SendAndWait(settings_.callers, request, kTimeout).response;
+  }
+};
+
+struct Endless {
+  std::string name;
+  std::string start;  ///< Sent once.
+  std::string again;  ///< Sent until the connection is closed.
+};
+
+class EndlessBytesTest : public TargetTroubleTest, public testing::WithParamInterface<Endless> {};
+
+// Guards against memory and processing that grow with a target which sends bytes until its caller
+// closes, in a head or a body, and against such bytes that pass for an answer.
+TEST_P(EndlessBytesTest, AreCutOff) {
+  constexpr std::size_t kMaxAccepted = std::size_t{96} * 1024 * 1024;
+  std::atomic<std::size_t> accepted = 0;
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(GetParam().start);
+    std::string piece;
+    while (piece.size() < 16384) piece += GetParam().again;
+    while (accepted < kMaxAccepted && socket.Send(piece)) accepted += piece.size();
+  });
+  StartWith(target);
+  const auto result = Send("/book/x", "POST");
+  ASSERT_TRUE(result.status.ok()) << result.status;
+  EXPECT_TRUE(result.response.status == 502 || result.response.status == 504)
+      << result.response.status;
+  EXPECT_TRUE(Eventually([&] { return log_capture_.Contains("verdict=may-have-run"); }));
+  // The node still serves.
+  EXPECT_EQ(Get(settings_.readiness, "/heatherspan/ready").status, 200);
+  node_.reset();
+  EXPECT_LT(accepted.load(), kMaxAccepted);
+}
+
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Kinds, EndlessBytesTest,
+    testing::Values(Endless{"StatusLine", "HTTP/1.1 200 ", "x"},
+                    Endless{"HeaderField", "HTTP/1.1 200 OK\r\nX-Filler: ", "x"},
+                    Endless{"HeaderFields", "HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n"},
+                    Endless{"InformationalResponses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+                    Endless{"ChunkExtension", kChunkedHead + "5;", "x"},
+                    Endless{"Chunks", kChunkedHead, "5\r\nabcde\r\n"},
+                    Endless{"Trailers", kChunkedHead + "0\r\n", "X-Filler: x\r\n"},
+                    Endless{"BodyWithoutLength",
+                            "HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\n\r\n", "x"},
+                    Endless{"BodyOfHugeLength",
+                            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+                    Endless{"NoHttp", "", "x"}),
+    [](const auto& test) { return test.param.name; });
+
+// Guards against a caller who gets the late second copy of another caller's answer: it arrives on a
+// connection that is in use again, before the answer to the request in flight.
+TEST_F(TargetTroubleTest, ALateSecondCopyReachesNoOtherCaller) {
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(AnswerTo("id-a", "answer to a"));
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(AnswerTo("id-a", "answer to a"));
+    socket.Send(AnswerTo("id-b", "answer to b"));
+    socket.ReadUntilClosed();
+  });
+  StartWith(target);
+  EXPECT_EQ(SendWithId("id-a").body, "answer to a");
+  const auto second = SendWithId("id-b");
+  EXPECT_EQ(second.body, "answer to b") << second.status;
+  node_.reset();
+}
+
+// Guards against a planned stop that cuts requests which a caller has just sent ahead on one
+// connection.
+TEST_F(TargetTroubleTest, AStopAnswersPipelinedRequests) {
+  TargetStub target("i-1");
+  std::mutex mutex;
+  std::vector<HttpServer::Responder> held;
+  target.SetBehaviour([&](const HttpRequest& /*request*/, const HttpServer::Responder& respond) {
+    const std::lock_guard lock(mutex);
+    held.push_back(respond);
+  });
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  auto socket = RawSocket::Connect(settings_.callers);
+  for (const auto* id : {"id-1", "id-2", "id-3"}) {
+    socket.Send(
+        fmt::format("GET /read/x HTTP/1.1\r\nHost: h.example\r\n"
+                    "Heatherspan-Request-Id: {}\r\nHeatherspan-Deadline-Ms: 4000\r\n\r\n",
+                    id));
+  }
+  ASSERT_TRUE(Eventually([&] {
+    const std::lock_guard lock(mutex);
+    return held.size() == 3;
+  }));
+  node_->BeginStop();
+  ASSERT_TRUE(Eventually([&] { return log_capture_.Contains("event=stopping"); }));
+  {
+    const std::lock_guard lock(mutex);
+    const auto requests = target.Requests();
+    for (std::size_t i = held.size(); i-- > 0;) {
+      HttpResponse response;
+      response.headers = {
+          {"Heatherspan-Response-Signature", "sig"},
+          {"Heatherspan-Request-Id", std::string(requests[i].Header("Heatherspan-Request-Id"))}};
+      response.body = "answer to " + std::string(requests[i].Header("Heatherspan-Request-Id"));
+      held[i](std::move(response));
+    }
+  }
+  const auto output = socket.ReadUntilClosed();
+  EXPECT_LT(output.find("answer to id-1"), output.find("answer to id-2"));
+  EXPECT_LT(output.find("answer to id-2"), output.find("answer to id-3"));
+  EXPECT_NE(output.find("answer to id-3"), std::string::npos);
+  EXPECT_GT(output.find("Connection: close"), output.find("answer to id-2"));
+}
+
+// Guards against a target that left while a VM was down and is in use again after its restart,
+// because a peer that is cut off from the store still lists it.
+TEST_F(TargetTroubleTest, ARestartDoesNotBringBackATargetThatLeft) {
+  TargetStub left("i-1");
+  TargetStub staying("i-2");
+  store_.Put("op/config", Policy(1));
+  Register(left);
+  Register(staying);
+  auto peer_settings = SecondNodeSettings();
+  peer_settings.store = store_.second_endpoint();
+  std::optional<EdgeNode<FleetPlatform>> peer;
+  peer.emplace(peer_settings, log_, [] {});
+  ASSERT_TRUE(peer->Start().ok());
+  ASSERT_TRUE(Eventually([&] { return store_.Has("entry/n-2"); }));
+  // The peer is cut off; the target leaves; this VM restarts and reads the store.
+  store_.SetSecondSilent(true);
+  store_.Remove("servers/i-1");
+  settings_.seeds = {peer_settings.peers};
+  Start();
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(Send("/read/" + std::to_string(i)).response.status, 200);
+  EXPECT_EQ(left.Requests().size(), 0U);
+  EXPECT_EQ(staying.Requests().size(), 20U);
+}
+
+}  // namespace
+}  // namespace heatherspan
--- a/tests/fleet_platform/decoder_fuzz_test.cc
+++ b/tests/fleet_platform/decoder_fuzz_test.cc
@@ -8,6 +8,7 @@
 #include "base/random.h"
 #include "platform/policy_format.h"
 #include "platform/request_format.h"
+#include "platform/store_client.h"
 
 namespace heatherspan {
 namespace {
@@ -162,5 +163,23 @@
   }
 }
 
+// Guards against a peer's question that crashes a node, or that is read as a question for changes
+// with a revision which it doesn't state.
+TEST(DecoderFuzz, ReadsArbitraryQuestionsOfPeers) {
+  Mutator mutator;
+  int read = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    HttpRequest request;
+    request.target = mutator.Mutate("/heatherspan/kv-watch?path_prefix=&after=41&wait_ms=0");
+    const auto revision = StoreClient::WatchedRevision(request);
+    if (!revision.has_value()) continue;
+    ++read;
+    EXPECT_NE(request.target.find("after=" + std::to_string(*revision).substr(0, 1)),
+              std::string::npos)
+        << request.target;
+  }
+  EXPECT_GT(read, kRounds / 20);
+}
+
 }  // namespace
 }  // namespace heatherspan
--- a/tests/net/raw_socket.cc
+++ b/tests/net/raw_socket.cc
@@ -43,7 +43,8 @@
 
 auto RawSocket::Connect(const Endpoint& endpoint) -> RawSocket {
   RawSocket own(::socket(AF_INET, SOCK_STREAM, 0));
-  const auto address = LoopbackAddress(endpoint.port);
+  auto address = LoopbackAddress(endpoint.port);
+  ::inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
   if (::connect(own.descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
       0) {
     own.Close();
