--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -232,23 +233,12 @@
   auto Directory(const HttpRequest& request) -> HttpResponse {
     const auto query = Messages::ReadDirectoryQuery(request);
     if (!query.has_value()) return WithStatus(404);
-    const auto answer =
-        core_.entry_vms().Answer(query->zone, query->region, AllowedRegions(query->host), Now());
+    const auto answer = core_.entry_vms().Answer(query->zone, query->region,
+                                                 core_.routes().AllowedRegions(query->host), Now());
     metrics_.Increment(Metric::kLookups, {{"result", answer.endpoints.empty() ? "none" : "found"}});
     return Messages::DirectoryAnswer(answer.endpoints, answer.lifetime);
   }
 
-  /// The regions to which all routes of the host are restricted. Empty if any route of the host has
-  /// no restriction.
-  auto AllowedRegions(const std::string& host) const -> std::vector<RegionName> {
-    std::vector<RegionName> regions;
-    for (const auto* route : core_.routes().RoutesOf(host)) {
-      if (route->allowed_regions.empty()) return {};
-      regions.insert(regions.end(), route->allowed_regions.begin(), route->allowed_regions.end());
-    }
-    return regions;
-  }
-
   auto Metrics(const HttpRequest& request) -> HttpResponse {
     if (request.target != "/metrics") return WithStatus(404);
     auto response = WithStatus(200);
@@ -356,12 +346,18 @@
     }
     const auto version = policy->version.value();
     const auto routes = policy->routes.size();
+    const auto restricted_routes =
+        std::count_if(policy->routes.begin(), policy->routes.end(),
+                      [](const Route& route) { return !route.allowed_regions.empty(); });
     const auto limits = policy->limits;
     const bool applied = core_.ApplyPolicy(*std::move(policy));
     if (applied) callers_server_.SetLimits(CallerServerLimits(settings_.descriptors, limits));
     metrics_.Set(Metric::kConfigVersion, {}, static_cast<double>(core_.policy()->version.value()));
     log_.Write(LogLevel::kInfo, applied ? "configuration-applied" : "configuration-ignored",
-               {{"version", version}, {"routes", routes}, {"revision", change.revision}});
+               {{"version", version},
+                {"routes", routes},
+                {"restricted_routes", restricted_routes},
+                {"revision", change.revision}});
   }
 
   auto OnTarget(const TargetName& name, const StoreChange& change, bool unconfirmed) -> void {
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -1,6 +1,8 @@
 #include "gateway/route_table.h"
 
 #include <algorithm>
+#include <optional>
+#include <set>
 
 #include "absl/strings/ascii.h"
 
@@ -41,4 +43,22 @@
   return routes;
 }
 
+auto RouteTable::AllowedRegions(std::string_view host) const -> std::vector<RegionName> {
+  std::set<RegionName> any;
+  std::optional<std::set<RegionName>> all;
+  for (const auto* route : RoutesOf(host)) {
+    const std::set<RegionName> allowed(route->allowed_regions.begin(),
+                                       route->allowed_regions.end());
+    if (allowed.empty()) continue;
+    any.insert(allowed.begin(), allowed.end());
+    if (!all.has_value()) {
+      all = allowed;
+    } else {
+      std::erase_if(*all, [&](const RegionName& region) { return !allowed.contains(region); });
+    }
+  }
+  const auto& regions = all.has_value() && !all->empty() ? *all : any;
+  return {regions.begin(), regions.end()};
+}
+
 }  // namespace heatherspan
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -20,6 +20,9 @@
   auto Find(std::string_view host, std::string_view target) const -> const Route*;
   /// Returns all routes of a host.
   auto RoutesOf(std::string_view host) const -> std::vector<const Route*>;
+  /// Returns the regions in which all routes of a host may be served. If there are none, returns
+  /// those in which any of its restricted routes may be served. Empty if no route is restricted.
+  auto AllowedRegions(std::string_view host) const -> std::vector<RegionName>;
 
  private:
   using PrefixMap = absl::flat_hash_map<std::string, Route>;
--- a/tests/gateway/route_table_test.cc
+++ b/tests/gateway/route_table_test.cc
@@ -55,5 +55,25 @@
   EXPECT_EQ(table_.RoutesOf("a.example").size(), 3U);
 }
 
+// Guards against callers of a region without entry VMs who are sent to a region in which a
+// restricted route of their host may not be served, because another route of it is not restricted.
+TEST_F(RouteTableTest, RestrictedRoutesDecideWhereAHostIsServed) {
+  const auto regions_of = [](const std::vector<std::string>& restrictions) {
+    std::vector<Route> routes;
+    for (const auto& restriction : restrictions) {
+      auto route = MakeRoute(restriction, "h", "/" + std::to_string(routes.size()) + "/");
+      for (const char c : restriction) route.allowed_regions.emplace_back(std::string(1, c));
+      routes.push_back(route);
+    }
+    std::string names;
+    for (const auto& region : RouteTable(routes).AllowedRegions("h")) names += region.value();
+    return names;
+  };
+  EXPECT_EQ(regions_of({"", ""}), "");
+  EXPECT_EQ(regions_of({"", "a"}), "a");
+  EXPECT_EQ(regions_of({"ab", "bc", ""}), "b");
+  EXPECT_EQ(regions_of({"a", "b"}), "ab");
+}
+
 }  // namespace
 }  // namespace heatherspan
