--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -11,6 +11,7 @@
 #include "base/verdict.h"
 #include "edge/platform_ports.h"
 #include "gateway/gateway_core.h"
+#include "gateway/stop_plan.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -24,10 +25,6 @@
 template <MessageFormat Format>
 class RequestForwarder {
  public:
-  /// The fraction of the stop grace in which new requests are still served.
-  static constexpr double kServingFractionOfGrace = 0.4;
-  /// The fraction of the stop grace within which an accepted request must be predicted to complete.
-  static constexpr double kCompletionFractionOfGrace = 0.9;
   /// A request that can't be retried must not go over an idle connection that the target may have
   /// closed. The shortest idle timeout of targets in the deployments is several times this value.
   static constexpr Duration kMaxIdleForAtMostOnce = std::chrono::milliseconds(1500);
@@ -75,8 +72,9 @@
   /// Begins a stop. The process will be killed at the end of the grace.
   auto BeginStop(Duration grace) -> void {
     const auto now = Now();
-    serve_until_ = now + Scale(grace, kServingFractionOfGrace);
-    complete_by_ = now + Scale(grace, kCompletionFractionOfGrace);
+    const auto plan = StopPlan::For(grace);
+    serve_until_ = now + plan.serve;
+    complete_by_ = now + plan.complete;
   }
 
   /// Gives all requests in flight their final answer, because the process ends now.
@@ -114,10 +112,6 @@
 
   static auto Now() -> MonotonicTime { return SystemClock().Now(); }
 
-  static auto Scale(Duration duration, double factor) -> Duration {
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-  }
-
   static auto Milliseconds(Duration duration) -> std::int64_t {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
   }
--- a/tests/gateway/forwarded_request_test.cc
+++ b/tests/gateway/forwarded_request_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "gateway/stop_plan.h"
+
 namespace heatherspan {
 namespace {
 
@@ -112,5 +114,16 @@
   EXPECT_EQ(request.verdict(), Verdict::kMayHaveRun);
 }
 
+// Guards against requests that are accepted long after the announcement of a stop and broken off at
+// its end, because they take longer than predicted.
+TEST(StopPlan, LongGracesDoNotProlongTheTimeOfNewRequests) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  EXPECT_EQ(StopPlan::For(seconds(6)).serve, milliseconds(2400));
+  EXPECT_EQ(StopPlan::For(seconds(6)).complete, milliseconds(5400));
+  EXPECT_EQ(StopPlan::For(seconds(10)).serve, StopPlan::kMaxServe);
+  EXPECT_EQ(StopPlan::For(seconds(60)).serve, StopPlan::kMaxServe);
+}
+
 }  // namespace
 }  // namespace heatherspan
