--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -18,7 +18,6 @@
 #include "edge/store_follower.h"
 #include "edge/target_prober.h"
 #include "edge/vm_announcer.h"
-#include "edge/zone_state_reader.h"
 #include "gateway/gateway_core.h"
 #include "gateway/peer_selection.h"
 #include "gateway/pending_removals.h"
@@ -86,11 +85,6 @@
             store_client_, settings_.seeds, workers_, log_, std::random_device()(),
             [this] { return PeerStateNeed(); },
             [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
-        zone_state_reader_(
-            store_client_, store_, workers_, log_, {settings_.node, settings_.zone},
-            std::random_device()(),
-            [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); },
-            [this] { follower_.Start(); }),
         peer_sync_(
             store_client_, workers_, [this] { return SyncedRevision(); },
             [this] { return NextPeerQuestion(); },
@@ -132,7 +126,7 @@
                 {"store", settings_.store.Text()}});
     workers_.Post([this] {
       started_at_ = Now();
-      zone_state_reader_.Start();
+      follower_.Start();
       peer_reader_.Start();
       peer_sync_.Start();
       tick_ = workers_.RunEvery(kTickInterval, [this] { OnTick(); });
@@ -258,7 +252,7 @@
     const auto& sync_state = follower_.sync_state();
     if (sync_state.synced()) return Need::kNone;
     const bool silent = !sync_state.in_contact() && Now() - started_at_ > kStorePatienceAtStart;
-    return sync_state.lost() || (silent && zone_state_reader_.ended()) ? Need::kNow : Need::kLater;
+    return sync_state.lost() || silent ? Need::kNow : Need::kLater;
   }
 
   /// Answers a peer that can't read the store.
@@ -272,9 +266,7 @@
     if (!sync_state.synced() || listing_bytes_this_tick_ >= kMaxListingBytesPerTick) {
       return WithStatus(503);
     }
-    auto page = snapshot_.Page(sync_state.revision());
-    page.age = Now() - sync_state.last_contact();
-    auto answer = Store::ListAnswer(page);
+    auto answer = Store::ListAnswer(snapshot_.Page(sync_state.revision()));
     listing_bytes_this_tick_ += answer.body.size();
     return answer;
   }
@@ -501,7 +493,6 @@
   StoreFollower<Store> follower_;
   StoreSnapshot snapshot_;
   PeerReader<Store> peer_reader_;
-  ZoneStateReader<Store, Formats> zone_state_reader_;
   PeerSync<Store> peer_sync_;
   std::size_t listing_bytes_this_tick_ = 0;
   MonotonicTime started_at_{};
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -30,7 +30,6 @@
                                 const StorePage& page,
                                 const std::optional<std::vector<StoreChange>>& changes) {
   store.List(key, on_page);
-  store.ListUnder(key, on_page);
   store.Watch(number, wait, on_changes);
   store.Grant(wait, on_lease);
   store.KeepAlive(number, on_status);
@@ -55,7 +54,6 @@
   { T::TargetOf(text) } -> std::same_as<std::optional<TargetName>>;
   { T::EntryVmOf(text) } -> std::same_as<std::optional<NodeName>>;
   { T::EntryVmKey(node) } -> std::same_as<std::string>;
-  { T::EntryVmPrefix() } -> std::same_as<std::string>;
 };
 
 /// The formats of the messages between callers, entry VMs and targets.
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -21,7 +21,6 @@
   std::vector<StoreChange> items;
   bool more = false;           ///< The listing continues after the last item.
   std::uint64_t revision = 0;  ///< Revision of the store when the page was made.
-  Duration age{};              ///< Since a peer that gives the page has heard from the store.
 };
 
 /// The changes since a revision.
