--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -56,7 +56,8 @@
   /// Applies changes that a peer has read. Returns the number of changes.
   auto ApplyPeerChanges(StoreChanges changes) -> std::size_t {
     const bool unconfirmed = changes.removals_unconfirmed;
-    const auto new_changes = sync_state_.OnPeerChanges(std::move(changes), Now());
+    const MonotonicTime now = Now();
+    const auto new_changes = sync_state_.OnPeerChanges(std::move(changes), now);
     if (!new_changes.empty()) ApplyAll(new_changes, unconfirmed);
     return new_changes.size();
   }
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -90,7 +90,7 @@
   EXPECT_LT(accepted.load(), kMaxAccepted);
 }
 
-const std::string kChunkedHead =
+constexpr const char* kChunkedHead =
     "HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 INSTANTIATE_TEST_SUITE_P(
@@ -99,9 +99,9 @@
                     Endless{"HeaderField", "HTTP/1.1 200 OK\r\nX-Filler: ", "x"},
                     Endless{"HeaderFields", "HTTP/1.1 200 OK\r\n", "X-Filler: x\r\n"},
                     Endless{"InformationalResponses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-                    Endless{"ChunkExtension", kChunkedHead + "5;", "x"},
+                    Endless{"ChunkExtension", std::string(kChunkedHead) + "5;", "x"},
                     Endless{"Chunks", kChunkedHead, "5\r\nabcde\r\n"},
-                    Endless{"Trailers", kChunkedHead + "0\r\n", "X-Filler: x\r\n"},
+                    Endless{"Trailers", std::string(kChunkedHead) + "0\r\n", "X-Filler: x\r\n"},
                     Endless{"BodyWithoutLength",
                             "HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\n\r\n", "x"},
                     Endless{"BodyOfHugeLength",
--- a/tests/experiment/store_spread_test.cc
+++ b/tests/experiment/store_spread_test.cc
@@ -15,7 +15,7 @@
 constexpr std::uint64_t kSchedules = 1500;
 /// The shortest time within which a configuration has to be in force, of all deployments.
 constexpr Duration kApplyBound = milliseconds(2500);
-const std::string kConfiguration = "configuration";
+constexpr const char* kConfiguration = "configuration";
 
 auto Item(std::uint64_t number) -> std::string { return "item-" + std::to_string(number % 30); }
 
--- a/tests/gateway/store_snapshot_test.cc
+++ b/tests/gateway/store_snapshot_test.cc
@@ -84,8 +84,10 @@
 // Guards against readers that the VMs of a zone don't agree on, against peers that are cut off
 // together, and against few peers that are asked by all.
 TEST(PeerSelection, EachZoneHasOneReader) {
+  constexpr int kVms = 90;
   std::vector<EntryVm> fleet;
-  for (int i = 0; i < 90; ++i) {
+  fleet.reserve(kVms);
+  for (int i = 0; i < kVms; ++i) {
     fleet.push_back(
         Vm("vm-" + std::to_string(i), std::string(i % 2 == 0 ? "r" : "s") + std::to_string(i % 3)));
   }
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -52,6 +52,13 @@
     endpoint_ = *server_->Listen(AnyPort());
   }
 
+  auto PopCalls(std::size_t count) -> std::vector<Call> {
+    std::vector<Call> calls;
+    calls.reserve(count);
+    while (calls.size() < count) calls.push_back(*calls_.Pop());
+    return calls;
+  }
+
   auto Exchange(std::string_view input) -> std::string {
     auto socket = RawSocket::Connect(endpoint_);
     socket.Send(input);
@@ -123,8 +130,7 @@
   StartPipelined(3);
   auto socket = RawSocket::Connect(endpoint_);
   socket.Send(Get("/1") + Get("/2") + Get("/3") + Get("/4", "Connection: close\r\n"));
-  std::vector<Call> calls;
-  for (int i = 0; i < 3; ++i) calls.push_back(*calls_.Pop());
+  const auto calls = PopCalls(3);
   EXPECT_EQ(calls_.size(), 0U);
   for (const int i : {2, 1, 0}) calls[i].respond(Answer("answer" + calls[i].request.target + "\n"));
   const auto last = calls_.Pop();
@@ -149,10 +155,10 @@
   socket.Send(Get("/1") + Get("/2", "Connection: close\r\n") + Get("/3"));
   auto first = calls_.Pop();
   auto second = calls_.Pop();
-  first->respond(Answer("a"));
-  second->respond(Answer("b"));
+  first->respond(Answer("first answer"));
+  second->respond(Answer("second answer"));
   const auto output = socket.ReadUntilClosed();
-  EXPECT_NE(output.find("b"), std::string::npos);
+  EXPECT_NE(output.find("second answer"), std::string::npos);
   EXPECT_EQ(calls_.size(), 0U);
 }
 
@@ -214,8 +220,7 @@
   std::size_t accepted = 0;
   while (accepted < kMaxAccepted && socket.TrySend(requests)) accepted += requests.size();
   EXPECT_LT(accepted, kMaxAccepted);
-  std::vector<Call> calls;
-  for (int i = 0; i < 4; ++i) calls.push_back(*calls_.Pop());
+  const auto calls = PopCalls(4);
   EXPECT_EQ(calls_.size(), 0U);
 }
 
