--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -19,6 +19,7 @@
 #include "edge/target_prober.h"
 #include "edge/vm_announcer.h"
 #include "gateway/gateway_core.h"
+#include "gateway/listing_budget.h"
 #include "gateway/peer_selection.h"
 #include "gateway/pending_removals.h"
 #include "gateway/store_snapshot.h"
@@ -49,9 +50,6 @@
   static constexpr std::size_t kConnectionsPerTarget = 40;
   /// A few peers ask for changes all the time; after a restart of many VMs, others want a listing.
   static constexpr std::size_t kMaxPeerConnections = 64;
-  /// Peers get listings up to this rate; the next ones are refused and ask again. A listing for
-  /// 3,000 targets is about 1 MB, and a link may have 10 Mbit/s.
-  static constexpr std::size_t kMaxListingBytesPerTick = std::size_t{256} * 1024;
   /// A store that has not answered the first call by then may be silent. A call times out only
   /// after 2 s, and callers are refused meanwhile.
   static constexpr Duration kStorePatienceAtStart = std::chrono::milliseconds(400);
@@ -263,11 +261,9 @@
 
   auto ListingForPeer() -> HttpResponse {
     const auto& sync_state = follower_.sync_state();
-    if (!sync_state.synced() || listing_bytes_this_tick_ >= kMaxListingBytesPerTick) {
-      return WithStatus(503);
-    }
+    if (!sync_state.synced() || !listing_budget_.MayGive()) return WithStatus(503);
     auto answer = Store::ListAnswer(snapshot_.Page(sync_state.revision()));
-    listing_bytes_this_tick_ += answer.body.size();
+    listing_budget_.OnGiven(answer.body.size());
     return answer;
   }
 
@@ -427,7 +423,7 @@
 
   auto OnTick() -> void {
     const auto now = Now();
-    listing_bytes_this_tick_ = 0;
+    listing_budget_.OnTick();
     for (const auto& name : pending_removals_.TakeExpired(now)) {
       log_.Write(LogLevel::kInfo, "target-lapsed", {{"target", name.value()}});
       core_.fleet().Unregister(name);
@@ -494,7 +490,7 @@
   StoreSnapshot snapshot_;
   PeerReader<Store> peer_reader_;
   PeerSync<Store> peer_sync_;
-  std::size_t listing_bytes_this_tick_ = 0;
+  ListingBudget listing_budget_;
   MonotonicTime started_at_{};
   VmAnnouncer<Store> announcer_;
   RequestForwarder<Messages> forwarder_;
--- a/tests/gateway/store_snapshot_test.cc
+++ b/tests/gateway/store_snapshot_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "gateway/listing_budget.h"
 #include "gateway/peer_selection.h"
 #include "gateway/store_reader_role.h"
 
@@ -134,5 +135,27 @@
   EXPECT_TRUE(role.NextQuestion(kStart + kLate).has_value());
 }
 
+// Guards against a seed whose link is filled by listings for VMs that start together, so that it
+// reads callers' requests seconds late, and against a seed that gives none.
+TEST(ListingBudget, BoundsTheRateAlsoOfLargeListings) {
+  constexpr std::size_t kLarge = std::size_t{700} * 1024;
+  constexpr std::size_t kSmall = std::size_t{40} * 1024;
+  constexpr int kTicks = 400;
+  for (const auto size : {kLarge, kSmall}) {
+    ListingBudget budget;
+    std::size_t given = 0;
+    for (int tick = 0; tick < kTicks; ++tick) {
+      for (int question = 0; question < 64; ++question) {
+        if (!budget.MayGive()) continue;
+        budget.OnGiven(size);
+        given += size;
+      }
+      budget.OnTick();
+    }
+    EXPECT_LE(given, (kTicks + 1) * ListingBudget::kBytesPerTick + size);
+    EXPECT_GE(given, (kTicks - 1) * ListingBudget::kBytesPerTick);
+  }
+}
+
 }  // namespace
 }  // namespace heatherspan
