edge: a removed target's log line names whose doubt keeps it in use, and how old

The logs of the incident showed that a removal was in doubt, not why. The line now says whether the VM's own outage or a peer's word is the reason, how long ago the VM regained the store and a peer doubted, and the age of the state.

No decision changes.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -393,10 +393,7 @@
 
   auto OnTarget(const TargetName& name, const StoreChange& change, bool unconfirmed) -> void {
     if (!change.value.has_value()) {
-      log_.Write(LogLevel::kInfo, "target-removed",
-                 {{"target", name.value()},
-                  {"in_doubt", unconfirmed ? 1 : 0},
-                  {"revision", change.revision}});
+      LogTargetRemoved(name, change, unconfirmed);
       if (unconfirmed) {
         pending_removals_.Add(name, Now());
       } else {
@@ -428,6 +425,36 @@
                 {"revision", change.revision}});
   }
 
+  auto LogTargetRemoved(const TargetName& name, const StoreChange& change, bool unconfirmed)
+      -> void {
+    const auto now = Now();
+    const auto& sync_state = follower_.sync_state();
+    log_.Write(LogLevel::kInfo, "target-removed",
+               {{"target", name.value()},
+                {"in_doubt", unconfirmed ? 1 : 0},
+                {"doubt", DoubtText(sync_state.DoubtAboutRemovals(now))},
+                {"contact_age_ms", Milliseconds(sync_state.ContactAge(now))},
+                {"peer_doubt_age_ms", Milliseconds(sync_state.PeerDoubtAge(now))},
+                {"state_age_ms", Milliseconds(sync_state.Age(now))},
+                {"revision", change.revision}});
+  }
+
+  static auto Milliseconds(Duration duration) -> std::int64_t {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  }
+
+  static auto DoubtText(StoreSyncState::RemovalDoubt doubt) -> const char* {
+    switch (doubt) {
+      case StoreSyncState::RemovalDoubt::kNone:
+        return "none";
+      case StoreSyncState::RemovalDoubt::kOwnOutage:
+        return "own-outage";
+      case StoreSyncState::RemovalDoubt::kPeerOutage:
+        return "peer-outage";
+    }
+    return "none";
+  }
+
   auto OnEntryVm(const NodeName& name, const StoreChange& change, bool unconfirmed) -> void {
     if (!change.value.has_value()) {
       core_.entry_vms().Withdraw(name, unconfirmed, Now());
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -14,10 +14,12 @@
   in_contact_ = true;
 }
 
-auto StoreSyncState::RemovalsUnconfirmed(MonotonicTime now) const -> bool {
-  if (now - removals_vouched_at_ <= kPeerWordTime) return false;
-  if (now - removals_doubted_at_ <= kPeerWordTime) return true;
-  return contact_was_lost_ && (!in_contact_ || now - contact_regained_at_ < kReconnectGrace);
+auto StoreSyncState::DoubtAboutRemovals(MonotonicTime now) const -> RemovalDoubt {
+  if (now - removals_vouched_at_ <= kPeerWordTime) return RemovalDoubt::kNone;
+  if (now - removals_doubted_at_ <= kPeerWordTime) return RemovalDoubt::kPeerOutage;
+  const bool is_own =
+      contact_was_lost_ && (!in_contact_ || now - contact_regained_at_ < kReconnectGrace);
+  return is_own ? RemovalDoubt::kOwnOutage : RemovalDoubt::kNone;
 }
 
 auto StoreSyncState::Accept(StoreChange change, std::vector<StoreChange>& new_changes) -> void {
--- a/src/gateway/store_sync_state.h
+++ b/src/gateway/store_sync_state.h
@@ -23,6 +23,13 @@
   /// expires because of an outage of the store that is so short.
   static constexpr Duration kPeerWordTime = std::chrono::seconds(2);
 
+  /// Why a removal may be of an item whose owner still runs.
+  enum class RemovalDoubt {
+    kNone,
+    kOwnOutage,   ///< This node has lost the store, or has regained it recently.
+    kPeerOutage,  ///< A peer has said so of itself.
+  };
+
   struct NextCall {
     bool list = true;                  ///< Otherwise watch.
     std::string after_key;             ///< For a list: the key after which the page begins.
@@ -51,7 +58,13 @@
   auto lost() const -> bool { return contact_was_lost_ && !in_contact_; }
   /// Contact was lost recently, and no peer has kept it. Removals may be expired registrations
   /// whose owners still run.
-  auto RemovalsUnconfirmed(MonotonicTime now) const -> bool;
+  auto RemovalsUnconfirmed(MonotonicTime now) const -> bool {
+    return DoubtAboutRemovals(now) != RemovalDoubt::kNone;
+  }
+  auto DoubtAboutRemovals(MonotonicTime now) const -> RemovalDoubt;
+  /// The time since this node has regained the store, and since a peer has doubted removals.
+  auto ContactAge(MonotonicTime now) const -> Duration { return now - contact_regained_at_; }
+  auto PeerDoubtAge(MonotonicTime now) const -> Duration { return now - removals_doubted_at_; }
   auto revision() const -> std::uint64_t { return revision_; }
   /// Removals up to this revision may be unknown: the node has read a listing there.
   auto history_start() const -> std::uint64_t { return history_start_; }
