experiment: failing tests of removals after an outage of the store

In virtual time, with the gateway's decisions: the store answers no VM for 3 to 8 s, is back for 4 to 8 s, then an item is removed. The removal has its effect at all VMs only after 3.16 to 3.30 s; 2.465 and 2.965 s are allowed (DRAIN).

--- a/tests/experiment/store_spread_test.cc
+++ b/tests/experiment/store_spread_test.cc
@@ -22,7 +22,14 @@
 constexpr Duration kDrainBound = milliseconds(2500);
 constexpr Duration kGrownDrainBound = milliseconds(3000);
 constexpr Duration kWayToTarget = milliseconds(35);
+/// The deployments hold VMs to their bounds when the store has been well for so long.
+constexpr Duration kStableTime = seconds(4);
 constexpr const char* kConfiguration = "configuration";
+const std::vector<std::pair<std::size_t, Duration>> kSizesAndBounds = {{7, kDrainBound},
+                                                                       {27, kDrainBound},
+                                                                       {34, kDrainBound},
+                                                                       {27, kGrownDrainBound},
+                                                                       {34, kGrownDrainBound}};
 
 auto Item(std::uint64_t number) -> std::string { return "item-" + std::to_string(number % 30); }
 
@@ -129,12 +136,7 @@
 /// bound and within the one of the deployments of that size.
 template <class Change, class HasEffect>
 auto ExpectInTimeDuringFaults(Change change, HasEffect has_effect) -> void {
-  for (const auto& [vm_count, bound] :
-       std::vector<std::pair<std::size_t, Duration>>{{7, kDrainBound},
-                                                     {27, kDrainBound},
-                                                     {34, kDrainBound},
-                                                     {27, kGrownDrainBound},
-                                                     {34, kGrownDrainBound}}) {
+  for (const auto& [vm_count, bound] : kSizesAndBounds) {
     auto slowest = Duration::zero();
     std::uint64_t slowest_seed = 0;
     for (std::uint64_t seed = 1; seed <= 300; ++seed) {
@@ -169,6 +171,94 @@
       });
 }
 
+/// Lets the store answer no VM for some seconds, then all again, while items change.
+class OutageForAll {
+ public:
+  OutageForAll(std::size_t vm_count, Duration bound, std::uint64_t seed)
+      : random_(seed), simulation_({.vm_count = vm_count, .change_bound = bound, .seed = seed}) {
+    for (int i = 0; i < 30; ++i) simulation_.Put(Item(i));
+    simulation_.Put(kConfiguration);
+    simulation_.RunFor(seconds(6) + milliseconds(Draw(1000)));
+    SetStoreReach(false);
+  }
+
+  auto SetStoreReach(bool reach) -> void {
+    for (std::size_t vm = 0; vm < simulation_.vm_count(); ++vm) {
+      simulation_.SetReach(vm, {.store = reach});
+    }
+  }
+  /// Runs for the time while items are written, as targets and entry VMs come and go.
+  auto RunFor(Duration time) -> void {
+    constexpr auto kStep = milliseconds(400);
+    for (; time > kStep; time -= kStep) {
+      simulation_.RunFor(kStep);
+      if (Draw(2) == 0) simulation_.Put(Item(Draw(30)));
+    }
+    simulation_.RunFor(time);
+  }
+  auto Draw(std::uint64_t limit) -> std::uint64_t { return random_() % limit; }
+  auto simulation() -> StoreSpreadSimulation& { return simulation_; }
+  auto AllUse(const char* key) const -> bool { return CountUsing(key) == simulation_.vm_count(); }
+  auto NoneUses(const char* key) const -> bool { return CountUsing(key) == 0; }
+
+ private:
+  auto CountUsing(const char* key) const -> std::size_t {
+    std::size_t count = 0;
+    for (std::size_t vm = 0; vm < simulation_.vm_count(); ++vm) count += simulation_.Uses(vm, key);
+    return count;
+  }
+
+  Random random_;
+  StoreSpreadSimulation simulation_;
+};
+
+// Guards against requests to a target that left some seconds after an outage of the store, because
+// VMs go on to doubt removals and renew each other's doubt.
+TEST(StoreSpread, RemovalsTakeEffectInTimeAfterAnOutage) {
+  for (const auto& [vm_count, bound] : kSizesAndBounds) {
+    auto slowest = Duration::zero();
+    std::uint64_t slowest_seed = 0;
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+      OutageForAll outage(vm_count, bound, seed);
+      outage.RunFor(milliseconds(3000 + outage.Draw(5000)));
+      outage.SetStoreReach(true);
+      outage.RunFor(kStableTime + milliseconds(outage.Draw(4000)));
+      outage.simulation().Remove(kConfiguration);
+      const auto start = outage.simulation().now();
+      while (!outage.NoneUses(kConfiguration) && outage.simulation().now() - start < seconds(10)) {
+        outage.simulation().RunFor(milliseconds(20));
+      }
+      const auto time = outage.simulation().now() - start;
+      if (time > slowest) {
+        slowest = time;
+        slowest_seed = seed;
+      }
+    }
+    EXPECT_LE(slowest, bound - kWayToTarget) << vm_count << " VMs, seed " << slowest_seed;
+  }
+}
+
+// Guards against running targets that fall out of use because their registrations expired while the
+// store was away: they are back within two seconds of its return.
+TEST(StoreSpread, RegistrationsThatReturnAfterAnOutageStayInUse) {
+  for (const std::size_t vm_count : {7, 27, 34}) {
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+      OutageForAll outage(vm_count, kDrainBound, seed);
+      outage.RunFor(milliseconds(4500 + outage.Draw(4000)));
+      outage.simulation().Remove(kConfiguration);
+      const auto back = outage.simulation().now();
+      outage.SetStoreReach(true);
+      outage.RunFor(milliseconds(outage.Draw(2000)));
+      ASSERT_TRUE(outage.AllUse(kConfiguration)) << vm_count << " VMs, seed " << seed;
+      outage.simulation().Put(kConfiguration);
+      while (outage.simulation().now() - back < seconds(8)) {
+        outage.simulation().RunFor(milliseconds(20));
+        ASSERT_TRUE(outage.AllUse(kConfiguration)) << vm_count << " VMs, seed " << seed;
+      }
+    }
+  }
+}
+
 // Guards against calls to the store that grow with the number of VMs, and against changes that
 // arrive late at those that don't read it.
 TEST(StoreSpread, CallsGrowWithTheZones) {
