gateway: doubt about removals counts from the store's first answer after an outage

Callers' requests reached a target 2.8 s after it had left (DRAIN, 2.5 s allowed), some seconds after the store had been away for all VMs.

Cause: whether a removed target may still run was decided by three clocks of the VM: since its own call succeeded again, since a peer had doubted, since it heard of the removal. A peer's doubt had no origin and was passed on, so that VMs renewed each other's doubt for good; each removal took two seconds more. The other side: a running target could fall out of use before the news of its new registration arrived.

Change: each VM keeps the span of time in which the store has answered without an outage, joined with the spans of its peers, so that all count from the same moment. A removal is in doubt while the state ends less than 2 s after the span's start.

Two tests are replaced by as strict ones: a doubt ended 3 s after regained contact with no further answer, and a peer with a 3 s old state did not vouch; now answers that cover 2 s end it, and what was removed before the outage is not in doubt.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -291,18 +291,18 @@
                              ? std::nullopt
                              : snapshot_.ChangesAfter(after_revision);
     const auto now = Now();
-    return Store::WatchAnswer(changes, sync_state.revision(), sync_state.RemovalsUnconfirmed(now),
-                              sync_state.Age(now), core_.LimitReports(now));
+    return Store::WatchAnswer(changes, sync_state.revision(), sync_state.Age(now),
+                              sync_state.ContactAge(now), core_.LimitReports(now));
   }
 
   auto NextPeerQuestions() -> typename PeerSync<Store>::Questions {
     const auto now = Now();
-    const auto age = follower_.sync_state().Age(now);
+    const auto state = follower_.sync_state().Quality(now);
     auto& role = follower_.role();
     role.SetPeers(SelectPeers(core_.entry_vms().Announced(now), settings_.node, settings_.zone,
                               settings_.region));
-    auto peers = role.NextQuestions(age, now);
-    return {std::move(peers), core_.LimitReports(now), role.QuestionInterval(age, now)};
+    auto peers = role.NextQuestions(state, now);
+    return {std::move(peers), core_.LimitReports(now), role.QuestionInterval(state, now)};
   }
 
   auto SyncedRevision() const -> std::optional<std::uint64_t> {
@@ -432,9 +432,7 @@
     log_.Write(LogLevel::kInfo, "target-removed",
                {{"target", name.value()},
                 {"in_doubt", unconfirmed ? 1 : 0},
-                {"doubt", DoubtText(sync_state.DoubtAboutRemovals(now))},
                 {"contact_age_ms", Milliseconds(sync_state.ContactAge(now))},
-                {"peer_doubt_age_ms", Milliseconds(sync_state.PeerDoubtAge(now))},
                 {"state_age_ms", Milliseconds(sync_state.Age(now))},
                 {"revision", change.revision}});
   }
@@ -443,18 +441,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
   }
 
-  static auto DoubtText(StoreSyncState::RemovalDoubt doubt) -> const char* {
-    switch (doubt) {
-      case StoreSyncState::RemovalDoubt::kNone:
-        return "none";
-      case StoreSyncState::RemovalDoubt::kOwnOutage:
-        return "own-outage";
-      case StoreSyncState::RemovalDoubt::kPeerOutage:
-        return "peer-outage";
-    }
-    return "none";
-  }
-
   auto OnEntryVm(const NodeName& name, const StoreChange& change, bool unconfirmed) -> void {
     if (!change.value.has_value()) {
       core_.entry_vms().Withdraw(name, unconfirmed, Now());
@@ -481,6 +467,20 @@
   auto RecordStoreSeen() -> void {
     const auto& sync_state = follower_.sync_state();
     core_.OnStoreSeen(sync_state.revision(), sync_state.complete_at());
+    UnregisterRemovedTargets();
+  }
+
+  /// A removal that was in doubt stands once the target has had the time to register again.
+  auto UnregisterRemovedTargets() -> void {
+    const auto now = Now();
+    const auto& sync_state = follower_.sync_state();
+    for (const auto& name : pending_removals_.Take(sync_state.removals_certain_until(), now)) {
+      log_.Write(LogLevel::kInfo, "target-lapsed",
+                 {{"target", name.value()},
+                  {"in_doubt", sync_state.RemovalsUnconfirmed() ? 1 : 0},
+                  {"contact_age_ms", Milliseconds(sync_state.ContactAge(now))}});
+      core_.fleet().Unregister(name);
+    }
   }
 
   auto OnBatchApplied() -> void {
@@ -491,10 +491,7 @@
   auto OnTick() -> void {
     const auto now = Now();
     listing_budget_.OnTick();
-    for (const auto& name : pending_removals_.TakeExpired(now)) {
-      log_.Write(LogLevel::kInfo, "target-lapsed", {{"target", name.value()}});
-      core_.fleet().Unregister(name);
-    }
+    UnregisterRemovedTargets();
     core_.OnTick(now);
     prober_.OnTick(now);
     metrics_.Set(Metric::kInputAgeSeconds, {{"source", "store"}},
@@ -538,7 +535,7 @@
   }
 
   auto SetChangeBound(const Bounds& bounds) -> void {
-    follower_.role().SetTiming(StoreReadTiming::For(ChangeBound(bounds)));
+    follower_.SetTiming(StoreReadTiming::For(ChangeBound(bounds)));
     core_.SetChangeBound(ChangeBound(bounds));
   }
 
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -41,7 +41,7 @@
   { T::ListAnswer(page) } -> std::same_as<HttpResponse>;
   { T::WatchedRevision(request) } -> std::same_as<std::optional<std::uint64_t>>;
   { T::LimitReportsIn(request) } -> std::same_as<std::vector<LimitReport>>;
-  { T::WatchAnswer(changes, number, true, wait, limit_reports) } -> std::same_as<HttpResponse>;
+  { T::WatchAnswer(changes, number, wait, wait, limit_reports) } -> std::same_as<HttpResponse>;
 };
 
 /// The formats of the items in the store.
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -48,6 +48,10 @@
         on_batch_applied_(std::move(on_batch_applied)) {}
 
   auto Start() -> void { CallNext(); }
+  auto SetTiming(StoreReadTiming timing) -> void {
+    role_.SetTiming(timing);
+    sync_state_.SetMaxGap(timing.max_answer_gap());
+  }
   auto role() -> StoreReaderRole& { return role_; }
   auto sync_state() const -> const StoreSyncState& { return sync_state_; }
   /// Applies a peer's complete listing of the store. Returns the number of changes.
@@ -58,10 +62,9 @@
   }
   /// Applies changes that a peer has read. Returns the number of changes.
   auto ApplyPeerChanges(StoreChanges changes) -> std::size_t {
-    const bool unconfirmed = changes.removals_unconfirmed;
     const MonotonicTime now = Now();
     const auto new_changes = sync_state_.OnPeerChanges(std::move(changes), now);
-    if (!new_changes.empty()) ApplyAll(new_changes, unconfirmed);
+    if (!new_changes.empty()) ApplyAll(new_changes, sync_state_.RemovalsUnconfirmed());
     return new_changes.size();
   }
 
@@ -117,6 +120,7 @@
   auto OnOverdue(std::uint64_t call) -> void {
     if (call != last_call_ || lost_) return;
     log_.Write(LogLevel::kWarning, "store-answer-overdue", {{"revision", sync_state_.revision()}});
+    sync_state_.OnOverdue();
     CallNext();
   }
 
@@ -127,7 +131,8 @@
       log_.Write(LogLevel::kInfo, "store-regained", {{"revision", sync_state_.revision()}});
     }
     backoff_ = kMinBackoff;
-    ApplyAll(changes, sync_state_.RemovalsUnconfirmed(Now()));
+    // The removals in an overdue answer may have been made in an outage since the call.
+    ApplyAll(changes, call != last_call_ || sync_state_.RemovalsUnconfirmed());
     last_answered_ = std::max(last_answered_, call);
     if (call != last_call_) return;
     if (changes.empty() || sync_state_.Next().list) {
@@ -152,7 +157,7 @@
       log_.Write(LogLevel::kWarning, history_truncated ? "store-history-gone" : "store-lost",
                  {{"revision", sync_state_.revision()}, {"error", std::string(status.message())}});
     }
-    sync_state_.OnFailure(status, Now());
+    sync_state_.OnFailure(status);
     if (history_truncated) {
       CallNext();
       return;
@@ -170,7 +175,7 @@
     }
     log_.Write(LogLevel::kWarning, "store-lost",
                {{"revision", sync_state_.revision()}, {"error", std::string(status.message())}});
-    sync_state_.OnFailure(status, Now());
+    sync_state_.OnFailure(status);
     lost_ = true;
   }
 
--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -6,7 +6,6 @@
 
 #include "base/number_text.h"
 #include "gateway/peer_selection.h"
-#include "gateway/pending_removals.h"
 
 namespace heatherspan {
 namespace {
@@ -64,7 +63,9 @@
   state = Vm();
   state.reach = reach;
   state.life = life;
-  state.role.SetTiming(StoreReadTiming::For(options_.change_bound));
+  const auto timing = StoreReadTiming::For(options_.change_bound);
+  state.role.SetTiming(timing);
+  state.sync_state.SetMaxGap(timing.max_answer_gap());
   if (options_.peers_ask) {
     state.role.SetPeers(SelectPeersOf(vm));
   }
@@ -120,7 +121,9 @@
   const auto wait = std::clamp(interval - state.sync_state.Age(now()), Duration::zero(), interval);
   if (!next.list && !state.store_lost) {
     RunAt(vm, life, wait + kOverdueTime, [this, vm, life, call] {
-      if (vms_[vm].last_call == call && !vms_[vm].store_lost) CallStore(vm, life);
+      if (vms_[vm].last_call != call || vms_[vm].store_lost) return;
+      vms_[vm].sync_state.OnOverdue();
+      CallStore(vm, life);
     });
   }
   scheduler_.RunAfter(Delay(Region(vm), kStoreRegion), [this, vm, life, call, next, wait] {
@@ -146,7 +149,7 @@
   auto& state = vms_[vm];
   const bool is_last = state.last_call == call;
   if (!is_last && (call < state.last_answered || state.sync_state.Next().list)) return;
-  state.sync_state.OnFailure(absl::UnavailableError("no answer"), now());
+  state.sync_state.OnFailure(absl::UnavailableError("no answer"));
   state.store_lost = true;
   if (is_last) CallAgain(vm, life, kBackoff);
 }
@@ -172,7 +175,7 @@
   }
   RunAt(vm, life, Delay(kStoreRegion, Region(vm)), [this, vm, life, page] {
     const auto new_changes = vms_[vm].sync_state.OnPage(page, now());
-    Apply(vm, new_changes, vms_[vm].sync_state.RemovalsUnconfirmed(now()));
+    Apply(vm, new_changes);
     vms_[vm].store_lost = false;
     CallAgain(vm, life, Duration::zero());
   });
@@ -193,12 +196,12 @@
     if (history_gone && !is_last) return;
     vms_[vm].last_answered = std::max(vms_[vm].last_answered, call);
     if (history_gone) {
-      vms_[vm].sync_state.OnFailure(absl::OutOfRangeError("history gone"), now());
+      vms_[vm].sync_state.OnFailure(absl::OutOfRangeError("history gone"));
       CallAgain(vm, life, Duration::zero());
       return;
     }
     const auto new_changes = vms_[vm].sync_state.OnChanges(changes, now());
-    Apply(vm, new_changes, vms_[vm].sync_state.RemovalsUnconfirmed(now()));
+    Apply(vm, new_changes);
     vms_[vm].store_lost = false;
     if (is_last) CallAgain(vm, life, new_changes.empty() ? Duration::zero() : kBatchDelay);
   });
@@ -210,10 +213,10 @@
 
 auto StoreSpreadSimulation::AskPeers(std::size_t vm, std::uint64_t life) -> void {
   auto& role = vms_[vm].role;
-  const auto age = vms_[vm].sync_state.Age(now());
-  if (age > role.timing().max_state_age) ++old_states_;
-  const auto peers = role.NextQuestions(age, now());
-  RunAt(vm, life, role.QuestionInterval(age, now()), [this, vm, life] { AskPeers(vm, life); });
+  const auto state = vms_[vm].sync_state.Quality(now());
+  if (state.age > role.timing().max_state_age) ++old_states_;
+  const auto peers = role.NextQuestions(state, now());
+  RunAt(vm, life, role.QuestionInterval(state, now()), [this, vm, life] { AskPeers(vm, life); });
   if (!vms_[vm].sync_state.synced()) return;
   for (const auto& peer : peers) AskPeer(vm, life, peer);
 }
@@ -229,31 +232,34 @@
     if (!state.synced() || after < state.history_start()) return;
     auto changes = vms_[to].snapshot.ChangesAfter(after);
     if (!changes.has_value()) return;
-    StoreChanges answer{*std::move(changes), state.revision(), state.RemovalsUnconfirmed(now()),
-                        state.Age(now())};
+    StoreChanges answer{*std::move(changes), state.revision(), state.Age(now()),
+                        state.ContactAge(now())};
     RunAt(vm, life, delay, [this, vm, peer, asked_at, answer]() mutable {
       answer.age += now() - asked_at;
       vms_[vm].role.OnAnswer(peer, answer.age, now());
-      Apply(vm, vms_[vm].sync_state.OnPeerChanges(answer, now()), answer.removals_unconfirmed);
+      answer.contact_age = std::max(answer.contact_age, answer.age);
+      Apply(vm, vms_[vm].sync_state.OnPeerChanges(answer, now()));
     });
   });
 }
 
-auto StoreSpreadSimulation::Apply(std::size_t vm, const std::vector<StoreChange>& changes,
-                                  bool unconfirmed) -> void {
+auto StoreSpreadSimulation::Apply(std::size_t vm, const std::vector<StoreChange>& changes) -> void {
   auto& state = vms_[vm];
+  const bool unconfirmed = state.sync_state.RemovalsUnconfirmed();
   for (const auto& change : changes) {
     auto& highest = state.highest[change.key];
     if (change.revision < highest) ++reversals_;
     highest = std::max(highest, change.revision);
     if (change.value.has_value()) {
       state.items[change.key] = change.revision;
+      state.pending_removals.Remove(TargetName(change.key));
     } else {
       state.items.erase(change.key);
-      if (unconfirmed) state.used_until[change.key] = now() + PendingRemovals::kReregistrationTime;
+      if (unconfirmed) state.pending_removals.Add(TargetName(change.key), now());
     }
     state.snapshot.Apply(change);
   }
+  state.pending_removals.Take(state.sync_state.removals_certain_until(), now());
 }
 
 auto StoreSpreadSimulation::RevisionAt(std::size_t vm, const std::string& key) const
@@ -263,9 +269,7 @@
 }
 
 auto StoreSpreadSimulation::Uses(std::size_t vm, const std::string& key) const -> bool {
-  if (RevisionAt(vm, key) > 0) return true;
-  const auto found = vms_[vm].used_until.find(key);
-  return found != vms_[vm].used_until.end() && now() < found->second;
+  return RevisionAt(vm, key) > 0 || vms_[vm].pending_removals.Contains(TargetName(key));
 }
 
 auto StoreSpreadSimulation::ItemsAt(std::size_t vm) const -> std::map<std::string, std::uint64_t> {
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -10,6 +10,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "experiment/event_scheduler.h"
+#include "gateway/pending_removals.h"
 #include "gateway/store_reader_role.h"
 #include "gateway/store_snapshot.h"
 #include "gateway/store_sync_state.h"
@@ -80,8 +81,8 @@
     std::uint64_t last_answered = 0;
     bool store_lost = false;  ///< The last call has failed.
     std::map<std::string, std::uint64_t> items;
-    std::map<std::string, MonotonicTime> used_until;  ///< Items whose removal is in doubt.
-    std::map<std::string, std::uint64_t> highest;     ///< Highest revision applied, by key.
+    PendingRemovals pending_removals;
+    std::map<std::string, std::uint64_t> highest;  ///< Highest revision applied, by key.
   };
 
   auto Name(std::size_t vm) const -> std::string;
@@ -108,7 +109,7 @@
   auto OnStoreFailure(std::size_t vm, std::uint64_t life, std::uint64_t call) -> void;
   auto AskPeers(std::size_t vm, std::uint64_t life) -> void;
   auto AskPeer(std::size_t vm, std::uint64_t life, const Endpoint& peer) -> void;
-  auto Apply(std::size_t vm, const std::vector<StoreChange>& changes, bool unconfirmed) -> void;
+  auto Apply(std::size_t vm, const std::vector<StoreChange>& changes) -> void;
   auto IndexOf(const Endpoint& endpoint) const -> std::size_t;
   /// Runs the task at a VM after the delay, once the VM is not frozen and if its process still
   /// lives.
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -28,11 +28,11 @@
 struct StoreChanges {
   std::vector<StoreChange> changes;
   std::uint64_t revision = 0;  ///< The changes are complete up to this revision.
-  /// Items whose owners still run may be among the removed ones: whoever gives the changes has lost
-  /// the store or has just regained it.
-  bool removals_unconfirmed = false;
-  Duration
-      age{};  ///< Since whoever gives the changes has heard from the store, also through others.
+  /// Since whoever gives the changes has heard from the store, also through others.
+  Duration age{};
+  /// Since when whoever gives the changes has heard from the store without an outage between two
+  /// answers, also through others.
+  Duration contact_age{};
   std::vector<LimitReport> limit_reports = {};  ///< Only from other entry VMs.
 };
 
--- a/src/gateway/store_read_timing.h
+++ b/src/gateway/store_read_timing.h
@@ -16,6 +16,10 @@
   /// store and the pause between two questions to the reader.
   Duration answer_interval = std::chrono::milliseconds(1000);
 
+  /// Two answers of the store that are further apart mean an outage, even if no call is known to
+  /// have failed: a node with an old state has called the store by then.
+  auto max_answer_gap() const -> Duration { return max_state_age + std::chrono::seconds(1); }
+
   /// `bound`: the time within which all entry VMs have to know of a change. A second of it is left
   /// to find the change.
   static auto For(Duration bound) -> StoreReadTiming {
--- a/src/gateway/store_reader_role.cc
+++ b/src/gateway/store_reader_role.cc
@@ -18,14 +18,14 @@
   return peers_.is_reader || now < reading_until_;
 }
 
-auto StoreReaderRole::NextQuestions(Duration state_age, MonotonicTime now)
+auto StoreReaderRole::NextQuestions(const StateQuality& state, MonotonicTime now)
     -> std::vector<Endpoint> {
-  if (IsSearching(state_age, now)) return Search(now);
+  if (IsSearching(state, now)) return Search(now);
   searched_ = 0;
   std::vector<Endpoint> asked;
   const auto& readers = peers_.zone_readers;
   const auto& others = peers_.others;
-  const bool reader_suffices = !peers_.is_reader && state_age <= timing_.max_state_age;
+  const bool reader_suffices = !peers_.is_reader && state.age <= timing_.max_state_age;
   const auto count = readers.size() + (reader_suffices ? 0 : others.size());
   if (count > 0) {
     const auto index = next_++ % count;
@@ -49,10 +49,11 @@
   return asked;
 }
 
-auto StoreReaderRole::QuestionInterval(Duration state_age, MonotonicTime now) const -> Duration {
-  if (IsSearching(state_age, now)) return kSearchInterval;
-  if (state_age > timing_.max_state_age) return kQuestionInterval;
-  return std::clamp(timing_.max_state_age - state_age, kSearchInterval, kQuestionInterval);
+auto StoreReaderRole::QuestionInterval(const StateQuality& state, MonotonicTime now) const
+    -> Duration {
+  if (IsSearching(state, now)) return kSearchInterval;
+  if (state.age > timing_.max_state_age) return kQuestionInterval;
+  return std::clamp(timing_.max_state_age - state.age, kSearchInterval, kQuestionInterval);
 }
 
 auto StoreReaderRole::OnAnswer(const Endpoint& peer, Duration age, MonotonicTime now) -> void {
--- a/src/gateway/store_reader_role.h
+++ b/src/gateway/store_reader_role.h
@@ -5,6 +5,7 @@
 
 #include "base/time.h"
 #include "gateway/peer_selection.h"
+#include "gateway/state_quality.h"
 #include "gateway/store_read_timing.h"
 
 namespace heatherspan {
@@ -36,15 +37,16 @@
   auto SetPeers(PeerSelection peers) -> void;
   auto ReadsStore(Duration state_age, MonotonicTime now) -> bool;
   /// Returns the peers to ask now.
-  auto NextQuestions(Duration state_age, MonotonicTime now) -> std::vector<Endpoint>;
+  auto NextQuestions(const StateQuality& state, MonotonicTime now) -> std::vector<Endpoint>;
   /// The time from one call of NextQuestions to the next.
-  auto QuestionInterval(Duration state_age, MonotonicTime now) const -> Duration;
+  auto QuestionInterval(const StateQuality& state, MonotonicTime now) const -> Duration;
   /// A peer has given a state of the given age.
   auto OnAnswer(const Endpoint& peer, Duration age, MonotonicTime now) -> void;
 
  private:
-  auto IsSearching(Duration state_age, MonotonicTime now) const -> bool {
-    return state_age > timing_.max_state_age && now >= search_paused_until_ && !peers_.all.empty();
+  auto IsSearching(const StateQuality& state, MonotonicTime now) const -> bool {
+    const bool needs_peers = state.age > timing_.max_state_age || state.removals_in_doubt;
+    return needs_peers && now >= search_paused_until_ && !peers_.all.empty();
   }
   auto Search(MonotonicTime now) -> std::vector<Endpoint>;
 
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -9,19 +9,6 @@
   return listing_ ? NextCall{true, after_key_, 0} : NextCall{false, "", revision_};
 }
 
-auto StoreSyncState::OnContact(MonotonicTime now) -> void {
-  if (!in_contact_ && contact_was_lost_) contact_regained_at_ = now;
-  in_contact_ = true;
-}
-
-auto StoreSyncState::DoubtAboutRemovals(MonotonicTime now) const -> RemovalDoubt {
-  if (now - removals_vouched_at_ <= kPeerWordTime) return RemovalDoubt::kNone;
-  if (now - removals_doubted_at_ <= kPeerWordTime) return RemovalDoubt::kPeerOutage;
-  const bool is_own =
-      contact_was_lost_ && (!in_contact_ || now - contact_regained_at_ < kReconnectGrace);
-  return is_own ? RemovalDoubt::kOwnOutage : RemovalDoubt::kNone;
-}
-
 auto StoreSyncState::Accept(StoreChange change, std::vector<StoreChange>& new_changes) -> void {
   const auto known = known_revisions_.find(change.key);
   if (change.value.has_value()) {
@@ -36,7 +23,7 @@
 }
 
 auto StoreSyncState::OnPage(StorePage page, MonotonicTime now) -> std::vector<StoreChange> {
-  OnContact(now);
+  in_contact_ = true;
   std::vector<StoreChange> new_changes;
   if (!listing_) return new_changes;
   if (after_key_.empty()) {
@@ -53,7 +40,7 @@
   // The watch starts at the first page's revision, so that it repeats changes made between two
   // pages.
   CompleteListing(list_revision_, new_changes);
-  OnComplete(list_began_at_);
+  contact_.OnAnswer(list_began_at_);
   return new_changes;
 }
 
@@ -90,14 +77,15 @@
 
 auto StoreSyncState::OnChanges(StoreChanges changes, MonotonicTime now)
     -> std::vector<StoreChange> {
-  OnContact(now);
-  OnComplete(now);
+  in_contact_ = true;
+  contact_.OnAnswer(now);
   return AcceptAll(std::move(changes));
 }
 
 auto StoreSyncState::OnPeerState(StorePage state) -> std::vector<StoreChange> {
   std::vector<StoreChange> new_changes;
   if (synced_) return new_changes;
+  contact_.OnOutage();
   listed_revisions_.clear();
   for (auto& item : state.items) {
     listed_revisions_[item.key] = item.revision;
@@ -110,11 +98,8 @@
 auto StoreSyncState::OnPeerChanges(StoreChanges changes, MonotonicTime now)
     -> std::vector<StoreChange> {
   if (!synced_ || changes.revision < revision_) return {};
-  OnComplete(now - changes.age);
-  if (changes.removals_unconfirmed) {
-    removals_doubted_at_ = now;
-  } else if (changes.age <= kPeerWordTime) {
-    removals_vouched_at_ = now;
+  contact_.OnSpan(now - changes.contact_age, now - changes.age);
+  if (changes.age <= kMaxContactAge) {
     in_contact_ = true;
     contact_was_lost_ = false;
   }
@@ -123,15 +108,16 @@
   return AcceptAll(std::move(changes));
 }
 
-auto StoreSyncState::OnFailure(const absl::Status& status, MonotonicTime now) -> void {
+auto StoreSyncState::OnFailure(const absl::Status& status) -> void {
   if (absl::IsOutOfRange(status)) {
-    OnContact(now);
+    in_contact_ = true;
     listing_ = true;
     after_key_.clear();
     return;
   }
   in_contact_ = false;
   contact_was_lost_ = true;
+  contact_.OnUnanswered();
   // Items on the pages read so far may have changed meanwhile.
   if (listing_) after_key_.clear();
 }
--- a/src/gateway/store_sync_state.h
+++ b/src/gateway/store_sync_state.h
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "base/time.h"
+#include "gateway/state_quality.h"
 #include "gateway/store_changes.h"
+#include "gateway/store_contact.h"
 
 namespace heatherspan {
 
@@ -17,18 +20,8 @@
 /// the state is complete up to one revision, which never decreases. The class does no I/O.
 class StoreSyncState {
  public:
-  /// Registrations that expired during an outage return within about two seconds of its end.
-  static constexpr Duration kReconnectGrace = std::chrono::seconds(3);
-  /// How long a peer's word about removals holds, and how old its state may be. No registration
-  /// expires because of an outage of the store that is so short.
-  static constexpr Duration kPeerWordTime = std::chrono::seconds(2);
-
-  /// Why a removal may be of an item whose owner still runs.
-  enum class RemovalDoubt {
-    kNone,
-    kOwnOutage,   ///< This node has lost the store, or has regained it recently.
-    kPeerOutage,  ///< A peer has said so of itself.
-  };
+  /// A peer with an older state does not count as contact with the store.
+  static constexpr Duration kMaxContactAge = std::chrono::seconds(2);
 
   struct NextCall {
     bool list = true;                  ///< Otherwise watch.
@@ -36,18 +29,22 @@
     std::uint64_t after_revision = 0;  ///< For a watch: the revision after which changes are read.
   };
 
+  /// `gap`: see StoreReadTiming::max_answer_gap.
+  auto SetMaxGap(Duration gap) -> void { contact_.SetMaxGap(gap); }
   auto Next() const -> NextCall;
   /// Returns the new changes, in order. The last page of a listing adds removals for keys that the
   /// listing lacks.
   auto OnPage(StorePage page, MonotonicTime now) -> std::vector<StoreChange>;
   auto OnChanges(StoreChanges changes, MonotonicTime now) -> std::vector<StoreChange>;
-  auto OnFailure(const absl::Status& status, MonotonicTime now) -> void;
+  auto OnFailure(const absl::Status& status) -> void;
+  /// An answer of the store is overdue, and another call is made beside it.
+  auto OnOverdue() -> void { contact_.OnUnanswered(); }
   /// Applies a peer's complete listing as long as this node has none. The watch continues from its
   /// revision.
   auto OnPeerState(StorePage state) -> std::vector<StoreChange>;
   /// Applies what a peer has read after this node's revision. The watch continues from the peer's
-  /// revision; a listing in progress is no longer needed. A peer that has been in contact with the
-  /// store counts as contact and vouches for removals; the doubt of another peer is taken over.
+  /// revision; a listing in progress is no longer needed. What the peer knows of the store's
+  /// answers counts like answers to this node.
   auto OnPeerChanges(StoreChanges changes, MonotonicTime now) -> std::vector<StoreChange>;
 
   /// A complete listing has been read at least once, from the store or from a peer.
@@ -56,34 +53,31 @@
   auto in_contact() const -> bool { return in_contact_; }
   /// The last call failed, and no peer has given its state since.
   auto lost() const -> bool { return contact_was_lost_ && !in_contact_; }
-  /// Contact was lost recently, and no peer has kept it. Removals may be expired registrations
-  /// whose owners still run.
-  auto RemovalsUnconfirmed(MonotonicTime now) const -> bool {
-    return DoubtAboutRemovals(now) != RemovalDoubt::kNone;
+  /// Removals may be expired registrations whose owners still run.
+  auto RemovalsUnconfirmed() const -> bool { return contact_.RemovalsInDoubt(); }
+  /// Items that were removed before this time and are absent have no running owner.
+  auto removals_certain_until() const -> std::optional<MonotonicTime> {
+    return RemovalsUnconfirmed() ? std::nullopt : std::optional(contact_.until());
   }
-  auto DoubtAboutRemovals(MonotonicTime now) const -> RemovalDoubt;
-  /// The time since this node has regained the store, and since a peer has doubted removals.
-  auto ContactAge(MonotonicTime now) const -> Duration { return now - contact_regained_at_; }
-  auto PeerDoubtAge(MonotonicTime now) const -> Duration { return now - removals_doubted_at_; }
+  /// The time since when the store has answered this node or a peer without an outage.
+  auto ContactAge(MonotonicTime now) const -> Duration { return contact_.Age(now); }
   auto revision() const -> std::uint64_t { return revision_; }
   /// Removals up to this revision may be unknown: the node has read a listing there.
   auto history_start() const -> std::uint64_t { return history_start_; }
   /// The state has all changes up to this time. An incomplete listing shows nothing of the changes
   /// on its further pages.
-  auto complete_at() const -> MonotonicTime { return complete_at_; }
+  auto complete_at() const -> MonotonicTime { return contact_.until(); }
   /// Since when the state may lack changes.
-  auto Age(MonotonicTime now) const -> Duration { return now - complete_at_; }
+  auto Age(MonotonicTime now) const -> Duration { return now - contact_.until(); }
+  auto Quality(MonotonicTime now) const -> StateQuality {
+    return {Age(now), RemovalsUnconfirmed()};
+  }
 
  private:
-  /// The clock may start at 0 with the machine.
-  static constexpr MonotonicTime kNever = MonotonicTime(-std::chrono::hours(1));
-
-  auto OnContact(MonotonicTime now) -> void;
   auto Accept(StoreChange change, std::vector<StoreChange>& new_changes) -> void;
   auto AcceptAll(StoreChanges changes) -> std::vector<StoreChange>;
   /// Ends a listing that shows the state at the revision: items that it lacks have been removed.
   auto CompleteListing(std::uint64_t revision, std::vector<StoreChange>& new_changes) -> void;
-  auto OnComplete(MonotonicTime at) -> void { complete_at_ = std::max(complete_at_, at); }
   auto EndListing() -> void;
 
   absl::flat_hash_map<std::string, std::uint64_t>
@@ -97,12 +91,9 @@
   std::uint64_t history_start_ = 0;
   bool synced_ = false;
   bool in_contact_ = false;
-  MonotonicTime complete_at_ = kNever;
-  MonotonicTime list_began_at_ = kNever;  ///< When the first page was read.
-  MonotonicTime contact_regained_at_{};
   bool contact_was_lost_ = false;
-  MonotonicTime removals_vouched_at_ = kNever;  ///< By a peer.
-  MonotonicTime removals_doubted_at_ = kNever;  ///< By a peer.
+  StoreContact contact_;
+  MonotonicTime list_began_at_{};  ///< When the first page was read.
 };
 
 }  // namespace heatherspan
--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -99,7 +99,7 @@
   const std::vector<StoreChange> changes = {{"k", "val", 42}, {"gone", std::nullopt, 43}};
   const std::vector<LimitReport> reports = {
       {TargetName("i-1"), RequestsPerSecond(2.5), seconds(1)}};
-  auto answer = StoreClient::WatchAnswer(changes, 44, true, milliseconds(2500), reports);
+  auto answer = StoreClient::WatchAnswer(changes, 44, milliseconds(2500), seconds(7), reports);
   Answer(answer.status, answer.body);
   const auto read = Watch();
   ASSERT_TRUE(read.ok()) << read.status();
@@ -108,12 +108,12 @@
   EXPECT_EQ(read->changes[1].key, "gone");
   EXPECT_FALSE(read->changes[1].value.has_value());
   EXPECT_EQ(read->revision, 44U);
-  EXPECT_TRUE(read->removals_unconfirmed);
   EXPECT_EQ(read->age, milliseconds(2500));
+  EXPECT_EQ(read->contact_age, seconds(7));
   EXPECT_EQ(read->limit_reports, reports);
   EXPECT_EQ(StoreClient::WatchedRevision(last_), 41U);
   EXPECT_FALSE(StoreClient::IsListCall(last_));
-  answer = StoreClient::WatchAnswer(std::nullopt, 44, false, Duration::zero(), {});
+  answer = StoreClient::WatchAnswer(std::nullopt, 44, Duration::zero(), Duration::zero(), {});
   Answer(answer.status, answer.body);
   EXPECT_TRUE(absl::IsOutOfRange(Watch().status()));
   for (const auto* target : {"/heatherspan/kv-watch?after=-1", "/heatherspan/kv-watch",
--- a/tests/gateway/store_snapshot_test.cc
+++ b/tests/gateway/store_snapshot_test.cc
@@ -124,15 +124,15 @@
       false, {{"reader", 1}}, {{"near", 1}, {"far", 1}}, {{"reader", 1}, {"near", 1}, {"far", 1}}};
   StoreReaderRole role;
   EXPECT_TRUE(role.ReadsStore(Duration::zero(), kStart));
-  EXPECT_TRUE(role.NextQuestions(Duration::zero(), kStart).empty());
+  EXPECT_TRUE(role.NextQuestions({Duration::zero()}, kStart).empty());
   role.SetPeers(as_follower);
   EXPECT_FALSE(role.ReadsStore(kYoung, kStart));
   for (int i = 0; i < 3; ++i) {
-    EXPECT_EQ(Addresses(role.NextQuestions(kYoung, kStart)), std::set<std::string>{"reader"});
+    EXPECT_EQ(Addresses(role.NextQuestions({kYoung}, kStart)), std::set<std::string>{"reader"});
   }
   // The reader is silent or has an old state: the store is read and all others are asked at once.
   EXPECT_TRUE(role.ReadsStore(kOld, kStart));
-  EXPECT_EQ(Addresses(role.NextQuestions(kOld, kStart)),
+  EXPECT_EQ(Addresses(role.NextQuestions({kOld}, kStart)),
             (std::set<std::string>{"reader", "near", "far"}));
   const auto end = kStart + StoreReaderRole::kReadingTime;
   EXPECT_TRUE(role.ReadsStore(kYoung, end - std::chrono::milliseconds(1)));
@@ -140,7 +140,7 @@
   // All announcements have expired: the node reads the store and still knows whom to ask.
   role.SetPeers({});
   EXPECT_TRUE(role.ReadsStore(kYoung, end));
-  EXPECT_FALSE(role.NextQuestions(kYoung, end).empty());
+  EXPECT_FALSE(role.NextQuestions({kYoung}, end).empty());
 }
 
 // Guards against a search that asks a few peers only, that never pauses, or that forgets the peer
@@ -155,23 +155,23 @@
   std::set<std::string> asked;
   std::size_t questions = 0;
   while (asked.size() < peers.all.size() && now < kStart + std::chrono::seconds(10)) {
-    const auto next = role.NextQuestions(kOld, now);
+    const auto next = role.NextQuestions({kOld}, now);
     EXPECT_LE(next.size(), StoreReaderRole::kSearchWidth);
     questions += next.size();
     asked.merge(Addresses(next));
-    now += role.QuestionInterval(kOld, now);
+    now += role.QuestionInterval({kOld}, now);
   }
   EXPECT_EQ(asked.size(), peers.all.size());
   // At most one question in the pause for each peer on average, after the first search.
   EXPECT_LE(questions,
             StoreReaderRole::kMaxSearched + (now - kStart) / StoreReaderRole::kSearchPause);
   role.OnAnswer({"peer-7", 1}, kOld, now);
-  EXPECT_EQ(Addresses(role.NextQuestions(kYoung, now)), std::set<std::string>{"reader"});
+  EXPECT_EQ(Addresses(role.NextQuestions({kYoung}, now)), std::set<std::string>{"reader"});
   role.OnAnswer({"peer-7", 1}, kYoung, now);
-  EXPECT_EQ(Addresses(role.NextQuestions(kYoung, now)),
+  EXPECT_EQ(Addresses(role.NextQuestions({kYoung}, now)),
             (std::set<std::string>{"reader", "peer-7"}));
   now += StoreReaderRole::kSourceTime;
-  EXPECT_EQ(Addresses(role.NextQuestions(kYoung, now)), std::set<std::string>{"reader"});
+  EXPECT_EQ(Addresses(role.NextQuestions({kYoung}, now)), std::set<std::string>{"reader"});
 }
 
 // Guards against a seed whose link is filled by listings for VMs that start together, so that it
--- a/tests/gateway/store_sync_state_test.cc
+++ b/tests/gateway/store_sync_state_test.cc
@@ -5,6 +5,7 @@
 namespace heatherspan {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr auto kStart = MonotonicTime(std::chrono::hours(1));
@@ -54,10 +55,10 @@
 // Guards against missed removals when the store no longer has the recent changes.
 TEST_F(StoreSyncStateTest, ListsAgainWhenHistoryIsUnavailable) {
   ListAll({Put("a", 1), Put("b", 2)}, 5);
-  sync_state_.OnFailure(absl::OutOfRangeError("gone"), now_);
+  sync_state_.OnFailure(absl::OutOfRangeError("gone"));
   EXPECT_TRUE(sync_state_.Next().list);
   EXPECT_EQ(ListAll({Put("b", 2), Put("c", 8)}, 9), "+c-a");
-  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed(now_));
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
   EXPECT_EQ(sync_state_.Next().after_revision, 9U);
 }
 
@@ -65,21 +66,27 @@
 // unconfirmed forever.
 TEST_F(StoreSyncStateTest, RemovalsAreUnconfirmedAfterOutage) {
   ListAll({Put("a", 1)}, 5);
-  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed(now_));
-  sync_state_.OnFailure(absl::UnavailableError("down"), now_);
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
+  sync_state_.OnFailure(absl::UnavailableError("down"));
   EXPECT_FALSE(sync_state_.in_contact());
-  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed(now_));
   now_ += seconds(30);
   EXPECT_EQ(Keys(sync_state_.OnChanges({{{"a", std::nullopt, 6}}, 6}, now_)), "-a");
-  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed(now_ + seconds(2)));
-  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed(now_ + seconds(3)));
+  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed());
+  now_ += seconds(1);
+  sync_state_.OnChanges({{}, 6}, now_);
+  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed());
+  // Time alone shows nothing: the target's new registration may be among changes not yet read.
+  now_ += seconds(1);
+  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed());
+  sync_state_.OnChanges({{}, 6}, now_);
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
 }
 
 // Guards against a listing that is interrupted by an outage and whose two halves are treated as one
 // listing.
 TEST_F(StoreSyncStateTest, RestartsListingAfterFailure) {
   sync_state_.OnPage({{Put("a", 1)}, true, 5}, now_);
-  sync_state_.OnFailure(absl::UnavailableError("down"), now_);
+  sync_state_.OnFailure(absl::UnavailableError("down"));
   EXPECT_EQ(sync_state_.Next().after_key, "");
   EXPECT_EQ(ListAll({Put("b", 7)}, 7), "+b-a");
 }
@@ -97,7 +104,7 @@
   EXPECT_EQ(sync_state_.Next().after_revision, 6U);
   EXPECT_EQ(Keys(sync_state_.OnChanges({{Put("c", 9), {"c", std::nullopt, 10}}, 10}, now_)), "-c");
   // If the store no longer has that history, a listing replaces the peer's state.
-  sync_state_.OnFailure(absl::OutOfRangeError("gone"), now_);
+  sync_state_.OnFailure(absl::OutOfRangeError("gone"));
   EXPECT_TRUE(sync_state_.Next().list);
   EXPECT_EQ(ListAll({Put("a", 18)}, 19), "+a-b");
 }
@@ -108,7 +115,7 @@
 TEST_F(StoreSyncStateTest, PeerChangesContinueTheState) {
   EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 2)}, 2}, now_)), "");
   ListAll({Put("a", 1)}, 5);
-  sync_state_.OnFailure(absl::UnavailableError("turned away"), now_);
+  sync_state_.OnFailure(absl::UnavailableError("turned away"));
   EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 7), Put("b", 8)}, 9}, now_)), "+a+b");
   EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{{"b", std::nullopt, 10}}, 10}, now_)), "-b");
   EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 6), {"a", std::nullopt, 7}}, 7}, now_)), "");
@@ -123,30 +130,49 @@
 // this node away, although a peer has the removal from the store.
 TEST_F(StoreSyncStateTest, APeerInContactVouchesForRemovals) {
   ListAll({Put("a", 1), Put("b", 2)}, 5);
-  sync_state_.OnFailure(absl::UnavailableError("turned away"), now_);
-  sync_state_.OnPeerChanges({{{"a", std::nullopt, 6}}, 6}, now_);
-  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed(now_));
+  sync_state_.OnFailure(absl::UnavailableError("turned away"));
+  now_ += seconds(5);
+  sync_state_.OnPeerChanges({{{"a", std::nullopt, 6}}, 6, Duration::zero(), seconds(9)}, now_);
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
   // The node's next call fails as well, and the store answers again a second later.
-  sync_state_.OnFailure(absl::UnavailableError("turned away"), now_);
-  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed(now_));
+  sync_state_.OnFailure(absl::UnavailableError("turned away"));
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
   now_ += seconds(1);
   EXPECT_EQ(Keys(sync_state_.OnChanges({{{"b", std::nullopt, 7}}, 7}, now_)), "-b");
-  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed(now_));
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
 }
 
 // Guards against registrations that expired during an outage and are removed at once because a
-// peer has not noticed the outage, and against doubts that are not passed on.
-TEST_F(StoreSyncStateTest, OnlyAPeerWithAYoungStateVouchesForRemovals) {
+// peer has not noticed the outage, and against an outage that is not passed on.
+TEST_F(StoreSyncStateTest, OnlyAPeerThatHeardTheStoreMeanwhileVouchesForRemovals) {
+  ListAll({Put("a", 1)}, 5);
+  sync_state_.OnFailure(absl::UnavailableError("down"));
+  now_ += seconds(4);
+  // What was removed three seconds ago was removed before the outage.
+  sync_state_.OnPeerChanges({{}, 5, seconds(3), seconds(60)}, now_);
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
+  sync_state_.OnPeerChanges({{{"a", std::nullopt, 6}}, 6, Duration::zero(), seconds(1)}, now_);
+  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed());
+  EXPECT_EQ(sync_state_.ContactAge(now_), seconds(1));
+  now_ += seconds(1);
+  sync_state_.OnPeerChanges({{}, 6, Duration::zero(), seconds(2)}, now_);
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
+}
+
+// Guards against VMs that renew each other's doubt: all of them count from the store's first answer
+// after the outage, whoever got it and whenever they heard of it.
+TEST_F(StoreSyncStateTest, DoubtCountsFromTheFirstAnswerAfterTheOutage) {
   ListAll({Put("a", 1)}, 5);
-  sync_state_.OnFailure(absl::UnavailableError("down"), now_);
-  sync_state_.OnPeerChanges({{}, 5, false, seconds(3)}, now_);
-  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed(now_));
-  StoreSyncState follower;
-  follower.OnPage({{Put("a", 1)}, false, 5}, now_);
-  follower.OnPeerChanges({{{"a", std::nullopt, 6}}, 6, true, Duration::zero()}, now_);
-  EXPECT_TRUE(follower.RemovalsUnconfirmed(now_));
-  follower.OnPeerChanges({{}, 6}, now_ + seconds(4));
-  EXPECT_FALSE(follower.RemovalsUnconfirmed(now_ + seconds(4)));
+  sync_state_.OnFailure(absl::UnavailableError("down"));
+  now_ += seconds(10);
+  sync_state_.OnChanges({{{"a", std::nullopt, 6}}, 6}, now_);
+  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed());
+  sync_state_.OnPeerChanges({{}, 6, milliseconds(500), milliseconds(1900)}, now_);
+  EXPECT_EQ(sync_state_.ContactAge(now_), milliseconds(1900));
+  now_ += milliseconds(100);
+  sync_state_.OnPeerChanges({{}, 6, Duration::zero(), milliseconds(200)}, now_);
+  EXPECT_EQ(sync_state_.ContactAge(now_), seconds(2));
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
 }
 
 // Guards against a node, and peers that ask it, which take the state for current while a listing is
@@ -155,7 +181,7 @@
   ListAll({Put("a", 1), Put("b", 2)}, 5);
   EXPECT_EQ(sync_state_.Age(now_), Duration::zero());
   now_ += seconds(2);
-  sync_state_.OnFailure(absl::OutOfRangeError("gone"), now_);
+  sync_state_.OnFailure(absl::OutOfRangeError("gone"));
   EXPECT_EQ(sync_state_.Age(now_), seconds(2));
   sync_state_.OnPage({{Put("a", 6)}, true, 12}, now_);
   now_ += seconds(1);
@@ -168,7 +194,7 @@
 // against a page of that listing that is applied after them.
 TEST_F(StoreSyncStateTest, PeerChangesReplaceAListing) {
   ListAll({Put("a", 1), Put("b", 2)}, 5);
-  sync_state_.OnFailure(absl::OutOfRangeError("gone"), now_);
+  sync_state_.OnFailure(absl::OutOfRangeError("gone"));
   EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 6)}, true, 12}, now_)), "+a");
   EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("a", 6), {"b", std::nullopt, 14}}, 15}, now_)),
             "-b");
--- a/tests/gateway/target_state_test.cc
+++ b/tests/gateway/target_state_test.cc
@@ -175,13 +175,19 @@
 // Guards against the removal of running targets whose registrations expired in an outage, and
 // against keeping targets that were lost.
 TEST(PendingRemovals, KeepsTargetsUntilReregistrationTimeEnds) {
+  const std::vector<TargetName> gone = {TargetName("gone")};
   PendingRemovals removals;
   removals.Add(TargetName("back"), kStart);
   removals.Add(TargetName("gone"), kStart);
   removals.Remove(TargetName("back"));
-  EXPECT_TRUE(removals.TakeExpired(kStart + milliseconds(1999)).empty());
-  EXPECT_EQ(removals.TakeExpired(kStart + seconds(2)), std::vector<TargetName>{TargetName("gone")});
-  EXPECT_TRUE(removals.TakeExpired(kStart + seconds(9)).empty());
+  EXPECT_TRUE(removals.Take(std::nullopt, kStart + milliseconds(4999)).empty());
+  EXPECT_TRUE(removals.Take(kStart - milliseconds(1), kStart + milliseconds(4999)).empty());
+  EXPECT_EQ(removals.Take(kStart + milliseconds(1), kStart + milliseconds(1)), gone);
+  EXPECT_TRUE(removals.Take(kStart + seconds(9), kStart + seconds(9)).empty());
+  // A node that hears nothing of the store does not keep the target for good.
+  removals.Add(TargetName("gone"), kStart);
+  EXPECT_EQ(removals.Take(std::nullopt, kStart + seconds(5)), gone);
+  EXPECT_FALSE(removals.Contains(TargetName("gone")));
 }
 
 }  // namespace
