edge: the era of the store is read, logged and shown as a metric

The logs could not show that revisions of the VM and of the store belonged to different histories.

No decision changes.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -79,7 +79,8 @@
         workers_(1),
         target_client_(workers_, TargetLimits()),
         store_client_(workers_, StoreLimits()),
-        store_(store_client_, settings_.store),
+        store_(store_client_, settings_.store,
+               [this](StoreEra era, MonotonicTime /*called_at*/) { OnStoreEra(era); }),
         follower_(
             store_, workers_, log_,
             [this](const StoreChange& change, bool unconfirmed) { OnChange(change, unconfirmed); },
@@ -464,6 +465,16 @@
                 {"revision", change.revision}});
   }
 
+  auto OnStoreEra(StoreEra era) -> void {
+    if (era == store_era_) return;
+    log_.Write(LogLevel::kWarning, "store-era",
+               {{"era", era.value()},
+                {"before", store_era_.value()},
+                {"revision", follower_.sync_state().revision()}});
+    metrics_.Set(Metric::kStoreEra, {}, static_cast<double>(era.value()));
+    store_era_ = era;
+  }
+
   auto RecordStoreSeen() -> void {
     const auto& sync_state = follower_.sync_state();
     core_.OnStoreSeen(sync_state.revision(), sync_state.complete_at());
@@ -564,6 +575,7 @@
   PeerReader<Store> peer_reader_;
   PeerSync<Store> peer_sync_;
   ListingBudget listing_budget_;
+  StoreEra store_era_;
   MonotonicTime started_at_{};
   VmAnnouncer<Store> announcer_;
   RequestForwarder<Messages> forwarder_;
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -94,6 +94,7 @@
           OnFailure(call, page.status());
           return;
         }
+        LogListing(*page);
         Apply(call, sync_state_.OnPage(*std::move(page), Now()));
       });
       return;
@@ -117,6 +118,14 @@
                  });
   }
 
+  auto LogListing(const StorePage& page) -> void {
+    if (page.more) return;
+    log_.Write(LogLevel::kInfo, "store-listed",
+               {{"store_revision", page.revision},
+                {"era", page.era.value()},
+                {"revision", sync_state_.revision()}});
+  }
+
   auto OnOverdue(std::uint64_t call) -> void {
     if (call != last_call_ || lost_) return;
     log_.Write(LogLevel::kWarning, "store-answer-overdue", {{"revision", sync_state_.revision()}});
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -5,11 +5,16 @@
 #include <string>
 #include <vector>
 
+#include "base/strong_number.h"
 #include "base/time.h"
 #include "gateway/limit_report.h"
 
 namespace heatherspan {
 
+/// The history to which revisions belong. It is another one once the store has come back from an
+/// older copy, which gives the same revisions to other changes. Zero: not told.
+using StoreEra = StrongNumber<struct StoreEraTag, std::uint64_t>;
+
 /// An item of the platform's store as written, or its removal.
 struct StoreChange {
   std::string key;
@@ -22,6 +27,7 @@
   std::vector<StoreChange> items;
   bool more = false;           ///< The listing continues after the last item.
   std::uint64_t revision = 0;  ///< Revision of the store when the page was made.
+  StoreEra era = {};
 };
 
 /// The changes since a revision.
@@ -34,6 +40,7 @@
   /// answers, also through others.
   Duration contact_age{};
   std::vector<LimitReport> limit_reports = {};  ///< Only from other entry VMs.
+  StoreEra era = {};
 };
 
 struct StoreLease {
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -30,6 +30,7 @@
   kDatagramBytes,
   kRejectedInput,
   kStoreCalls,
+  kStoreEra,
   kAdminCalls,
   kCount,
 };
@@ -90,6 +91,8 @@
          "Malformed, oversized, slow or unauthenticated input by listener and cause."},
         {Metric::kStoreCalls, "heatherspan_store_calls_total", MetricKind::kCounter,
          "Calls to the platform's store by kind and result."},
+        {Metric::kStoreEra, "heatherspan_store_era", MetricKind::kGauge,
+         "The history of the platform's store that its last answer belongs to."},
         {Metric::kAdminCalls, "heatherspan_admin_calls_total", MetricKind::kCounter,
          "Calls to the administration interface by path and status."},
     }};
