experiment: failing tests of a store that comes back from a copy

The model's store can come back as it was some seconds ago: what was written since is gone, its revisions are given out again, the era rises, a watch from a revision that it doesn't have gets 410. What was lost is written again within two seconds.

Items in the model now carry the number of their write, since a revision no longer names one.

--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -1,6 +1,7 @@
 #include "experiment/store_spread_simulation.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -44,18 +45,43 @@
 }
 
 auto StoreSpreadSimulation::Put(const std::string& key) -> void {
-  store_items_[key] = ++revision_;
-  history_[revision_] = {key, "value", revision_};
-  OnStoreChanged();
+  Write({key, std::to_string(++last_write_), 0});
 }
 
 auto StoreSpreadSimulation::Remove(const std::string& key) -> void {
-  if (store_items_.erase(key) == 0) return;
-  ++revision_;
-  history_[revision_] = {key, std::nullopt, revision_};
+  if (store_items_.contains(key)) Write({key, std::nullopt, 0});
+}
+
+auto StoreSpreadSimulation::Write(StoreChange change) -> void {
+  change.revision = ++revision_;
+  if (change.value.has_value()) {
+    store_items_[change.key] = change;
+  } else {
+    store_items_.erase(change.key);
+  }
+  history_[revision_] = {std::move(change), now()};
   OnStoreChanged();
 }
 
+auto StoreSpreadSimulation::Restore(Duration age) -> void {
+  while (!history_.empty() && history_.rbegin()->second.made_at > now() - age) {
+    history_.erase(std::prev(history_.end()));
+  }
+  revision_ = history_.empty() ? 1 : history_.rbegin()->first;
+  history_start_ = std::min(history_start_, revision_);
+  store_items_.clear();
+  for (const auto& [revision, event] : history_) {
+    if (event.change.value.has_value()) {
+      store_items_[event.change.key] = event.change;
+    } else {
+      store_items_.erase(event.change.key);
+    }
+  }
+  era_ += StoreEra(1);
+  // Calls that wait are cut.
+  watches_.clear();
+}
+
 auto StoreSpreadSimulation::Restart(std::size_t vm) -> void {
   auto& state = vms_[vm];
   const auto life = state.life + 1;
@@ -132,7 +158,7 @@
             [this, vm, life, call] { OnStoreFailure(vm, life, call); });
     } else if (next.list) {
       AnswerList(vm, life, next.after_key);
-    } else if (next.after_revision < revision_) {
+    } else if (next.after_revision != revision_) {
       AnswerWatch({vm, life, call, next.after_revision});
     } else {
       const auto number = ++last_watch_;
@@ -166,12 +192,13 @@
                                        const std::string& after_key) -> void {
   StorePage page;
   page.revision = revision_;
+  page.era = era_;
   for (auto item = store_items_.upper_bound(after_key); item != store_items_.end(); ++item) {
     if (page.items.size() == kPageItems) {
       page.more = true;
       break;
     }
-    page.items.push_back({item->first, "value", item->second});
+    page.items.push_back(item->second);
   }
   RunAt(vm, life, Delay(kStoreRegion, Region(vm)), [this, vm, life, page] {
     const auto new_changes = vms_[vm].sync_state.OnPage(page, now());
@@ -184,11 +211,13 @@
 auto StoreSpreadSimulation::AnswerWatch(const Watch& watch) -> void {
   const auto vm = watch.vm;
   const auto life = watch.life;
-  const bool history_gone = watch.after_revision < history_start_;
+  const bool history_gone =
+      watch.after_revision < history_start_ || watch.after_revision > revision_;
   StoreChanges changes;
   changes.revision = revision_;
+  changes.era = era_;
   for (auto event = history_.upper_bound(watch.after_revision); event != history_.end(); ++event) {
-    changes.changes.push_back(event->second);
+    changes.changes.push_back(event->second.change);
   }
   const auto call = watch.call;
   RunAt(vm, life, Delay(kStoreRegion, Region(vm)), [this, vm, life, call, history_gone, changes] {
@@ -251,7 +280,7 @@
     if (change.revision < highest) ++reversals_;
     highest = std::max(highest, change.revision);
     if (change.value.has_value()) {
-      state.items[change.key] = change.revision;
+      state.items[change.key] = WriteOf(change);
       state.pending_removals.Remove(TargetName(change.key));
     } else {
       state.items.erase(change.key);
@@ -262,14 +291,17 @@
   state.pending_removals.Take(state.sync_state.removals_certain_until(), now());
 }
 
-auto StoreSpreadSimulation::RevisionAt(std::size_t vm, const std::string& key) const
-    -> std::uint64_t {
+auto StoreSpreadSimulation::WriteOf(const StoreChange& item) -> std::uint64_t {
+  return ParseNumber<std::uint64_t>(item.value.value_or("")).value_or(0);
+}
+
+auto StoreSpreadSimulation::WriteAt(std::size_t vm, const std::string& key) const -> std::uint64_t {
   const auto found = vms_[vm].items.find(key);
   return found == vms_[vm].items.end() ? 0 : found->second;
 }
 
 auto StoreSpreadSimulation::Uses(std::size_t vm, const std::string& key) const -> bool {
-  return RevisionAt(vm, key) > 0 || vms_[vm].pending_removals.Contains(TargetName(key));
+  return WriteAt(vm, key) > 0 || vms_[vm].pending_removals.Contains(TargetName(key));
 }
 
 auto StoreSpreadSimulation::ItemsAt(std::size_t vm) const -> std::map<std::string, std::uint64_t> {
@@ -277,7 +309,9 @@
 }
 
 auto StoreSpreadSimulation::StoreItems() const -> std::map<std::string, std::uint64_t> {
-  return store_items_;
+  std::map<std::string, std::uint64_t> writes;
+  for (const auto& [key, item] : store_items_) writes[key] = WriteOf(item);
+  return writes;
 }
 
 }  // namespace heatherspan
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -48,6 +48,9 @@
   auto Remove(const std::string& key) -> void;
   /// Drops the history: a watch after an older revision fails.
   auto DropHistory() -> void { history_start_ = revision_; }
+  /// Brings the store back as it was some time ago. What was written since is gone, and its
+  /// revisions are given out again.
+  auto Restore(Duration age) -> void;
   auto SetReach(std::size_t vm, Reach reach) -> void { vms_[vm].reach = reach; }
   /// Starts the VM's process anew, without any state.
   auto Restart(std::size_t vm) -> void;
@@ -57,11 +60,11 @@
   auto vm_count() const -> std::size_t { return vms_.size(); }
   auto reach(std::size_t vm) const -> const Reach& { return vms_[vm].reach; }
   auto IsReader(std::size_t vm) const -> bool { return SelectPeersOf(vm).is_reader; }
-  /// The revision of the key's last write that the VM knows, or 0.
-  auto RevisionAt(std::size_t vm, const std::string& key) const -> std::uint64_t;
+  /// The number of the key's last write that the VM knows, or 0.
+  auto WriteAt(std::size_t vm, const std::string& key) const -> std::uint64_t;
   /// Whether the item is present at the VM, or its removal is in doubt.
   auto Uses(std::size_t vm, const std::string& key) const -> bool;
-  /// The revision of each present item at the VM.
+  /// The number of the last write of each present item at the VM, and in the store.
   auto ItemsAt(std::size_t vm) const -> std::map<std::string, std::uint64_t>;
   auto StoreItems() const -> std::map<std::string, std::uint64_t>;
   /// How often a VM applied an older revision of an item after a newer one in one life.
@@ -85,6 +88,13 @@
     std::map<std::string, std::uint64_t> highest;  ///< Highest revision applied, by key.
   };
 
+  struct Event {
+    StoreChange change;
+    MonotonicTime made_at;
+  };
+
+  static auto WriteOf(const StoreChange& item) -> std::uint64_t;
+  auto Write(StoreChange change) -> void;
   auto Name(std::size_t vm) const -> std::string;
   auto Region(std::size_t vm) const -> std::size_t { return vm % options_.region_count; }
   auto Zone(std::size_t vm) const -> std::size_t {
@@ -120,11 +130,13 @@
   Random random_;
   EventScheduler scheduler_;
   std::vector<Vm> vms_;
-  std::map<std::string, std::uint64_t> store_items_;
-  std::map<std::uint64_t, StoreChange> history_;
+  std::map<std::string, StoreChange> store_items_;
+  std::map<std::uint64_t, Event> history_;  ///< By revision.
   std::map<std::uint64_t, Watch> watches_;  ///< Waiting for a change, by number.
   std::uint64_t last_watch_ = 0;
+  std::uint64_t last_write_ = 0;
   std::uint64_t revision_ = 1;
+  StoreEra era_{1};
   std::uint64_t history_start_ = 0;
   int reversals_ = 0;
   int store_calls_ = 0;
--- a/tests/experiment/store_spread_test.cc
+++ b/tests/experiment/store_spread_test.cc
@@ -52,7 +52,7 @@
   const auto start = simulation.now();
   const auto is_known = [&] {
     for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
-      if (!simulation.reach(vm).frozen && simulation.RevisionAt(vm, kConfiguration) != written) {
+      if (!simulation.reach(vm).frozen && simulation.WriteAt(vm, kConfiguration) != written) {
         return false;
       }
     }
@@ -156,8 +156,7 @@
   ExpectInTimeDuringFaults(
       [](StoreSpreadSimulation& simulation) { simulation.Put(kConfiguration); },
       [](const StoreSpreadSimulation& simulation, std::size_t vm) {
-        return simulation.RevisionAt(vm, kConfiguration) ==
-               simulation.StoreItems().at(kConfiguration);
+        return simulation.WriteAt(vm, kConfiguration) == simulation.StoreItems().at(kConfiguration);
       });
 }
 
@@ -199,6 +198,13 @@
   auto Draw(std::uint64_t limit) -> std::uint64_t { return random_() % limit; }
   auto simulation() -> StoreSpreadSimulation& { return simulation_; }
   auto AllUse(const char* key) const -> bool { return CountUsing(key) == simulation_.vm_count(); }
+  auto AllKnow(const char* key) const -> bool {
+    const auto write = simulation_.StoreItems().at(key);
+    for (std::size_t vm = 0; vm < simulation_.vm_count(); ++vm) {
+      if (simulation_.WriteAt(vm, key) != write) return false;
+    }
+    return true;
+  }
   auto NoneUses(const char* key) const -> bool { return CountUsing(key) == 0; }
 
  private:
@@ -259,6 +265,82 @@
   }
 }
 
+/// An outage for all at whose end the store is some seconds older. What was written since is
+/// written again within two seconds.
+class RestoredStore {
+ public:
+  RestoredStore(std::size_t vm_count, Duration bound, std::uint64_t seed)
+      : outage_(vm_count, bound, seed) {
+    outage_.SetStoreReach(true);
+    for (int i = 0; i < 4; ++i) {
+      outage_.simulation().Put(kConfiguration);
+      outage_.RunFor(milliseconds(500 + outage_.Draw(2500)));
+    }
+    outage_.SetStoreReach(false);
+    outage_.RunFor(milliseconds(500 + outage_.Draw(2500)));
+    const auto before = outage_.simulation().StoreItems();
+    outage_.simulation().Restore(milliseconds(1000 + outage_.Draw(9000)));
+    outage_.SetStoreReach(true);
+    outage_.RunFor(milliseconds(outage_.Draw(2000)));
+    const auto after = outage_.simulation().StoreItems();
+    for (const auto& [key, write] : before) {
+      if (!after.contains(key) || after.at(key) != write) outage_.simulation().Put(key);
+    }
+    // Without further writes, the store's revision stays below the one that the VMs had.
+    const auto time = kStableTime + milliseconds(outage_.Draw(3000));
+    outage_.Draw(2) == 0 ? outage_.simulation().RunFor(time) : outage_.RunFor(time);
+  }
+  auto outage() -> OutageForAll& { return outage_; }
+
+ private:
+  OutageForAll outage_;
+};
+
+/// Returns how long it takes at most until the change has its effect at all VMs after the store has
+/// come back from a copy.
+template <class Change, class HasEffect>
+auto TimeToReachAllAfterARestore(std::size_t vm_count, Duration bound, Change change,
+                                 HasEffect has_effect) -> Duration {
+  auto slowest = Duration::zero();
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    RestoredStore store(vm_count, bound, seed);
+    auto& outage = store.outage();
+    change(outage.simulation());
+    const auto start = outage.simulation().now();
+    while (!has_effect(outage) && outage.simulation().now() - start < seconds(10)) {
+      outage.simulation().RunFor(milliseconds(20));
+    }
+    slowest = std::max(slowest, outage.simulation().now() - start);
+  }
+  return slowest;
+}
+
+// Guards against VMs that drop a change because its revision was used before the store came back
+// from a copy.
+TEST(StoreSpread, ChangesAreInForceInTimeAfterTheStoreIsRestored) {
+  for (const auto& [vm_count, bound] : kSizesAndBounds) {
+    EXPECT_LE(TimeToReachAllAfterARestore(
+                  vm_count, bound,
+                  [](StoreSpreadSimulation& simulation) { simulation.Put(kConfiguration); },
+                  [](OutageForAll& outage) { return outage.AllKnow(kConfiguration); }),
+              bound)
+        << vm_count << " VMs";
+  }
+}
+
+// Guards against targets that stay in use because their removal has a revision that was used
+// before.
+TEST(StoreSpread, RemovalsTakeEffectInTimeAfterTheStoreIsRestored) {
+  for (const auto& [vm_count, bound] : kSizesAndBounds) {
+    EXPECT_LE(TimeToReachAllAfterARestore(
+                  vm_count, bound,
+                  [](StoreSpreadSimulation& simulation) { simulation.Remove(kConfiguration); },
+                  [](OutageForAll& outage) { return outage.NoneUses(kConfiguration); }),
+              bound - kWayToTarget)
+        << vm_count << " VMs";
+  }
+}
+
 // Guards against calls to the store that grow with the number of VMs, and against changes that
 // arrive late at those that don't read it.
 TEST(StoreSpread, CallsGrowWithTheZones) {
@@ -314,15 +396,18 @@
     simulation.DropHistory();
     simulation.SetReach(8, {});
     simulation.RunFor(milliseconds(1500));
-    EXPECT_EQ(simulation.RevisionAt(8, "target-150"), 0U) << "seed " << seed;
+    EXPECT_EQ(simulation.WriteAt(8, "target-150"), 0U) << "seed " << seed;
   }
 }
 
 /// Draws writes, removals and faults for some seconds.
 class RandomSchedule {
  public:
-  explicit RandomSchedule(std::uint64_t seed)
-      : random_(seed), simulation_({.vm_count = 4 + seed % 9, .seed = seed}) {}
+  /// `restores`: the store also comes back from older copies of itself.
+  explicit RandomSchedule(std::uint64_t seed, bool restores = false)
+      : random_(seed),
+        steps_(restores ? 10 : 9),
+        simulation_({.vm_count = 4 + seed % 9, .seed = seed}) {}
 
   auto Run() -> void {
     constexpr int kSteps = 60;
@@ -341,7 +426,7 @@
 
   auto Step() -> void {
     const auto vm = Draw(simulation_.vm_count());
-    switch (Draw(9)) {
+    switch (Draw(steps_)) {
       case 0:
         simulation_.SetReach(vm, {.store = false, .peers = Draw(2) == 0});
         break;
@@ -361,12 +446,16 @@
       case 6:
         simulation_.Remove(Item(Draw(30)));
         break;
+      case 9:
+        simulation_.Restore(milliseconds(Draw(5000)));
+        break;
       default:
         simulation_.Put(Item(Draw(30)));
     }
   }
 
   Random random_;
+  const std::uint64_t steps_;
   StoreSpreadSimulation simulation_;
 };
 
@@ -384,5 +473,18 @@
   }
 }
 
+// Guards against VMs that keep what the store has forgotten, or miss what it has written since,
+// after it has come back from copies beside other faults.
+TEST(StoreSpread, AllVmsAgreeWithARestoredStoreAfterFaults) {
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    RandomSchedule schedule(seed, true);
+    schedule.Run();
+    const auto& simulation = schedule.simulation();
+    for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
+      ASSERT_EQ(simulation.ItemsAt(vm), simulation.StoreItems()) << "seed " << seed << " vm " << vm;
+    }
+  }
+}
+
 }  // namespace
 }  // namespace heatherspan
