edge: what the store's items mean to the gateway has a class of its own

StoreItems takes over the changes of the store: the configuration, evacuations, targets and entry VMs. Moved only, no behaviour changes; the 37 tests of the library pass.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -16,14 +16,13 @@
 #include "edge/platform_ports.h"
 #include "edge/request_forwarder.h"
 #include "edge/store_follower.h"
+#include "edge/store_items.h"
 #include "edge/target_prober.h"
 #include "edge/vm_announcer.h"
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
 #include "gateway/listing_budget.h"
 #include "gateway/peer_selection.h"
-#include "gateway/pending_removals.h"
-#include "gateway/store_snapshot.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -83,8 +82,16 @@
                [this](StoreEra era, MonotonicTime /*called_at*/) { OnStoreEra(era); }),
         follower_(
             store_, workers_, log_,
-            [this](const StoreChange& change, bool unconfirmed) { OnChange(change, unconfirmed); },
+            [this](const StoreChange& change, bool unconfirmed) {
+              items_.OnChange(change, unconfirmed);
+            },
             [this] { OnBatchApplied(); }),
+        items_(
+            core_, follower_.sync_state(), log_, metrics_, settings_.node,
+            [this](const CallerLimits& limits) {
+              callers_server_.SetLimits(CallerServerLimits(settings_.descriptors, limits));
+            },
+            [this] { announcer_.OnRemoved(); }),
         peer_reader_(
             store_client_, settings_.seeds, workers_, log_, std::random_device()(),
             [this] { return PeerStateNeed(); },
@@ -280,7 +287,7 @@
   auto ListingForPeer() -> HttpResponse {
     const auto& sync_state = follower_.sync_state();
     if (!sync_state.synced() || !listing_budget_.MayGive()) return WithStatus(503);
-    auto answer = Store::ListAnswer(snapshot_.Page(sync_state.revision()));
+    auto answer = Store::ListAnswer(items_.snapshot().Page(sync_state.revision()));
     listing_budget_.OnGiven(answer.body.size());
     return answer;
   }
@@ -290,7 +297,7 @@
     if (!sync_state.synced()) return WithStatus(503);
     const auto changes = after_revision < sync_state.history_start()
                              ? std::nullopt
-                             : snapshot_.ChangesAfter(after_revision);
+                             : items_.snapshot().ChangesAfter(after_revision);
     const auto now = Now();
     return Store::WatchAnswer(changes, sync_state.revision(), sync_state.Age(now),
                               sync_state.ContactAge(now), core_.LimitReports(now));
@@ -347,124 +354,6 @@
     }
   }
 
-  auto OnChange(const StoreChange& change, bool unconfirmed) -> void {
-    snapshot_.Apply(change);
-    if (Formats::IsPolicyKey(change.key)) {
-      OnPolicy(change);
-    } else if (const auto zone = Formats::EvacuatedZone(change.key)) {
-      const bool evacuated = change.value.has_value();
-      core_.fleet().SetEvacuated(*zone, evacuated, Now());
-      log_.Write(LogLevel::kInfo, "evacuation",
-                 {{"zone", zone->value()},
-                  {"evacuated", evacuated ? 1 : 0},
-                  {"revision", change.revision}});
-    } else if (const auto target = Formats::TargetOf(change.key)) {
-      OnTarget(*target, change, unconfirmed);
-    } else if (const auto node = Formats::EntryVmOf(change.key)) {
-      OnEntryVm(*node, change, unconfirmed);
-    }
-  }
-
-  auto OnPolicy(const StoreChange& change) -> void {
-    // If the store item is removed, the last configuration stays in force.
-    if (!change.value.has_value()) return;
-    auto policy = Formats::ReadPolicy(*change.value);
-    if (!policy.ok()) {
-      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "policy"}});
-      log_.Write(
-          LogLevel::kError, "configuration-rejected",
-          {{"revision", change.revision}, {"error", std::string(policy.status().message())}});
-      return;
-    }
-    const auto version = policy->version.value();
-    const auto routes = policy->routes.size();
-    const auto restricted_routes =
-        std::count_if(policy->routes.begin(), policy->routes.end(),
-                      [](const Route& route) { return !route.allowed_regions.empty(); });
-    const auto limits = policy->limits;
-    const bool applied = core_.ApplyPolicy(*std::move(policy));
-    if (applied) callers_server_.SetLimits(CallerServerLimits(settings_.descriptors, limits));
-    metrics_.Set(Metric::kConfigVersion, {}, static_cast<double>(core_.policy()->version.value()));
-    log_.Write(LogLevel::kInfo, applied ? "configuration-applied" : "configuration-ignored",
-               {{"version", version},
-                {"routes", routes},
-                {"restricted_routes", restricted_routes},
-                {"revision", change.revision}});
-  }
-
-  auto OnTarget(const TargetName& name, const StoreChange& change, bool unconfirmed) -> void {
-    if (!change.value.has_value()) {
-      LogTargetRemoved(name, change, unconfirmed);
-      if (unconfirmed) {
-        pending_removals_.Add(name, Now());
-      } else {
-        core_.fleet().Unregister(name);
-      }
-      return;
-    }
-    pending_removals_.Remove(name);
-    const auto target = Formats::ReadTarget(name, *change.value);
-    if (!target.ok()) {
-      // A malformed registration names no usable target.
-      core_.fleet().Unregister(name);
-      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "target"}});
-      log_.Write(LogLevel::kWarning, "target-rejected",
-                 {{"target", name.value()},
-                  {"revision", change.revision},
-                  {"error", std::string(target.status().message())}});
-      return;
-    }
-    core_.fleet().Register(*target, Now());
-    log_.Write(LogLevel::kInfo, "target-registered",
-               {{"target", name.value()},
-                {"service", target->service.value()},
-                {"zone", target->zone.value()},
-                {"endpoint", target->endpoint.Text()},
-                {"state", target->draining ? "draining" : "ready"},
-                {"cold_ms",
-                 std::chrono::duration_cast<std::chrono::milliseconds>(target->cold_left).count()},
-                {"revision", change.revision}});
-  }
-
-  auto LogTargetRemoved(const TargetName& name, const StoreChange& change, bool unconfirmed)
-      -> void {
-    const auto now = Now();
-    const auto& sync_state = follower_.sync_state();
-    log_.Write(LogLevel::kInfo, "target-removed",
-               {{"target", name.value()},
-                {"in_doubt", unconfirmed ? 1 : 0},
-                {"contact_age_ms", Milliseconds(sync_state.ContactAge(now))},
-                {"state_age_ms", Milliseconds(sync_state.Age(now))},
-                {"revision", change.revision}});
-  }
-
-  static auto Milliseconds(Duration duration) -> std::int64_t {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  }
-
-  auto OnEntryVm(const NodeName& name, const StoreChange& change, bool unconfirmed) -> void {
-    if (!change.value.has_value()) {
-      core_.entry_vms().Withdraw(name, unconfirmed, Now());
-      log_.Write(LogLevel::kInfo, "entry-vm-removed",
-                 {{"node", name.value()},
-                  {"in_doubt", unconfirmed ? 1 : 0},
-                  {"revision", change.revision}});
-      if (name == settings_.node) announcer_.OnRemoved();
-      return;
-    }
-    const auto vm = Formats::ReadEntryVm(name, *change.value);
-    if (!vm.ok()) {
-      core_.entry_vms().Withdraw(name, false, Now());
-      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "entry-vm"}});
-      return;
-    }
-    core_.entry_vms().Announce(*vm, Now());
-    log_.Write(LogLevel::kInfo, "entry-vm",
-               {{"node", name.value()},
-                {"callers", vm->caller_endpoint.Text()},
-                {"revision", change.revision}});
-  }
-
   auto OnStoreEra(StoreEra era) -> void {
     if (era == store_era_) return;
     log_.Write(LogLevel::kWarning, "store-era",
@@ -478,20 +367,7 @@
   auto RecordStoreSeen() -> void {
     const auto& sync_state = follower_.sync_state();
     core_.OnStoreSeen(sync_state.revision(), sync_state.complete_at());
-    UnregisterRemovedTargets();
-  }
-
-  /// A removal that was in doubt stands once the target has had the time to register again.
-  auto UnregisterRemovedTargets() -> void {
-    const auto now = Now();
-    const auto& sync_state = follower_.sync_state();
-    for (const auto& name : pending_removals_.Take(sync_state.removals_certain_until(), now)) {
-      log_.Write(LogLevel::kInfo, "target-lapsed",
-                 {{"target", name.value()},
-                  {"in_doubt", sync_state.RemovalsUnconfirmed() ? 1 : 0},
-                  {"contact_age_ms", Milliseconds(sync_state.ContactAge(now))}});
-      core_.fleet().Unregister(name);
-    }
+    items_.UnregisterRemovedTargets();
   }
 
   auto OnBatchApplied() -> void {
@@ -502,7 +378,7 @@
   auto OnTick() -> void {
     const auto now = Now();
     listing_budget_.OnTick();
-    UnregisterRemovedTargets();
+    items_.UnregisterRemovedTargets();
     core_.OnTick(now);
     prober_.OnTick(now);
     metrics_.Set(Metric::kInputAgeSeconds, {{"source", "store"}},
@@ -565,13 +441,12 @@
   const std::function<void()> on_stopped_;
   MetricsRegistry metrics_;
   GatewayCore core_;
-  PendingRemovals pending_removals_;
   WorkerPool workers_;
   HttpClient target_client_;
   HttpClient store_client_;
   Store store_;
   StoreFollower<Store> follower_;
-  StoreSnapshot snapshot_;
+  StoreItems<Formats> items_;
   PeerReader<Store> peer_reader_;
   PeerSync<Store> peer_sync_;
   ListingBudget listing_budget_;
--- /dev/null
+++ b/src/edge/store_items.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+#include "edge/platform_ports.h"
+#include "gateway/gateway_core.h"
+#include "gateway/pending_removals.h"
+#include "gateway/store_snapshot.h"
+#include "gateway/store_sync_state.h"
+#include "observe/event_log.h"
+#include "observe/metrics_registry.h"
+
+namespace heatherspan {
+
+/// Takes over the changes of the store: configuration, evacuations, targets and entry VMs.
+template <StoreFormat Formats>
+class StoreItems {
+ public:
+  using OnCallerLimits = std::function<void(const CallerLimits& limits)>;
+  /// This node's own announcement has been removed.
+  using OnOwnRemoval = std::function<void()>;
+
+  StoreItems(GatewayCore& core, const StoreSyncState& sync_state, EventLog& log,
+             MetricsRegistry& metrics, NodeName self, OnCallerLimits on_caller_limits,
+             OnOwnRemoval on_own_removal)
+      : core_(core),
+        sync_state_(sync_state),
+        log_(log),
+        metrics_(metrics),
+        self_(std::move(self)),
+        on_caller_limits_(std::move(on_caller_limits)),
+        on_own_removal_(std::move(on_own_removal)) {}
+
+  auto snapshot() const -> const StoreSnapshot& { return snapshot_; }
+
+  auto OnChange(const StoreChange& change, bool unconfirmed) -> void {
+    snapshot_.Apply(change);
+    if (Formats::IsPolicyKey(change.key)) {
+      OnPolicy(change);
+    } else if (const auto zone = Formats::EvacuatedZone(change.key)) {
+      const bool evacuated = change.value.has_value();
+      core_.fleet().SetEvacuated(*zone, evacuated, Now());
+      log_.Write(LogLevel::kInfo, "evacuation",
+                 {{"zone", zone->value()},
+                  {"evacuated", evacuated ? 1 : 0},
+                  {"revision", change.revision}});
+    } else if (const auto target = Formats::TargetOf(change.key)) {
+      OnTarget(*target, change, unconfirmed);
+    } else if (const auto node = Formats::EntryVmOf(change.key)) {
+      OnEntryVm(*node, change, unconfirmed);
+    }
+  }
+
+  /// A removal that was in doubt stands once the target has had the time to register again.
+  auto UnregisterRemovedTargets() -> void {
+    const auto now = Now();
+    for (const auto& name : pending_removals_.Take(sync_state_.removals_certain_until(), now)) {
+      log_.Write(LogLevel::kInfo, "target-lapsed",
+                 {{"target", name.value()},
+                  {"in_doubt", sync_state_.RemovalsUnconfirmed() ? 1 : 0},
+                  {"contact_age_ms", Milliseconds(sync_state_.ContactAge(now))}});
+      core_.fleet().Unregister(name);
+    }
+  }
+
+ private:
+  static auto Now() -> MonotonicTime { return SystemClock().Now(); }
+
+  auto OnPolicy(const StoreChange& change) -> void {
+    // If the store item is removed, the last configuration stays in force.
+    if (!change.value.has_value()) return;
+    auto policy = Formats::ReadPolicy(*change.value);
+    if (!policy.ok()) {
+      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "policy"}});
+      log_.Write(
+          LogLevel::kError, "configuration-rejected",
+          {{"revision", change.revision}, {"error", std::string(policy.status().message())}});
+      return;
+    }
+    const auto version = policy->version.value();
+    const auto routes = policy->routes.size();
+    const auto restricted_routes =
+        std::count_if(policy->routes.begin(), policy->routes.end(),
+                      [](const Route& route) { return !route.allowed_regions.empty(); });
+    const auto limits = policy->limits;
+    const bool applied = core_.ApplyPolicy(*std::move(policy));
+    if (applied) on_caller_limits_(limits);
+    metrics_.Set(Metric::kConfigVersion, {}, static_cast<double>(core_.policy()->version.value()));
+    log_.Write(LogLevel::kInfo, applied ? "configuration-applied" : "configuration-ignored",
+               {{"version", version},
+                {"routes", routes},
+                {"restricted_routes", restricted_routes},
+                {"revision", change.revision}});
+  }
+
+  auto OnTarget(const TargetName& name, const StoreChange& change, bool unconfirmed) -> void {
+    if (!change.value.has_value()) {
+      LogTargetRemoved(name, change, unconfirmed);
+      if (unconfirmed) {
+        pending_removals_.Add(name, Now());
+      } else {
+        core_.fleet().Unregister(name);
+      }
+      return;
+    }
+    pending_removals_.Remove(name);
+    const auto target = Formats::ReadTarget(name, *change.value);
+    if (!target.ok()) {
+      // A malformed registration names no usable target.
+      core_.fleet().Unregister(name);
+      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "target"}});
+      log_.Write(LogLevel::kWarning, "target-rejected",
+                 {{"target", name.value()},
+                  {"revision", change.revision},
+                  {"error", std::string(target.status().message())}});
+      return;
+    }
+    core_.fleet().Register(*target, Now());
+    log_.Write(LogLevel::kInfo, "target-registered",
+               {{"target", name.value()},
+                {"service", target->service.value()},
+                {"zone", target->zone.value()},
+                {"endpoint", target->endpoint.Text()},
+                {"state", target->draining ? "draining" : "ready"},
+                {"cold_ms",
+                 std::chrono::duration_cast<std::chrono::milliseconds>(target->cold_left).count()},
+                {"revision", change.revision}});
+  }
+
+  auto LogTargetRemoved(const TargetName& name, const StoreChange& change, bool unconfirmed)
+      -> void {
+    const auto now = Now();
+    log_.Write(LogLevel::kInfo, "target-removed",
+               {{"target", name.value()},
+                {"in_doubt", unconfirmed ? 1 : 0},
+                {"contact_age_ms", Milliseconds(sync_state_.ContactAge(now))},
+                {"state_age_ms", Milliseconds(sync_state_.Age(now))},
+                {"revision", change.revision}});
+  }
+
+  static auto Milliseconds(Duration duration) -> std::int64_t {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  }
+
+  auto OnEntryVm(const NodeName& name, const StoreChange& change, bool unconfirmed) -> void {
+    if (!change.value.has_value()) {
+      core_.entry_vms().Withdraw(name, unconfirmed, Now());
+      log_.Write(LogLevel::kInfo, "entry-vm-removed",
+                 {{"node", name.value()},
+                  {"in_doubt", unconfirmed ? 1 : 0},
+                  {"revision", change.revision}});
+      if (name == self_) on_own_removal_();
+      return;
+    }
+    const auto vm = Formats::ReadEntryVm(name, *change.value);
+    if (!vm.ok()) {
+      core_.entry_vms().Withdraw(name, false, Now());
+      metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "entry-vm"}});
+      return;
+    }
+    core_.entry_vms().Announce(*vm, Now());
+    log_.Write(LogLevel::kInfo, "entry-vm",
+               {{"node", name.value()},
+                {"callers", vm->caller_endpoint.Text()},
+                {"revision", change.revision}});
+  }
+
+  GatewayCore& core_;
+  const StoreSyncState& sync_state_;
+  EventLog& log_;
+  MetricsRegistry& metrics_;
+  const NodeName self_;
+  const OnCallerLimits on_caller_limits_;
+  const OnOwnRemoval on_own_removal_;
+  StoreSnapshot snapshot_;
+  PendingRemovals pending_removals_;
+};
+
+}  // namespace heatherspan
