--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -79,13 +79,13 @@
         target_client_(workers_, TargetLimits()),
         store_client_(workers_, StoreLimits()),
         store_(store_client_, settings_.store,
-               [this](StoreEra era, MonotonicTime /*called_at*/) { OnStoreEra(era); }),
+               [this](StoreEra era, MonotonicTime called_at) { OnStoreEra(era, called_at); }),
         follower_(
             store_, workers_, log_,
             [this](const StoreChange& change, bool unconfirmed) {
               items_.OnChange(change, unconfirmed);
             },
-            [this] { OnBatchApplied(); }),
+            [this] { OnBatchApplied(); }, [this] { OnStoreRestored(); }),
         items_(
             core_, follower_.sync_state(), log_, metrics_, settings_.node,
             [this](const CallerLimits& limits) {
@@ -97,11 +97,12 @@
             [this] { return PeerStateNeed(); },
             [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
         peer_sync_(
-            store_client_, workers_, [this] { return SyncedRevision(); },
+            store_client_, workers_, [this] { return SyncedPosition(); },
             [this] { return NextPeerQuestions(); },
             [this](const Endpoint& peer, StoreChanges changes) {
               OnPeerChanges(peer, std::move(changes));
-            }),
+            },
+            [this](StoreEra era) { OnPeerEra(era); }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
                    Formats::WriteEntryVm({settings_.node, settings_.zone, settings_.region,
                                           settings_.callers, settings_.peers}),
@@ -270,16 +271,16 @@
   auto PeerStateNeed() const -> typename PeerReader<Store>::Need {
     using Need = typename PeerReader<Store>::Need;
     const auto& sync_state = follower_.sync_state();
-    if (sync_state.synced()) return Need::kNone;
+    if (sync_state.synced() && !sync_state.is_outdated()) return Need::kNone;
     const bool silent = !sync_state.in_contact() && Now() - started_at_ > kStorePatienceAtStart;
     return sync_state.lost() || silent ? Need::kNow : Need::kLater;
   }
 
   /// Answers a peer that can't read the store.
   auto PeerQuestion(const HttpRequest& request) -> HttpResponse {
-    if (const auto revision = Store::WatchedRevision(request)) {
+    if (const auto position = Store::WatchedPosition(request)) {
       OnLimitReports(Store::LimitReportsIn(request));
-      return ChangesForPeer(*revision);
+      return ChangesForPeer(*position);
     }
     return Store::IsListCall(request) ? ListingForPeer() : WithStatus(404);
   }
@@ -287,20 +288,25 @@
   auto ListingForPeer() -> HttpResponse {
     const auto& sync_state = follower_.sync_state();
     if (!sync_state.synced() || !listing_budget_.MayGive()) return WithStatus(503);
-    auto answer = Store::ListAnswer(items_.snapshot().Page(sync_state.revision()));
+    auto page = items_.snapshot().Page(sync_state.revision());
+    page.era = sync_state.era();
+    auto answer = Store::ListAnswer(page);
     listing_budget_.OnGiven(answer.body.size());
     return answer;
   }
 
-  auto ChangesForPeer(std::uint64_t after_revision) -> HttpResponse {
+  auto ChangesForPeer(const StorePosition& after) -> HttpResponse {
+    OnPeerEra(after.era);
     const auto& sync_state = follower_.sync_state();
     if (!sync_state.synced()) return WithStatus(503);
-    const auto changes = after_revision < sync_state.history_start()
-                             ? std::nullopt
-                             : items_.snapshot().ChangesAfter(after_revision);
+    const bool has_history =
+        after.era == sync_state.era() && after.revision >= sync_state.history_start();
+    const auto changes =
+        has_history ? items_.snapshot().ChangesAfter(after.revision) : std::nullopt;
     const auto now = Now();
-    return Store::WatchAnswer(changes, sync_state.revision(), sync_state.Age(now),
-                              sync_state.ContactAge(now), core_.LimitReports(now));
+    return Store::WatchAnswer(changes, {sync_state.era(), sync_state.revision()},
+                              sync_state.Age(now), sync_state.ContactAge(now),
+                              core_.LimitReports(now));
   }
 
   auto NextPeerQuestions() -> typename PeerSync<Store>::Questions {
@@ -313,9 +319,10 @@
     return {std::move(peers), core_.LimitReports(now), role.QuestionInterval(state, now)};
   }
 
-  auto SyncedRevision() const -> std::optional<std::uint64_t> {
+  auto SyncedPosition() const -> std::optional<StorePosition> {
     const auto& sync_state = follower_.sync_state();
-    return sync_state.synced() ? std::optional(sync_state.revision()) : std::nullopt;
+    if (!sync_state.synced()) return std::nullopt;
+    return StorePosition{sync_state.era(), sync_state.revision()};
   }
 
   auto OnPeerState(const Endpoint& peer, StorePage state) -> void {
@@ -354,14 +361,22 @@
     }
   }
 
-  auto OnStoreEra(StoreEra era) -> void {
-    if (era == store_era_) return;
-    log_.Write(LogLevel::kWarning, "store-era",
-               {{"era", era.value()},
-                {"before", store_era_.value()},
-                {"revision", follower_.sync_state().revision()}});
+  auto OnStoreEra(StoreEra era, MonotonicTime called_at) -> void {
     metrics_.Set(Metric::kStoreEra, {}, static_cast<double>(era.value()));
-    store_era_ = era;
+    follower_.OnStoreEra(era, called_at);
+    if (follower_.sync_state().is_outdated()) peer_reader_.Start();
+  }
+
+  auto OnPeerEra(StoreEra era) -> void {
+    follower_.OnPeerEra(era);
+    if (follower_.sync_state().is_outdated()) peer_reader_.Start();
+  }
+
+  auto OnStoreRestored() -> void {
+    const auto& sync_state = follower_.sync_state();
+    log_.Write(LogLevel::kWarning, "store-era-applied",
+               {{"era", sync_state.era().value()}, {"revision", sync_state.revision()}});
+    items_.OnStoreRestored();
   }
 
   auto RecordStoreSeen() -> void {
@@ -371,6 +386,7 @@
   }
 
   auto OnBatchApplied() -> void {
+    items_.OnBatchApplied();
     RecordStoreSeen();
     if (IsReady()) announcer_.Start();
   }
@@ -450,7 +466,6 @@
   PeerReader<Store> peer_reader_;
   PeerSync<Store> peer_sync_;
   ListingBudget listing_budget_;
-  StoreEra store_era_;
   MonotonicTime started_at_{};
   VmAnnouncer<Store> announcer_;
   RequestForwarder<Messages> forwarder_;
--- a/src/edge/peer_reader.h
+++ b/src/edge/peer_reader.h
@@ -42,8 +42,10 @@
     std::shuffle(peers_.begin(), peers_.end(), Random(random_seed));
   }
 
+  /// Reads a peer's state once it is needed. May be called again.
   auto Start() -> void {
-    if (!peers_.empty()) ScheduleRound(kNeedCheckInterval);
+    if (peers_.empty() || std::exchange(is_running_, true)) return;
+    ScheduleRound(kNeedCheckInterval);
   }
 
  private:
@@ -58,7 +60,10 @@
 
   auto ReadPeer(std::size_t index) -> void {
     const auto need = need_();
-    if (need == Need::kNone) return;
+    if (need == Need::kNone) {
+      is_running_ = false;
+      return;
+    }
     if (need == Need::kLater) {
       ScheduleRound(kNeedCheckInterval);
       return;
@@ -71,6 +76,8 @@
       const auto& peer = peers_[index].endpoint;
       if (state.ok() && !state->more) {
         on_state_(peer, *std::move(state));
+        // The peer's state may belong to an era that is not wanted.
+        ReadPeer(index + 1);
         return;
       }
       log_.Write(LogLevel::kWarning, "peer-state-failed",
@@ -87,6 +94,7 @@
   const OnState on_state_;
   std::vector<Peer> peers_;
   std::shared_ptr<WorkerPool::Timer> timer_;
+  bool is_running_ = false;
 };
 
 }  // namespace heatherspan
--- a/src/edge/peer_sync.h
+++ b/src/edge/peer_sync.h
@@ -31,19 +31,23 @@
     Duration next{};
   };
 
-  /// Returns the revision up to which this node has the state, or nothing before the first listing.
-  using RevisionCallback = std::function<std::optional<std::uint64_t>()>;
+  /// Returns up to where this node has the state, or nothing before the first listing.
+  using PositionCallback = std::function<std::optional<StorePosition>()>;
   using QuestionsCallback = std::function<Questions()>;
   /// The age of the changes includes the time of the exchange.
   using OnChanges = std::function<void(const Endpoint& peer, StoreChanges changes)>;
 
-  PeerSync(HttpClient& client, WorkerPool& workers, RevisionCallback revision,
-           QuestionsCallback questions, OnChanges on_changes)
+  /// The era that a peer's answer belongs to, also if it has no changes to give.
+  using OnEra = std::function<void(StoreEra era)>;
+
+  PeerSync(HttpClient& client, WorkerPool& workers, PositionCallback position,
+           QuestionsCallback questions, OnChanges on_changes, OnEra on_era)
       : client_(client),
         workers_(workers),
-        revision_(std::move(revision)),
+        position_(std::move(position)),
         questions_(std::move(questions)),
-        on_changes_(std::move(on_changes)) {}
+        on_changes_(std::move(on_changes)),
+        on_era_(std::move(on_era)) {}
 
   auto Start() -> void { AskNext(); }
 
@@ -53,17 +57,17 @@
   auto AskNext() -> void {
     const auto questions = questions_();
     timer_ = workers_.RunAfter(questions.next, [this] { AskNext(); });
-    const auto revision = revision_();
-    if (!revision.has_value()) return;
-    for (const auto& peer : questions.peers) Ask(peer, *revision, questions.limit_reports);
+    const auto position = position_();
+    if (!position.has_value()) return;
+    for (const auto& peer : questions.peers) Ask(peer, *position, questions.limit_reports);
   }
 
-  auto Ask(const Endpoint& peer, std::uint64_t revision,
+  auto Ask(const Endpoint& peer, const StorePosition& position,
            const std::vector<LimitReport>& limit_reports) -> void {
     // A peer that has not answered the last question is not asked again.
     if (!asked_.insert(peer.Text()).second) return;
-    Store(client_, peer)
-        .AskPeer(revision, limit_reports,
+    Store(client_, peer, [this](StoreEra era, MonotonicTime /*called_at*/) { on_era_(era); })
+        .AskPeer(position, limit_reports,
                  [this, peer, asked_at = Now()](absl::StatusOr<StoreChanges> changes) {
                    asked_.erase(peer.Text());
                    // A peer that doesn't answer or lacks the history is asked again in its turn.
@@ -75,9 +79,10 @@
 
   HttpClient& client_;
   WorkerPool& workers_;
-  const RevisionCallback revision_;
+  const PositionCallback position_;
   const QuestionsCallback questions_;
   const OnChanges on_changes_;
+  const OnEra on_era_;
   absl::flat_hash_set<std::string> asked_;  ///< Peers that have yet to answer.
   std::shared_ptr<WorkerPool::Timer> timer_;
 };
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -29,19 +29,20 @@
                                 typename T::StatusCallback on_status, const HttpRequest& request,
                                 const StorePage& page,
                                 const std::optional<std::vector<StoreChange>>& changes,
+                                const StorePosition& position,
                                 const std::vector<LimitReport>& limit_reports) {
   store.List(key, on_page);
   store.Watch(number, wait, on_changes);
-  store.AskPeer(number, limit_reports, on_changes);
+  store.AskPeer(position, limit_reports, on_changes);
   store.Grant(wait, on_lease);
   store.KeepAlive(number, on_status);
   store.Revoke(number, on_status);
   store.Put(key, key, number, on_status);
   { T::IsListCall(request) } -> std::same_as<bool>;
   { T::ListAnswer(page) } -> std::same_as<HttpResponse>;
-  { T::WatchedRevision(request) } -> std::same_as<std::optional<std::uint64_t>>;
+  { T::WatchedPosition(request) } -> std::same_as<std::optional<StorePosition>>;
   { T::LimitReportsIn(request) } -> std::same_as<std::vector<LimitReport>>;
-  { T::WatchAnswer(changes, number, wait, wait, limit_reports) } -> std::same_as<HttpResponse>;
+  { T::WatchAnswer(changes, position, wait, wait, limit_reports) } -> std::same_as<HttpResponse>;
 };
 
 /// The formats of the items in the store.
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -25,6 +25,8 @@
   /// `unconfirmed`: if the item was removed, its owner may still run.
   using OnChange = std::function<void(const StoreChange&, bool unconfirmed)>;
   using OnBatchApplied = std::function<void()>;
+  /// The changes that follow are the whole state of a store that is back from an older copy.
+  using OnRestored = std::function<void()>;
 
   /// A watch that has no answer so long after its wait is made again beside the first one: the
   /// answer may be lost, or the connection silent.
@@ -40,12 +42,13 @@
 
   /// `on_change` is called for each change, `on_batch_applied` after all changes of one response.
   StoreFollower(Store& store, WorkerPool& workers, EventLog& log, OnChange on_change,
-                OnBatchApplied on_batch_applied)
+                OnBatchApplied on_batch_applied, OnRestored on_restored)
       : store_(store),
         workers_(workers),
         log_(log),
         on_change_(std::move(on_change)),
-        on_batch_applied_(std::move(on_batch_applied)) {}
+        on_batch_applied_(std::move(on_batch_applied)),
+        on_restored_(std::move(on_restored)) {}
 
   auto Start() -> void { CallNext(); }
   auto SetTiming(StoreReadTiming timing) -> void {
@@ -56,10 +59,18 @@
   auto sync_state() const -> const StoreSyncState& { return sync_state_; }
   /// Applies a peer's complete listing of the store. Returns the number of changes.
   auto ApplyPeerState(StorePage state) -> std::size_t {
-    const auto changes = sync_state_.OnPeerState(std::move(state));
+    const auto changes = sync_state_.OnPeerState(std::move(state), Now());
     ApplyAll(changes, true);
     return changes.size();
   }
+  /// An answer of the store, of any kind, belongs to the era. Called before the answer is used.
+  auto OnStoreEra(StoreEra era, MonotonicTime called_at) -> void {
+    if (sync_state_.OnStoreEra(era, called_at, Now())) ReadOtherEra("store", era);
+  }
+  /// A peer's question or answer belongs to the era.
+  auto OnPeerEra(StoreEra era) -> void {
+    if (sync_state_.OnPeerEra(era, Now())) ReadOtherEra("peer", era);
+  }
   /// Applies changes that a peer has read. Returns the number of changes.
   auto ApplyPeerChanges(StoreChanges changes) -> std::size_t {
     const MonotonicTime now = Now();
@@ -73,7 +84,8 @@
 
   auto CallNext() -> void {
     const auto now = Now();
-    const bool reads = !sync_state_.synced() || role_.ReadsStore(sync_state_.Age(now), now);
+    const bool is_listing = sync_state_.Next().list;
+    const bool reads = is_listing || role_.ReadsStore(sync_state_.Age(now), now);
     if (reads != std::exchange(reads_, reads)) {
       log_.Write(
           LogLevel::kInfo, "store-reading",
@@ -88,12 +100,15 @@
     }
     const auto call = ++last_call_;
     const auto next = sync_state_.Next();
+    const auto listing = sync_state_.listing_number();
     if (next.list) {
-      store_.List(next.after_key, [this, call](absl::StatusOr<StorePage> page) {
+      store_.List(next.after_key, [this, call, listing](absl::StatusOr<StorePage> page) {
         if (!page.ok()) {
           OnFailure(call, page.status());
           return;
         }
+        // The answer belongs to the listing or the era before.
+        if (listing != sync_state_.listing_number()) return;
         LogListing(*page);
         Apply(call, sync_state_.OnPage(*std::move(page), Now()));
       });
@@ -107,11 +122,12 @@
       timer_ = workers_.RunAfter(wait + kOverdueTime, [this, call] { OnOverdue(call); });
     }
     store_.Watch(next.after_revision, wait,
-                 [this, call, called_at = now](absl::StatusOr<StoreChanges> changes) {
+                 [this, call, listing, called_at = now](absl::StatusOr<StoreChanges> changes) {
                    if (!changes.ok()) {
                      OnFailure(call, changes.status());
                      return;
                    }
+                   if (listing != sync_state_.listing_number()) return;
                    // An overdue answer was made at any time since the call.
                    const auto seen_at = call == last_call_ ? Now() : called_at;
                    Apply(call, sync_state_.OnChanges(*std::move(changes), seen_at));
@@ -151,7 +167,20 @@
     }
   }
 
+  /// A call that is outstanding belongs to the era before; its answer is not used.
+  auto ReadOtherEra(const char* source, StoreEra era) -> void {
+    log_.Write(LogLevel::kWarning, "store-restored",
+               {{"source", source},
+                {"era", era.value()},
+                {"before", sync_state_.era().value()},
+                {"revision", sync_state_.revision()}});
+    CallNext();
+  }
+
   auto ApplyAll(const std::vector<StoreChange>& changes, bool unconfirmed) -> void {
+    const auto era = std::exchange(applied_era_, sync_state_.era());
+    if (era != applied_era_ && has_state_) on_restored_();
+    has_state_ = sync_state_.synced();
     for (const auto& change : changes) on_change_(change, unconfirmed);
     on_batch_applied_();
   }
@@ -193,10 +222,13 @@
   EventLog& log_;
   const OnChange on_change_;
   const OnBatchApplied on_batch_applied_;
+  const OnRestored on_restored_;
   StoreSyncState sync_state_;
   StoreReaderRole role_;
   std::uint64_t last_call_ = 0;
   std::uint64_t last_answered_ = 0;
+  StoreEra applied_era_;
+  bool has_state_ = false;
   bool reads_ = true;
   bool lost_ = false;
   Duration backoff_ = kMinBackoff;
--- a/src/edge/store_items.h
+++ b/src/edge/store_items.h
@@ -37,8 +37,12 @@
 
   auto snapshot() const -> const StoreSnapshot& { return snapshot_; }
 
+  /// The following changes are the whole state of a store that is back from an older copy.
+  auto OnStoreRestored() -> void { snapshot_.BeginEra(); }
+  auto OnBatchApplied() -> void { snapshot_.EndOfNewState(); }
+
   auto OnChange(const StoreChange& change, bool unconfirmed) -> void {
-    snapshot_.Apply(change);
+    if (snapshot_.Apply(change) == StoreSnapshot::Effect::kUnchanged) return;
     if (Formats::IsPolicyKey(change.key)) {
       OnPolicy(change);
     } else if (const auto zone = Formats::EvacuatedZone(change.key)) {
--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -135,13 +135,14 @@
 auto StoreSpreadSimulation::CallStore(std::size_t vm, std::uint64_t life) -> void {
   auto& state = vms_[vm];
   const bool reads =
-      !state.sync_state.synced() || state.role.ReadsStore(state.sync_state.Age(now()), now());
+      state.sync_state.Next().list || state.role.ReadsStore(state.sync_state.Age(now()), now());
   if (!reads) {
     CallAgain(vm, life, kRoleCheckInterval);
     return;
   }
   ++store_calls_;
   const auto call = ++state.last_call;
+  const auto called_at = now();
   const auto next = state.sync_state.Next();
   const auto interval = state.role.timing().answer_interval;
   const auto wait = std::clamp(interval - state.sync_state.Age(now()), Duration::zero(), interval);
@@ -152,22 +153,24 @@
       CallStore(vm, life);
     });
   }
-  scheduler_.RunAfter(Delay(Region(vm), kStoreRegion), [this, vm, life, call, next, wait] {
-    if (!vms_[vm].reach.store) {
-      RunAt(vm, life, kCallTimeout + (next.list ? Duration::zero() : wait),
-            [this, vm, life, call] { OnStoreFailure(vm, life, call); });
-    } else if (next.list) {
-      AnswerList(vm, life, next.after_key);
-    } else if (next.after_revision != revision_) {
-      AnswerWatch({vm, life, call, next.after_revision});
-    } else {
-      const auto number = ++last_watch_;
-      watches_[number] = {vm, life, call, next.after_revision};
-      scheduler_.RunAfter(wait, [this, number] {
-        if (const auto watch = watches_.extract(number)) AnswerWatch(watch.mapped());
-      });
-    }
-  });
+  scheduler_.RunAfter(Delay(Region(vm), kStoreRegion),
+                      [this, vm, life, call, next, wait, called_at] {
+                        if (!vms_[vm].reach.store) {
+                          RunAt(vm, life, kCallTimeout + (next.list ? Duration::zero() : wait),
+                                [this, vm, life, call] { OnStoreFailure(vm, life, call); });
+                        } else if (next.list) {
+                          AnswerList({vm, life, call, called_at}, next.after_key);
+                        } else if (next.after_revision != revision_) {
+                          AnswerWatch({{vm, life, call, called_at}, next.after_revision});
+                        } else {
+                          const auto number = ++last_watch_;
+                          watches_[number] = {{vm, life, call, called_at}, next.after_revision};
+                          scheduler_.RunAfter(wait, [this, number] {
+                            if (const auto watch = watches_.extract(number))
+                              AnswerWatch(watch.mapped());
+                          });
+                        }
+                      });
 }
 
 auto StoreSpreadSimulation::OnStoreFailure(std::size_t vm, std::uint64_t life, std::uint64_t call)
@@ -188,8 +191,7 @@
   for (const auto& [number, watch] : std::exchange(watches_, {})) AnswerWatch(watch);
 }
 
-auto StoreSpreadSimulation::AnswerList(std::size_t vm, std::uint64_t life,
-                                       const std::string& after_key) -> void {
+auto StoreSpreadSimulation::AnswerList(const Call& call, const std::string& after_key) -> void {
   StorePage page;
   page.revision = revision_;
   page.era = era_;
@@ -200,17 +202,15 @@
     }
     page.items.push_back(item->second);
   }
-  RunAt(vm, life, Delay(kStoreRegion, Region(vm)), [this, vm, life, page] {
-    const auto new_changes = vms_[vm].sync_state.OnPage(page, now());
-    Apply(vm, new_changes);
-    vms_[vm].store_lost = false;
-    CallAgain(vm, life, Duration::zero());
+  Answer(call, [this, call, page] {
+    auto& state = vms_[call.vm];
+    Apply(call.vm, state.sync_state.OnPage(page, now()));
+    state.store_lost = false;
+    if (call.number == state.last_call) CallAgain(call.vm, call.life, Duration::zero());
   });
 }
 
 auto StoreSpreadSimulation::AnswerWatch(const Watch& watch) -> void {
-  const auto vm = watch.vm;
-  const auto life = watch.life;
   const bool history_gone =
       watch.after_revision < history_start_ || watch.after_revision > revision_;
   StoreChanges changes;
@@ -219,23 +219,36 @@
   for (auto event = history_.upper_bound(watch.after_revision); event != history_.end(); ++event) {
     changes.changes.push_back(event->second.change);
   }
-  const auto call = watch.call;
-  RunAt(vm, life, Delay(kStoreRegion, Region(vm)), [this, vm, life, call, history_gone, changes] {
-    const bool is_last = call == vms_[vm].last_call;
+  Answer(watch.call, [this, call = watch.call, history_gone, changes] {
+    auto& state = vms_[call.vm];
+    const bool is_last = call.number == state.last_call;
     if (history_gone && !is_last) return;
-    vms_[vm].last_answered = std::max(vms_[vm].last_answered, call);
+    state.last_answered = std::max(state.last_answered, call.number);
     if (history_gone) {
-      vms_[vm].sync_state.OnFailure(absl::OutOfRangeError("history gone"));
-      CallAgain(vm, life, Duration::zero());
+      state.sync_state.OnFailure(absl::OutOfRangeError("history gone"));
+      CallAgain(call.vm, call.life, Duration::zero());
       return;
     }
-    const auto new_changes = vms_[vm].sync_state.OnChanges(changes, now());
-    Apply(vm, new_changes);
-    vms_[vm].store_lost = false;
-    if (is_last) CallAgain(vm, life, new_changes.empty() ? Duration::zero() : kBatchDelay);
+    const auto new_changes = state.sync_state.OnChanges(changes, now());
+    Apply(call.vm, new_changes);
+    state.store_lost = false;
+    if (is_last) {
+      CallAgain(call.vm, call.life, new_changes.empty() ? Duration::zero() : kBatchDelay);
+    }
   });
 }
 
+/// Delivers an answer of the store, unless it tells that its call belongs to an era that is over.
+auto StoreSpreadSimulation::Answer(const Call& call, std::function<void()> apply) -> void {
+  const auto listing = vms_[call.vm].sync_state.listing_number();
+  RunAt(call.vm, call.life, Delay(kStoreRegion, Region(call.vm)),
+        [this, call, listing, era = era_, apply = std::move(apply)] {
+          auto& sync_state = vms_[call.vm].sync_state;
+          if (sync_state.OnStoreEra(era, call.made_at, now())) CallStore(call.vm, call.life);
+          if (sync_state.listing_number() == listing) apply();
+        });
+}
+
 auto StoreSpreadSimulation::IndexOf(const Endpoint& endpoint) const -> std::size_t {
   return ParseNumber<std::size_t>(endpoint.address.substr(kNamePrefix.size())).value_or(0);
 }
@@ -253,16 +266,22 @@
 auto StoreSpreadSimulation::AskPeer(std::size_t vm, std::uint64_t life, const Endpoint& peer)
     -> void {
   const auto to = IndexOf(peer);
-  const auto after = vms_[vm].sync_state.revision();
+  const StorePosition after{vms_[vm].sync_state.era(), vms_[vm].sync_state.revision()};
   const auto delay = Delay(Region(vm), Region(to));
   RunAt(to, vms_[to].life, delay, [this, vm, life, to, peer, after, delay, asked_at = now()] {
     if (!vms_[vm].reach.peers || !vms_[to].reach.peers) return;
+    HearEra(to, after.era);
     const auto& state = vms_[to].sync_state;
-    if (!state.synced() || after < state.history_start()) return;
-    auto changes = vms_[to].snapshot.ChangesAfter(after);
+    if (!state.synced()) return;
+    if (after.era != state.era() || after.revision < state.history_start()) {
+      RunAt(vm, life, delay, [this, vm, era = state.era()] { HearEra(vm, era); });
+      return;
+    }
+    auto changes = vms_[to].snapshot.ChangesAfter(after.revision);
     if (!changes.has_value()) return;
     StoreChanges answer{*std::move(changes), state.revision(), state.Age(now()),
                         state.ContactAge(now())};
+    answer.era = state.era();
     RunAt(vm, life, delay, [this, vm, peer, asked_at, answer]() mutable {
       answer.age += now() - asked_at;
       vms_[vm].role.OnAnswer(peer, answer.age, now());
@@ -272,9 +291,18 @@
   });
 }
 
+auto StoreSpreadSimulation::HearEra(std::size_t vm, StoreEra era) -> void {
+  if (vms_[vm].sync_state.OnPeerEra(era, now())) CallStore(vm, vms_[vm].life);
+}
+
 auto StoreSpreadSimulation::Apply(std::size_t vm, const std::vector<StoreChange>& changes) -> void {
   auto& state = vms_[vm];
   const bool unconfirmed = state.sync_state.RemovalsUnconfirmed();
+  if (state.era != state.sync_state.era()) {
+    state.era = state.sync_state.era();
+    state.snapshot.BeginEra();
+    state.highest.clear();
+  }
   for (const auto& change : changes) {
     auto& highest = state.highest[change.key];
     if (change.revision < highest) ++reversals_;
@@ -288,6 +316,7 @@
     }
     state.snapshot.Apply(change);
   }
+  state.snapshot.EndOfNewState();
   state.pending_removals.Take(state.sync_state.removals_certain_until(), now());
 }
 
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -79,6 +79,7 @@
     std::uint64_t life = 1;  ///< Answers to an earlier life are dropped.
     StoreSyncState sync_state;
     StoreSnapshot snapshot;
+    StoreEra era;  ///< Of the items.
     StoreReaderRole role;
     std::uint64_t last_call = 0;  ///< Number of the last call to the store.
     std::uint64_t last_answered = 0;
@@ -103,17 +104,24 @@
   auto SelectPeersOf(std::size_t vm) const -> PeerSelection;
   auto Delay(std::size_t from_region, std::size_t to_region) -> Duration;
   auto IsUp(std::size_t vm) const -> bool { return !vms_[vm].reach.frozen; }
-  /// A watch that the store answers at the next change.
-  struct Watch {
+  /// A call of a VM to the store.
+  struct Call {
     std::size_t vm = 0;
     std::uint64_t life = 0;
-    std::uint64_t call = 0;
+    std::uint64_t number = 0;
+    MonotonicTime made_at;
+  };
+  /// A watch that the store answers at the next change.
+  struct Watch {
+    Call call;
     std::uint64_t after_revision = 0;
   };
 
   auto CallStore(std::size_t vm, std::uint64_t life) -> void;
-  auto AnswerList(std::size_t vm, std::uint64_t life, const std::string& after_key) -> void;
+  auto AnswerList(const Call& call, const std::string& after_key) -> void;
   auto AnswerWatch(const Watch& watch) -> void;
+  auto Answer(const Call& call, std::function<void()> apply) -> void;
+  auto HearEra(std::size_t vm, StoreEra era) -> void;
   auto OnStoreChanged() -> void;
   auto CallAgain(std::size_t vm, std::uint64_t life, Duration pause) -> void;
   auto OnStoreFailure(std::size_t vm, std::uint64_t life, std::uint64_t call) -> void;
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -15,6 +15,12 @@
 /// older copy, which gives the same revisions to other changes. Zero: not told.
 using StoreEra = StrongNumber<struct StoreEraTag, std::uint64_t>;
 
+/// A place in the history of the store.
+struct StorePosition {
+  StoreEra era;
+  std::uint64_t revision = 0;
+};
+
 /// An item of the platform's store as written, or its removal.
 struct StoreChange {
   std::string key;
--- a/src/gateway/store_contact.cc
+++ b/src/gateway/store_contact.cc
@@ -22,6 +22,19 @@
   unanswered_ = false;
 }
 
+auto StoreContact::Reset() -> void {
+  since_ = kNever;
+  until_ = kNever;
+  outage_seen_ = true;
+}
+
+auto StoreContact::OnRestored(MonotonicTime at) -> void {
+  since_ = at;
+  until_ = at;
+  unanswered_ = false;
+  outage_seen_ = true;
+}
+
 auto StoreContact::RemovalsInDoubt() const -> bool {
   return outage_seen_ && until_ - since_ < kReregistrationTime;
 }
--- a/src/gateway/store_contact.h
+++ b/src/gateway/store_contact.h
@@ -25,8 +25,10 @@
   auto OnAnswer(MonotonicTime at) -> void { OnSpan(at, at); }
   /// A call to the store has no answer, which tells an outage from a time without calls.
   auto OnUnanswered() -> void { unanswered_ = true; }
-  /// The store can't be asked. Registrations may have expired before the first answer.
-  auto OnOutage() -> void { outage_seen_ = true; }
+  /// The state is one of unknown age, because the store can't be asked.
+  auto Reset() -> void;
+  /// The store is back from an older copy, and the node's state has all changes up to that time.
+  auto OnRestored(MonotonicTime at) -> void;
   /// The store has answered from `since` to `until` without an outage.
   auto OnSpan(MonotonicTime since, MonotonicTime until) -> void;
 
--- a/src/gateway/store_snapshot.cc
+++ b/src/gateway/store_snapshot.cc
@@ -1,6 +1,7 @@
 #include "gateway/store_snapshot.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace heatherspan {
 namespace {
@@ -15,19 +16,50 @@
 
 }  // namespace
 
-auto StoreSnapshot::Apply(const StoreChange& change) -> void {
-  const auto [entry, is_new] = last_changes_.try_emplace(change.key);
+auto StoreSnapshot::Apply(const StoreChange& change) -> Effect {
+  const auto effect = EffectOf(change);
+  const auto [entry, is_new] = items_.try_emplace(change.key);
+  auto& item = entry->second;
   if (!is_new) {
-    EraseKey(keys_by_revision_, entry->second.revision, change.key);
-    if (!entry->second.value.has_value()) {
-      EraseKey(removals_by_revision_, entry->second.revision, change.key);
+    EraseKey(keys_by_revision_, item.last_change.revision, change.key);
+    if (!item.last_change.value.has_value()) {
+      EraseKey(removals_by_revision_, item.last_change.revision, change.key);
     }
   }
-  entry->second = change;
+  if (change.value.has_value()) {
+    item.removed.reset();
+  } else if (item.last_change.value.has_value()) {
+    item.removed = std::move(item.last_change);
+  }
+  item.last_change = change;
   keys_by_revision_.emplace(change.revision, change.key);
-  if (change.value.has_value()) return;
+  if (change.value.has_value()) return effect;
   removals_by_revision_.emplace(change.revision, change.key);
   ForgetOldRemovals();
+  return effect;
+}
+
+auto StoreSnapshot::EffectOf(const StoreChange& change) const -> Effect {
+  const auto earlier = earlier_items_.find(change.key);
+  if (earlier == earlier_items_.end() || !change.value.has_value()) return Effect::kNew;
+  const auto& [last_change, removed] = earlier->second;
+  if (last_change.value == change.value) return Effect::kUnchanged;
+  const bool was_removed = !last_change.value.has_value() && removed.has_value() &&
+                           removed->revision == change.revision && removed->value == change.value;
+  return was_removed ? Effect::kOutdated : Effect::kNew;
+}
+
+auto StoreSnapshot::BeginEra() -> void {
+  earlier_items_ = std::exchange(items_, {});
+  keys_by_revision_.clear();
+  removals_by_revision_.clear();
+  forgotten_revision_ = 0;
+}
+
+auto StoreSnapshot::IsCurrent(const StoreChange& change) const -> bool {
+  const auto found = items_.find(change.key);
+  return found != items_.end() && found->second.last_change.revision == change.revision &&
+         found->second.last_change.value == change.value;
 }
 
 auto StoreSnapshot::ForgetOldRemovals() -> void {
@@ -35,7 +67,7 @@
     const auto oldest = removals_by_revision_.begin();
     forgotten_revision_ = std::max(forgotten_revision_, oldest->first);
     EraseKey(keys_by_revision_, oldest->first, oldest->second);
-    last_changes_.erase(oldest->second);
+    items_.erase(oldest->second);
     removals_by_revision_.erase(oldest);
   }
 }
@@ -43,8 +75,8 @@
 auto StoreSnapshot::Page(std::uint64_t revision) const -> StorePage {
   StorePage page;
   page.revision = revision;
-  for (const auto& [key, change] : last_changes_) {
-    if (change.value.has_value()) page.items.push_back(change);
+  for (const auto& [key, item] : items_) {
+    if (item.last_change.value.has_value()) page.items.push_back(item.last_change);
   }
   return page;
 }
@@ -55,7 +87,7 @@
   std::vector<StoreChange> changes;
   for (auto entry = keys_by_revision_.upper_bound(revision); entry != keys_by_revision_.end();
        ++entry) {
-    changes.push_back(last_changes_.at(entry->second));
+    changes.push_back(items_.at(entry->second).last_change);
   }
   return changes;
 }
--- a/src/gateway/store_snapshot.h
+++ b/src/gateway/store_snapshot.h
@@ -20,16 +20,37 @@
   /// a listing.
   static constexpr std::size_t kMaxRemovals = 4096;
 
-  auto Apply(const StoreChange& change) -> void;
+  /// What a change means after what was known in the store's era before.
+  enum class Effect {
+    kNew,
+    kUnchanged,  ///< The item has this value already.
+    kOutdated,   ///< The item was written before a removal that the store has forgotten.
+  };
+
+  auto Apply(const StoreChange& change) -> Effect;
+  /// The store is back from an older copy: the following changes are its whole state.
+  auto BeginEra() -> void;
+  /// The whole state has been applied.
+  auto EndOfNewState() -> void { earlier_items_.clear(); }
+  /// Whether the item's last change is the given one.
+  auto IsCurrent(const StoreChange& change) const -> bool;
   auto Page(std::uint64_t revision) const -> StorePage;
   /// Returns the last change of each key that changed after the revision, in order, or nothing if
   /// removals after it have been forgotten.
   auto ChangesAfter(std::uint64_t revision) const -> std::optional<std::vector<StoreChange>>;
 
  private:
+  struct Item {
+    StoreChange last_change;
+    std::optional<StoreChange> removed;  ///< The last write before the removal.
+  };
+  using Items = absl::flat_hash_map<std::string, Item>;
+
+  auto EffectOf(const StoreChange& change) const -> Effect;
   auto ForgetOldRemovals() -> void;
 
-  absl::flat_hash_map<std::string, StoreChange> last_changes_;
+  Items items_;
+  Items earlier_items_;  ///< Of the era before, while the state of the present one is applied.
   /// Keys by the revision of their last change. One transaction may change several keys.
   std::multimap<std::uint64_t, std::string> keys_by_revision_;
   std::multimap<std::uint64_t, std::string> removals_by_revision_;
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -1,12 +1,48 @@
 #include "gateway/store_sync_state.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace heatherspan {
 
 auto StoreSyncState::Next() const -> NextCall {
-  return listing_ ? NextCall{true, after_key_, 0} : NextCall{false, "", revision_};
+  if (listing_ == Listing::kNone) return {false, "", revision_};
+  return {true, after_key_, 0};
+}
+
+auto StoreSyncState::BeginOtherEra() -> void {
+  EndListing();
+  listing_ = Listing::kOtherEra;
+  ++listing_number_;
+}
+
+auto StoreSyncState::OnStoreEra(StoreEra era, MonotonicTime called_at, MonotonicTime now) -> bool {
+  const bool refutes_peer = peer_era_heard_at_.has_value() && called_at >= *peer_era_heard_at_;
+  if (era == store_era_) {
+    if (!refutes_peer) return false;
+    peer_era_heard_at_.reset();
+    if (era_ == store_era_) EndListing();
+    return false;
+  }
+  // An answer to an earlier call may come from the time before the restore.
+  if (era < store_era_ && called_at <= store_era_known_at_) return false;
+  const bool is_first = store_era_ == StoreEra() && !synced_;
+  store_era_ = era;
+  store_era_known_at_ = now;
+  peer_era_heard_at_.reset();
+  if (is_first) return false;
+  BeginOtherEra();
+  return true;
+}
+
+auto StoreSyncState::OnPeerEra(StoreEra era, MonotonicTime now) -> bool {
+  if (!synced_ || era <= store_era_ || peer_era_heard_at_.has_value()) return false;
+  if (last_peer_era_at_.has_value() && now - *last_peer_era_at_ < kPeerEraInterval) return false;
+  peer_era_heard_at_ = now;
+  last_peer_era_at_ = now;
+  BeginOtherEra();
+  return true;
 }
 
 auto StoreSyncState::Accept(StoreChange change, std::vector<StoreChange>& new_changes) -> void {
@@ -25,20 +61,32 @@
 auto StoreSyncState::OnPage(StorePage page, MonotonicTime now) -> std::vector<StoreChange> {
   in_contact_ = true;
   std::vector<StoreChange> new_changes;
-  if (!listing_) return new_changes;
+  if (listing_ == Listing::kNone) return new_changes;
   if (after_key_.empty()) {
     list_revision_ = page.revision;
     list_began_at_ = now;
     listed_revisions_.clear();
+    listed_items_.clear();
   }
+  const bool is_last = !page.more || page.items.empty();
   for (auto& item : page.items) {
     after_key_ = item.key;
+    if (listing_ == Listing::kOtherEra) {
+      listed_items_.push_back(std::move(item));
+      continue;
+    }
     listed_revisions_[item.key] = item.revision;
     Accept(std::move(item), new_changes);
   }
-  if (page.more && !page.items.empty()) return new_changes;
+  if (!is_last) return new_changes;
   // The watch starts at the first page's revision, so that it repeats changes made between two
   // pages.
+  if (listing_ == Listing::kOtherEra) {
+    new_changes = ReplaceState({std::move(listed_items_), false, list_revision_, store_era_});
+    contact_.OnRestored(list_began_at_);
+    return new_changes;
+  }
+  era_ = store_era_;
   CompleteListing(list_revision_, new_changes);
   contact_.OnAnswer(list_began_at_);
   return new_changes;
@@ -59,9 +107,27 @@
   synced_ = true;
 }
 
+auto StoreSyncState::ReplaceState(StorePage state) -> std::vector<StoreChange> {
+  absl::flat_hash_map<std::string, std::uint64_t> revisions;
+  for (const auto& item : state.items) revisions[item.key] = item.revision;
+  std::vector<StoreChange> new_changes;
+  for (const auto& [key, revision] : known_revisions_) {
+    if (!revisions.contains(key)) new_changes.push_back({key, std::nullopt, state.revision});
+  }
+  std::move(state.items.begin(), state.items.end(), std::back_inserter(new_changes));
+  known_revisions_ = std::move(revisions);
+  EndListing();
+  era_ = state.era;
+  revision_ = state.revision;
+  history_start_ = state.revision;
+  synced_ = true;
+  return new_changes;
+}
+
 auto StoreSyncState::EndListing() -> void {
-  listing_ = false;
+  listing_ = Listing::kNone;
   after_key_.clear();
+  listed_items_.clear();
   listed_revisions_.clear();
 }
 
@@ -82,36 +148,52 @@
   return AcceptAll(std::move(changes));
 }
 
-auto StoreSyncState::OnPeerState(StorePage state) -> std::vector<StoreChange> {
+auto StoreSyncState::OnPeerState(StorePage state, MonotonicTime now) -> std::vector<StoreChange> {
   std::vector<StoreChange> new_changes;
-  if (synced_) return new_changes;
-  contact_.OnOutage();
+  if (synced_) {
+    if (listing_ != Listing::kOtherEra || state.era <= era_) return new_changes;
+    store_era_ = state.era;
+    store_era_known_at_ = now;
+    peer_era_heard_at_.reset();
+    contact_.Reset();
+    return ReplaceState(std::move(state));
+  }
+  contact_.Reset();
+  if (state.era > store_era_) {
+    store_era_ = state.era;
+    store_era_known_at_ = now;
+  }
+  era_ = state.era;
   listed_revisions_.clear();
   for (auto& item : state.items) {
     listed_revisions_[item.key] = item.revision;
     Accept(std::move(item), new_changes);
   }
   CompleteListing(state.revision, new_changes);
+  // Until the store can be read, the state of an earlier era is better than none.
+  if (era_ != store_era_) BeginOtherEra();
   return new_changes;
 }
 
 auto StoreSyncState::OnPeerChanges(StoreChanges changes, MonotonicTime now)
     -> std::vector<StoreChange> {
-  if (!synced_ || changes.revision < revision_) return {};
+  // The state of an era that the store has left gets no younger.
+  if (!synced_ || era_ != store_era_ || changes.era != era_) return {};
+  if (changes.revision < revision_) return {};
   contact_.OnSpan(now - changes.contact_age, now - changes.age);
   if (changes.age <= kMaxContactAge) {
     in_contact_ = true;
     contact_was_lost_ = false;
   }
   if (changes.revision == revision_) return {};
-  EndListing();
+  if (listing_ == Listing::kSameEra) EndListing();
   return AcceptAll(std::move(changes));
 }
 
 auto StoreSyncState::OnFailure(const absl::Status& status) -> void {
   if (absl::IsOutOfRange(status)) {
     in_contact_ = true;
-    listing_ = true;
+    if (listing_ == Listing::kNone) listing_ = Listing::kSameEra;
     after_key_.clear();
     return;
   }
@@ -119,7 +201,7 @@
   contact_was_lost_ = true;
   contact_.OnUnanswered();
   // Items on the pages read so far may have changed meanwhile.
-  if (listing_) after_key_.clear();
+  if (listing_ != Listing::kNone) after_key_.clear();
 }
 
 }  // namespace heatherspan
--- a/src/gateway/store_sync_state.h
+++ b/src/gateway/store_sync_state.h
@@ -17,7 +17,8 @@
 
 /// Tracks what this node has read of the store, from the store itself or from a peer: the next
 /// call, which items of a response are new, and whether removals are reliable. Whatever the source,
-/// the state is complete up to one revision, which never decreases. The class does no I/O.
+/// the state is complete up to one revision of one era of the store. The revision never decreases
+/// within an era; the state of another era replaces it as a whole. The class does no I/O.
 class StoreSyncState {
  public:
   /// A peer with an older state does not count as contact with the store.
@@ -32,6 +33,13 @@
   /// `gap`: see StoreReadTiming::max_answer_gap.
   auto SetMaxGap(Duration gap) -> void { contact_.SetMaxGap(gap); }
   auto Next() const -> NextCall;
+  /// An answer of the store to a call that was made at the given time tells the era, before the
+  /// answer itself is applied. Returns true if a listing of another era has to begin. Answers to
+  /// earlier calls must not be applied then: see `listing_number`.
+  auto OnStoreEra(StoreEra era, MonotonicTime called_at, MonotonicTime now) -> bool;
+  /// A peer's question or answer tells its era. Only the store itself, or a peer's whole state,
+  /// shows whether it is right. Returns true if a listing has to begin.
+  auto OnPeerEra(StoreEra era, MonotonicTime now) -> bool;
   /// Returns the new changes, in order. The last page of a listing adds removals for keys that the
   /// listing lacks.
   auto OnPage(StorePage page, MonotonicTime now) -> std::vector<StoreChange>;
@@ -39,9 +47,9 @@
   auto OnFailure(const absl::Status& status) -> void;
   /// An answer of the store is overdue, and another call is made beside it.
   auto OnOverdue() -> void { contact_.OnUnanswered(); }
-  /// Applies a peer's complete listing as long as this node has none. The watch continues from its
-  /// revision.
-  auto OnPeerState(StorePage state) -> std::vector<StoreChange>;
+  /// Applies a peer's complete listing if this node has none or only one of an earlier era. The
+  /// watch continues from its revision.
+  auto OnPeerState(StorePage state, MonotonicTime now) -> std::vector<StoreChange>;
   /// Applies what a peer has read after this node's revision. The watch continues from the peer's
   /// revision; a listing in progress is no longer needed. What the peer knows of the store's
   /// answers counts like answers to this node.
@@ -62,6 +70,12 @@
   /// The time since when the store has answered this node or a peer without an outage.
   auto ContactAge(MonotonicTime now) const -> Duration { return contact_.Age(now); }
   auto revision() const -> std::uint64_t { return revision_; }
+  /// The era that the state belongs to.
+  auto era() const -> StoreEra { return era_; }
+  /// A later era is known, and the node does not have its state yet.
+  auto is_outdated() const -> bool { return synced_ && listing_ == Listing::kOtherEra; }
+  /// Changes when a listing of another era begins.
+  auto listing_number() const -> std::uint64_t { return listing_number_; }
   /// Removals up to this revision may be unknown: the node has read a listing there.
   auto history_start() const -> std::uint64_t { return history_start_; }
   /// The state has all changes up to this time. An incomplete listing shows nothing of the changes
@@ -74,6 +88,18 @@
   }
 
  private:
+  enum class Listing {
+    kNone,
+    kSameEra,   ///< Each page is applied as it arrives.
+    kOtherEra,  ///< The pages replace the state together.
+  };
+
+  /// A peer that tells eras which the store doesn't know causes no more than one page in this time.
+  static constexpr Duration kPeerEraInterval = std::chrono::seconds(1);
+
+  auto BeginOtherEra() -> void;
+  /// Replaces the state by the listed items, whatever their revisions are.
+  auto ReplaceState(StorePage state) -> std::vector<StoreChange>;
   auto Accept(StoreChange change, std::vector<StoreChange>& new_changes) -> void;
   auto AcceptAll(StoreChanges changes) -> std::vector<StoreChange>;
   /// Ends a listing that shows the state at the revision: items that it lacks have been removed.
@@ -83,8 +109,15 @@
   absl::flat_hash_map<std::string, std::uint64_t>
       known_revisions_;  ///< Revisions of present items.
   absl::flat_hash_map<std::string, std::uint64_t>
-      listed_revisions_;  ///< Revisions of the items in the current listing.
-  bool listing_ = true;
+      listed_revisions_;                   ///< Revisions of the items in the current listing.
+  std::vector<StoreChange> listed_items_;  ///< Of another era.
+  Listing listing_ = Listing::kSameEra;
+  std::uint64_t listing_number_ = 0;
+  StoreEra era_;
+  StoreEra store_era_;  ///< The latest that is known of the store.
+  MonotonicTime store_era_known_at_{};
+  std::optional<MonotonicTime> peer_era_heard_at_;  ///< Set until the store has answered.
+  std::optional<MonotonicTime> last_peer_era_at_;
   std::string after_key_;
   std::uint64_t list_revision_ = 0;  ///< Revision of the store at the first page.
   std::uint64_t revision_ = 0;       ///< All changes up to this revision have been read.
--- a/src/gateway/vm_standing.h
+++ b/src/gateway/vm_standing.h
@@ -33,6 +33,8 @@
   auto SetChangeBound(Duration bound) -> void { change_bound_ = bound; }
   /// The store has renewed this node's announcement, at the given time or later.
   auto OnAnnouncementRenewed(MonotonicTime at) -> void { renewed_at_ = at; }
+  /// The store may have forgotten this node's announcement.
+  auto OnStoreRestored() -> void { renewed_at_.reset(); }
   /// Takes over the announced VMs as this node sees them now.
   auto Update(const std::vector<EntryVm>& announced, MonotonicTime now) -> void;
 
--- a/tests/fleet_platform/decoder_fuzz_test.cc
+++ b/tests/fleet_platform/decoder_fuzz_test.cc
@@ -171,10 +171,10 @@
   for (int i = 0; i < kRounds; ++i) {
     HttpRequest request;
     request.target = mutator.Mutate("/heatherspan/kv-watch?path_prefix=&after=41&wait_ms=0");
-    const auto revision = StoreClient::WatchedRevision(request);
-    if (!revision.has_value()) continue;
+    const auto position = StoreClient::WatchedPosition(request);
+    if (!position.has_value()) continue;
     ++read;
-    EXPECT_NE(request.target.find("after=" + std::to_string(*revision).substr(0, 1)),
+    EXPECT_NE(request.target.find("after=" + std::to_string(position->revision).substr(0, 1)),
               std::string::npos)
         << request.target;
   }
--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -22,10 +22,12 @@
                   last_ = request;
                   HttpResponse response;
                   response.status = status_;
+                  response.headers = answer_headers_;
                   response.body = body_;
                   respond(std::move(response));
                 }),
-        store_(client_, *server_.Listen({"127.0.0.1", 0})) {}
+        server_endpoint_(*server_.Listen({"127.0.0.1", 0})),
+        store_(client_, server_endpoint_) {}
 
   ~StoreClientTest() override { workers_.Stop(); }
 
@@ -53,8 +55,10 @@
   HttpClient client_{workers_, {}};
   int status_ = 200;
   std::string body_;
+  std::vector<HeaderField> answer_headers_;
   HttpRequest last_;
   HttpServer server_;
+  Endpoint server_endpoint_;
   StoreClient store_;
 };
 
@@ -99,7 +103,8 @@
   const std::vector<StoreChange> changes = {{"k", "val", 42}, {"gone", std::nullopt, 43}};
   const std::vector<LimitReport> reports = {
       {TargetName("i-1"), RequestsPerSecond(2.5), seconds(1)}};
-  auto answer = StoreClient::WatchAnswer(changes, 44, milliseconds(2500), seconds(7), reports);
+  auto answer =
+      StoreClient::WatchAnswer(changes, {StoreEra(3), 44}, milliseconds(2500), seconds(7), reports);
   Answer(answer.status, answer.body);
   const auto read = Watch();
   ASSERT_TRUE(read.ok()) << read.status();
@@ -111,16 +116,17 @@
   EXPECT_EQ(read->age, milliseconds(2500));
   EXPECT_EQ(read->contact_age, seconds(7));
   EXPECT_EQ(read->limit_reports, reports);
-  EXPECT_EQ(StoreClient::WatchedRevision(last_), 41U);
+  EXPECT_EQ(StoreClient::WatchedPosition(last_)->revision, 41U);
   EXPECT_FALSE(StoreClient::IsListCall(last_));
-  answer = StoreClient::WatchAnswer(std::nullopt, 44, Duration::zero(), Duration::zero(), {});
+  answer = StoreClient::WatchAnswer(std::nullopt, {StoreEra(3), 44}, Duration::zero(),
+                                    Duration::zero(), {});
   Answer(answer.status, answer.body);
   EXPECT_TRUE(absl::IsOutOfRange(Watch().status()));
   for (const auto* target : {"/heatherspan/kv-watch?after=-1", "/heatherspan/kv-watch",
                              "/heatherspan/kv-range?after=4", "/?after=4"}) {
     HttpRequest request;
     request.target = target;
-    EXPECT_EQ(StoreClient::WatchedRevision(request), std::nullopt) << target;
+    EXPECT_FALSE(StoreClient::WatchedPosition(request).has_value()) << target;
   }
 }
 
@@ -131,12 +137,14 @@
       {TargetName("i-1"), RequestsPerSecond(0.25), milliseconds(1200)},
       {TargetName("i 2&x"), std::nullopt, Duration::zero()}};
   const auto ask = [&](const std::vector<LimitReport>& told) {
-    return ResultOf<absl::StatusOr<StoreChanges>>(
-        [&](auto done) { store_.AskPeer(41, told, done); });
+    return ResultOf<absl::StatusOr<StoreChanges>>([&](auto done) {
+      store_.AskPeer({StoreEra(3), 41}, told, done);
+    });
   };
   Answer(200, R"({"events":[],"current_rev":41})");
   EXPECT_TRUE(ask({reports[0]}).ok());
-  EXPECT_EQ(StoreClient::WatchedRevision(last_), 41U);
+  EXPECT_EQ(StoreClient::WatchedPosition(last_)->revision, 41U);
+  EXPECT_EQ(StoreClient::WatchedPosition(last_)->era, StoreEra(3));
   EXPECT_EQ(StoreClient::LimitReportsIn(last_), std::vector<LimitReport>{reports[0]});
   // A name that the text can't hold is left out.
   EXPECT_TRUE(ask({reports[1], reports[0]}).ok());
@@ -165,5 +173,34 @@
   EXPECT_EQ(last_.method, "DELETE");
 }
 
+// Guards against an era that is missed because an answer reports a failure, and against one that is
+// made up from a field that can't be read.
+TEST_F(StoreClientTest, TellsTheEraOfEachAnswer) {
+  std::vector<StoreEra> eras;
+  StoreClient store(client_, server_endpoint_,
+                    [&](StoreEra era, MonotonicTime /*called_at*/) { eras.push_back(era); });
+  const auto watch = [&] {
+    return ResultOf<absl::StatusOr<StoreChanges>>(
+        [&](auto done) { store.Watch(1, Duration::zero(), done); });
+  };
+  answer_headers_ = {{"Store-Era", "7"}};
+  Answer(200, R"({"events":[],"current_rev":41})");
+  EXPECT_EQ(watch()->era, StoreEra(7));
+  answer_headers_ = {{"Heatherspan-Store-Era", " 8 "}};
+  Answer(410, "{}");
+  EXPECT_TRUE(absl::IsOutOfRange(watch().status()));
+  Answer(503, "{}");
+  EXPECT_TRUE(absl::IsUnavailable(watch().status()));
+  EXPECT_EQ(eras, (std::vector<StoreEra>{StoreEra(7), StoreEra(8), StoreEra(8)}));
+  for (const auto* value : {"", "-1", "1.5", "seven", "99999999999999999999999"}) {
+    answer_headers_ = {{"Store-Era", value}};
+    Answer(200, R"({"events":[],"current_rev":41})");
+    EXPECT_EQ(watch()->era, StoreEra()) << value;
+  }
+  EXPECT_EQ(eras.size(), 3U);
+  const auto listing = StoreClient::ListAnswer({{{"k", "v", 3}}, false, 5, StoreEra(9)});
+  EXPECT_EQ(listing.Header("Store-Era"), "9");
+}
+
 }  // namespace
 }  // namespace heatherspan
--- a/tests/fleet_standins/kv_standin.cc
+++ b/tests/fleet_standins/kv_standin.cc
@@ -17,13 +17,6 @@
 constexpr Duration kLeaseLifetime = std::chrono::seconds(3);
 constexpr Duration kExpiryCheckInterval = std::chrono::milliseconds(100);
 
-auto Answer(int status, std::string body) -> HttpResponse {
-  HttpResponse response;
-  response.status = status;
-  response.body = std::move(body);
-  return response;
-}
-
 auto Parameter(std::string_view query, std::string_view name) -> std::uint64_t {
   for (const auto part : SplitText(query, '&')) {
     const auto [key, value] = CutText(part, '=');
@@ -159,6 +152,29 @@
   watches_.erase(expired_watches, watches_.end());
 }
 
+auto KvStandin::Answer(int status, std::string body) const -> HttpResponse {
+  HttpResponse response;
+  response.status = status;
+  response.headers = {{"Store-Era", std::to_string(era_)}};
+  response.body = std::move(body);
+  return response;
+}
+
+auto KvStandin::Save() -> void {
+  const std::lock_guard lock(mutex_);
+  saved_items_ = items_;
+  saved_revision_ = revision_;
+}
+
+auto KvStandin::Restore() -> void {
+  const std::lock_guard lock(mutex_);
+  ++era_;
+  items_ = saved_items_;
+  revision_ = saved_revision_;
+  history_.erase(history_.upper_bound(revision_), history_.end());
+  for (const auto& watch : std::exchange(watches_, {})) watch.respond(Answer(503, "{}"));
+}
+
 auto KvStandin::DiscardHistory() -> void {
   const std::lock_guard lock(mutex_);
   history_.clear();
@@ -185,7 +201,7 @@
     respond(Answer(200, List()));
   } else if (path.ends_with("kv-watch")) {
     const auto after = Parameter(query, "after");
-    if (after < discarded_revision_) {
+    if (after < discarded_revision_ || after > revision_) {
       respond(Answer(410, "{}"));
       return;
     }
--- a/tests/fleet_standins/kv_standin.h
+++ b/tests/fleet_standins/kv_standin.h
@@ -29,6 +29,10 @@
   auto Has(const std::string& key) const -> bool;
   /// Makes the store answer every call with 503 while `down` is set.
   auto SetDown(bool down) -> void;
+  /// Keeps a copy of the store, and brings the store back as it was then. Revisions go back, and
+  /// the era rises.
+  auto Save() -> void;
+  auto Restore() -> void;
   /// Discards the history so far. A watch after an older revision gets 410.
   auto DiscardHistory() -> void;
 
@@ -44,6 +48,7 @@
     HttpServer::Responder respond;
   };
 
+  auto Answer(int status, std::string body) const -> HttpResponse;
   auto Handle(const HttpRequest& request, const HttpServer::Responder& respond) -> void;
   auto HandleSecond(const HttpRequest& request, const HttpServer::Responder& respond) -> void;
   auto List() const -> std::string;
@@ -58,6 +63,9 @@
   std::map<std::string, Item> items_;
   std::map<std::uint64_t, std::string> history_;  ///< Events as JSON, by revision.
   std::uint64_t revision_ = 1;
+  std::uint64_t era_ = 1;
+  std::map<std::string, Item> saved_items_;
+  std::uint64_t saved_revision_ = 1;
   std::uint64_t discarded_revision_ = 0;  ///< The history starts after this revision.
   std::uint64_t last_lease_ = 0;
   std::map<std::uint64_t, MonotonicTime> leases_;  ///< Deadlines of the leases, by id.
--- a/tests/gateway/store_snapshot_test.cc
+++ b/tests/gateway/store_snapshot_test.cc
@@ -52,6 +52,21 @@
   EXPECT_EQ(snapshot.ChangesAfter(10)->size(), StoreSnapshot::kMaxRemovals);
 }
 
+// Guards against removals of the lost history that a peer gets as changes of the present one, and
+// against work for items that are as before.
+TEST(StoreSnapshot, BeginsAnewWithAnotherEra) {
+  StoreSnapshot snapshot;
+  snapshot.Apply({"a", "1", 58});
+  snapshot.Apply({"b", "1", 59});
+  snapshot.Apply({"b", std::nullopt, 60});
+  snapshot.BeginEra();
+  EXPECT_EQ(snapshot.Apply({"a", "1", 50}), StoreSnapshot::Effect::kUnchanged);
+  EXPECT_EQ(snapshot.Apply({"c", "1", 51}), StoreSnapshot::Effect::kNew);
+  snapshot.EndOfNewState();
+  EXPECT_EQ(Text(snapshot.ChangesAfter(0)), "+a50+c51");
+  EXPECT_EQ(snapshot.Apply({"a", "1", 52}), StoreSnapshot::Effect::kNew);
+}
+
 /// The first letter of a zone is its region.
 auto Vm(const std::string& name, const std::string& zone) -> EntryVm {
   return {NodeName(name), ZoneName(zone), RegionName(zone.substr(0, 1)), {}, {name, 1}};
--- a/tests/gateway/store_sync_state_test.cc
+++ b/tests/gateway/store_sync_state_test.cc
@@ -95,10 +95,10 @@
 // listing that was made before it.
 TEST_F(StoreSyncStateTest, PeerStateIsUsedOnlyBeforeFirstListing) {
   EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 3), Put("c", 9)}, true, 9}, now_)), "+a+c");
-  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("b", 6)}, false, 6})), "+b-a");
+  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("b", 6)}, false, 6}, now_)), "+b-a");
   EXPECT_TRUE(sync_state_.synced());
   EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 3), Put("d", 4)}, false, 9}, now_)), "");
-  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("a", 5), Put("e", 99)}, false, 99})), "");
+  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("a", 5), Put("e", 99)}, false, 99}, now_)), "");
   // The watch repeats what the store has shown after the peer's revision.
   EXPECT_FALSE(sync_state_.Next().list);
   EXPECT_EQ(sync_state_.Next().after_revision, 6U);
@@ -204,5 +204,78 @@
   EXPECT_EQ(sync_state_.history_start(), 5U);
 }
 
+// Guards against changes that are dropped because the store gave their revisions to others before
+// it came back from a copy, and against items of the lost history that stay.
+TEST_F(StoreSyncStateTest, TheStateOfAnotherEraReplacesTheState) {
+  EXPECT_FALSE(sync_state_.OnStoreEra(StoreEra(1), now_, now_));
+  ListAll({Put("a", 3), Put("b", 59), Put("c", 60)}, 60);
+  now_ += seconds(5);
+  EXPECT_TRUE(sync_state_.OnStoreEra(StoreEra(2), now_, now_));
+  EXPECT_TRUE(sync_state_.is_outdated());
+  EXPECT_TRUE(sync_state_.Next().list);
+  EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 3)}, true, 50}, now_)), "");
+  EXPECT_EQ(sync_state_.revision(), 60U);
+  EXPECT_EQ(ListAll({Put("c", 50), Put("d", 49)}, 51), "-b+a+c+d");
+  EXPECT_EQ(sync_state_.era(), StoreEra(2));
+  EXPECT_EQ(sync_state_.Next().after_revision, 50U);
+  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed());
+  EXPECT_EQ(Keys(sync_state_.OnChanges({{Put("b", 51)}, 51}, now_)), "+b");
+  // Peers of the era before know nothing of this one.
+  StoreChanges earlier{{Put("e", 70)}, 70};
+  earlier.era = StoreEra(1);
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges(earlier, now_)), "");
+}
+
+// Guards against answers that were made before the restore and arrive after it, and against a node
+// that never again believes a store whose era has gone back.
+TEST_F(StoreSyncStateTest, OnlyAnswersToLaterCallsTellAnEarlierEra) {
+  sync_state_.OnStoreEra(StoreEra(7), now_, now_);
+  ListAll({Put("a", 3)}, 60);
+  const auto before = now_;
+  now_ += seconds(1);
+  EXPECT_TRUE(sync_state_.OnStoreEra(StoreEra(8), now_, now_));
+  EXPECT_FALSE(sync_state_.OnStoreEra(StoreEra(7), before, now_));
+  EXPECT_EQ(ListAll({Put("a", 2)}, 40), "+a");
+  now_ += seconds(1);
+  const auto listing = sync_state_.listing_number();
+  EXPECT_TRUE(sync_state_.OnStoreEra(StoreEra(2), now_, now_));
+  EXPECT_NE(sync_state_.listing_number(), listing);
+}
+
+// Guards against a peer that makes a node deaf to the store, or to its other peers, with an era
+// that does not exist.
+TEST_F(StoreSyncStateTest, TheStoreRefutesThePeersEra) {
+  sync_state_.OnStoreEra(StoreEra(1), now_, now_);
+  ListAll({Put("a", 3)}, 60);
+  now_ += seconds(1);
+  EXPECT_FALSE(sync_state_.OnPeerEra(StoreEra(1), now_));
+  EXPECT_TRUE(sync_state_.OnPeerEra(StoreEra(99), now_));
+  EXPECT_TRUE(sync_state_.Next().list);
+  EXPECT_FALSE(sync_state_.OnPeerEra(StoreEra(100), now_));
+  StoreChanges changes{{Put("b", 61)}, 61};
+  changes.era = StoreEra(1);
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges(changes, now_)), "+b");
+  EXPECT_FALSE(sync_state_.OnStoreEra(StoreEra(1), now_, now_));
+  EXPECT_FALSE(sync_state_.Next().list);
+  EXPECT_EQ(sync_state_.Next().after_revision, 61U);
+  // It is not asked at once again.
+  now_ += milliseconds(500);
+  EXPECT_FALSE(sync_state_.OnPeerEra(StoreEra(99), now_));
+}
+
+// Guards against a node that the store turns away and that keeps the state of the lost history.
+TEST_F(StoreSyncStateTest, APeersStateOfALaterEraReplacesTheState) {
+  sync_state_.OnStoreEra(StoreEra(1), now_, now_);
+  ListAll({Put("a", 3), Put("b", 60)}, 60);
+  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("c", 9)}, false, 70, StoreEra(1)}, now_)), "");
+  EXPECT_TRUE(sync_state_.OnPeerEra(StoreEra(2), now_));
+  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("c", 9)}, false, 70, StoreEra(1)}, now_)), "");
+  const auto changes = Keys(sync_state_.OnPeerState({{Put("a", 5)}, false, 50, StoreEra(2)}, now_));
+  EXPECT_EQ(changes, "-b+a");
+  EXPECT_EQ(sync_state_.era(), StoreEra(2));
+  EXPECT_EQ(sync_state_.Next().after_revision, 50U);
+  EXPECT_TRUE(sync_state_.RemovalsUnconfirmed());
+}
+
 }  // namespace
 }  // namespace heatherspan
