edge: what left in the seconds that the store has lost stays out of use

A store that comes back from a copy shows targets that have left since as ready, and evacuations as they were before. The gateway took the older state for the newer one: callers' requests went to a target that had said that it leaves, or whose entry had been removed, and an evacuation ended or began anew until the operator wrote it again.

Change: leaving is final for a start of a target. A removal that the store no longer shows stands until the item is written again (a target: with another start; anything else: by another write), for 8 s at most. An evacuation that the copy lacks ends only when the operator had the time to repeat it.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -382,7 +382,7 @@
   auto RecordStoreSeen() -> void {
     const auto& sync_state = follower_.sync_state();
     core_.OnStoreSeen(sync_state.revision(), sync_state.complete_at());
-    items_.UnregisterRemovedTargets();
+    items_.Settle();
   }
 
   auto OnBatchApplied() -> void {
@@ -394,7 +394,7 @@
   auto OnTick() -> void {
     const auto now = Now();
     listing_budget_.OnTick();
-    items_.UnregisterRemovedTargets();
+    items_.Settle();
     core_.OnTick(now);
     prober_.OnTick(now);
     metrics_.Set(Metric::kInputAgeSeconds, {{"source", "store"}},
--- a/src/edge/store_items.h
+++ b/src/edge/store_items.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "edge/platform_ports.h"
 #include "gateway/gateway_core.h"
@@ -38,42 +39,112 @@
   auto snapshot() const -> const StoreSnapshot& { return snapshot_; }
 
   /// The following changes are the whole state of a store that is back from an older copy.
-  auto OnStoreRestored() -> void { snapshot_.BeginEra(); }
-  auto OnBatchApplied() -> void { snapshot_.EndOfNewState(); }
+  auto OnStoreRestored() -> void {
+    snapshot_.BeginEra();
+    is_restoring_ = true;
+  }
+  auto OnBatchApplied() -> void {
+    snapshot_.EndOfNewState();
+    is_restoring_ = false;
+  }
 
   auto OnChange(const StoreChange& change, bool unconfirmed) -> void {
-    if (snapshot_.Apply(change) == StoreSnapshot::Effect::kUnchanged) return;
-    if (Formats::IsPolicyKey(change.key)) {
-      OnPolicy(change);
-    } else if (const auto zone = Formats::EvacuatedZone(change.key)) {
-      const bool evacuated = change.value.has_value();
-      core_.fleet().SetEvacuated(*zone, evacuated, Now());
-      log_.Write(LogLevel::kInfo, "evacuation",
-                 {{"zone", zone->value()},
-                  {"evacuated", evacuated ? 1 : 0},
-                  {"revision", change.revision}});
-    } else if (const auto target = Formats::TargetOf(change.key)) {
-      OnTarget(*target, change, unconfirmed);
-    } else if (const auto node = Formats::EntryVmOf(change.key)) {
-      OnEntryVm(*node, change, unconfirmed);
+    const auto effect = snapshot_.Apply(change);
+    if (effect == StoreSnapshot::Effect::kUnchanged) return;
+    if (effect == StoreSnapshot::Effect::kRemovedBefore && IsForgottenRemoval(change)) {
+      log_.Write(LogLevel::kInfo, "removal-kept",
+                 {{"key", change.key}, {"revision", change.revision}});
+      kept_removals_.push_back({change, Now()});
+      return;
     }
+    Use(change, unconfirmed);
   }
 
-  /// A removal that was in doubt stands once the target has had the time to register again.
-  auto UnregisterRemovedTargets() -> void {
+  /// Decides about removals that were in doubt, once the state shows whether they stand.
+  auto Settle() -> void {
     const auto now = Now();
-    for (const auto& name : pending_removals_.Take(sync_state_.removals_certain_until(), now)) {
+    const auto certain_until = sync_state_.removals_certain_until();
+    for (const auto& name : pending_removals_.Take(certain_until, now)) {
       log_.Write(LogLevel::kInfo, "target-lapsed",
                  {{"target", name.value()},
                   {"in_doubt", sync_state_.RemovalsUnconfirmed() ? 1 : 0},
                   {"contact_age_ms", Milliseconds(sync_state_.ContactAge(now))}});
       core_.fleet().Unregister(name);
     }
+    for (const auto& zone : pending_evacuation_ends_.Take(certain_until, now)) {
+      SetEvacuated(zone, false, sync_state_.revision());
+    }
+    for (const auto& kept : TakeStanding(now)) Use(kept.change, false);
   }
 
  private:
+  /// What left in the seconds that the store has lost is gone from the store again by then: a
+  /// registration lapses after three missed heartbeats, and the operator repeats its orders.
+  static constexpr Duration kKeptRemovalTime = std::chrono::seconds(8);
+
+  /// A removal of the earlier era that the store shows no longer.
+  struct KeptRemoval {
+    StoreChange change;  ///< The item in the store.
+    MonotonicTime since;
+  };
+
   static auto Now() -> MonotonicTime { return SystemClock().Now(); }
 
+  /// Whether the item was written before its removal, which the store has forgotten, and not after
+  /// the restore: a target by its start, anything else by its write.
+  auto IsForgottenRemoval(const StoreChange& change) const -> bool {
+    const auto& earlier = *snapshot_.EarlierWrite(change.key);
+    const auto name = Formats::TargetOf(change.key);
+    if (!name.has_value()) {
+      return earlier.revision == change.revision && earlier.value == change.value;
+    }
+    if (pending_removals_.Contains(*name)) return false;
+    const auto target = Formats::ReadTarget(*name, *change.value);
+    const auto earlier_target = Formats::ReadTarget(*name, *earlier.value);
+    return target.ok() && earlier_target.ok() && target->start_id == earlier_target->start_id;
+  }
+
+  /// Returns the items that are still in the store some seconds after the restore.
+  auto TakeStanding(MonotonicTime now) -> std::vector<KeptRemoval> {
+    std::vector<KeptRemoval> standing;
+    std::erase_if(kept_removals_, [&](KeptRemoval& kept) {
+      if (!snapshot_.IsCurrent(kept.change)) return true;
+      if (now - kept.since < kKeptRemovalTime) return false;
+      standing.push_back(std::move(kept));
+      return true;
+    });
+    return standing;
+  }
+
+  auto Use(const StoreChange& change, bool unconfirmed) -> void {
+    if (Formats::IsPolicyKey(change.key)) {
+      OnPolicy(change);
+    } else if (const auto zone = Formats::EvacuatedZone(change.key)) {
+      OnEvacuation(*zone, change);
+    } else if (const auto target = Formats::TargetOf(change.key)) {
+      OnTarget(*target, change, unconfirmed);
+    } else if (const auto node = Formats::EntryVmOf(change.key)) {
+      OnEntryVm(*node, change, unconfirmed);
+    }
+  }
+
+  auto OnEvacuation(const ZoneName& zone, const StoreChange& change) -> void {
+    const bool evacuated = change.value.has_value();
+    pending_evacuation_ends_.Remove(zone);
+    // The operator writes again what the store has lost.
+    if (is_restoring_ && !evacuated) {
+      pending_evacuation_ends_.Add(zone, Now());
+    } else {
+      SetEvacuated(zone, evacuated, change.revision);
+    }
+  }
+
+  auto SetEvacuated(const ZoneName& zone, bool evacuated, std::uint64_t revision) -> void {
+    core_.fleet().SetEvacuated(zone, evacuated, Now());
+    log_.Write(LogLevel::kInfo, "evacuation",
+               {{"zone", zone.value()}, {"evacuated", evacuated ? 1 : 0}, {"revision", revision}});
+  }
+
   auto OnPolicy(const StoreChange& change) -> void {
     // If the store item is removed, the last configuration stays in force.
     if (!change.value.has_value()) return;
@@ -181,7 +252,10 @@
   const OnCallerLimits on_caller_limits_;
   const OnOwnRemoval on_own_removal_;
   StoreSnapshot snapshot_;
-  PendingRemovals pending_removals_;
+  PendingRemovals<TargetName> pending_removals_;
+  PendingRemovals<ZoneName> pending_evacuation_ends_;
+  std::vector<KeptRemoval> kept_removals_;
+  bool is_restoring_ = false;
 };
 
 }  // namespace heatherspan
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -85,7 +85,7 @@
     std::uint64_t last_answered = 0;
     bool store_lost = false;  ///< The last call has failed.
     std::map<std::string, std::uint64_t> items;
-    PendingRemovals pending_removals;
+    PendingRemovals<TargetName> pending_removals;
     std::map<std::string, std::uint64_t> highest;  ///< Highest revision applied, by key.
   };
 
--- a/src/gateway/fleet_target.cc
+++ b/src/gateway/fleet_target.cc
@@ -43,6 +43,8 @@
   // information.
   if (restarted || entry.cold_left > entry_.cold_left) SetColdUntil(now + entry.cold_left);
   if (entry.cold_left == Duration::zero()) cold_until_ = std::min(cold_until_, now);
+  // A target that leaves doesn't stay, whatever an older state of the store shows.
+  if (!restarted) entry.draining = entry.draining || entry_.draining;
   entry_ = std::move(entry);
   load_.SetSlots(entry_.slots);
 }
--- a/src/gateway/store_snapshot.cc
+++ b/src/gateway/store_snapshot.cc
@@ -42,11 +42,14 @@
 auto StoreSnapshot::EffectOf(const StoreChange& change) const -> Effect {
   const auto earlier = earlier_items_.find(change.key);
   if (earlier == earlier_items_.end() || !change.value.has_value()) return Effect::kNew;
-  const auto& [last_change, removed] = earlier->second;
-  if (last_change.value == change.value) return Effect::kUnchanged;
-  const bool was_removed = !last_change.value.has_value() && removed.has_value() &&
-                           removed->revision == change.revision && removed->value == change.value;
-  return was_removed ? Effect::kOutdated : Effect::kNew;
+  if (earlier->second.last_change.value == change.value) return Effect::kUnchanged;
+  return EarlierWrite(change.key) == nullptr ? Effect::kNew : Effect::kRemovedBefore;
+}
+
+auto StoreSnapshot::EarlierWrite(const std::string& key) const -> const StoreChange* {
+  const auto earlier = earlier_items_.find(key);
+  if (earlier == earlier_items_.end() || !earlier->second.removed.has_value()) return nullptr;
+  return &*earlier->second.removed;
 }
 
 auto StoreSnapshot::BeginEra() -> void {
--- a/src/gateway/store_snapshot.h
+++ b/src/gateway/store_snapshot.h
@@ -23,8 +23,8 @@
   /// What a change means after what was known in the store's era before.
   enum class Effect {
     kNew,
-    kUnchanged,  ///< The item has this value already.
-    kOutdated,   ///< The item was written before a removal that the store has forgotten.
+    kUnchanged,      ///< The item has this value already.
+    kRemovedBefore,  ///< The item had been removed. The store may have forgotten that.
   };
 
   auto Apply(const StoreChange& change) -> Effect;
@@ -32,6 +32,8 @@
   auto BeginEra() -> void;
   /// The whole state has been applied.
   auto EndOfNewState() -> void { earlier_items_.clear(); }
+  /// The last write before the removal, for an item that was removed before, in the earlier era.
+  auto EarlierWrite(const std::string& key) const -> const StoreChange*;
   /// Whether the item's last change is the given one.
   auto IsCurrent(const StoreChange& change) const -> bool;
   auto Page(std::uint64_t revision) const -> StorePage;
