gateway: a VM's part of a limit ends with the announcement that the store has lost

A VM counted for 2.5 s on an announcement that it had renewed in an era of the store that is gone, while the others may have listed a state without it and divided its part. Its standing now lapses until the restored store has renewed the announcement.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -377,6 +377,7 @@
     log_.Write(LogLevel::kWarning, "store-era-applied",
                {{"era", sync_state.era().value()}, {"revision", sync_state.revision()}});
     items_.OnStoreRestored();
+    core_.OnStoreRestored();
   }
 
   auto RecordStoreSeen() -> void {
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -66,6 +66,8 @@
   auto SetChangeBound(Duration bound) -> void { standing_.SetChangeBound(bound); }
   /// The store has renewed this VM's announcement, at the given time or later.
   auto OnAnnouncementRenewed(MonotonicTime at) -> void { standing_.OnAnnouncementRenewed(at); }
+  /// The store is back from an older copy, which may lack this VM's announcement.
+  auto OnStoreRestored() -> void { standing_.OnStoreRestored(); }
 
   /// All changes of the store up to the revision have been applied. The state was complete at the
   /// given time.
