net: an answer that names no request is not trusted on a connection in use

Here a copy that names the earlier request is dropped already. One without Heatherspan-Request-Id was taken for the answer to the request in flight: 503, or another attempt elsewhere.

Change: on a connection that had an exchange before, an answer that names no request may be a copy of an earlier one. Its request may have run, and the connection is closed. On a new connection nothing earlier can be repeated.

--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -93,6 +93,7 @@
   auto OnReadError(const ErrorCode& error) -> void;
   auto ParseInput() -> void;
   auto DropForeignResponse() -> bool;
+  auto MayBeRepeated() const -> bool;
   auto IdleTimeout(const HttpResponse& response) const -> Duration;
   auto FinishIfComplete() -> void;
   auto Fail(absl::Status status) -> void;
@@ -120,6 +121,7 @@
   bool write_done_ = false;
   bool write_failed_ = false;
   bool response_started_ = false;
+  bool is_reused_ = false;    ///< The connection has had another exchange.
   bool out_of_step_ = false;  ///< A response to another request came: nothing more may be sent.
   SteadyClock::time_point exchange_deadline_;
 
@@ -218,6 +220,7 @@
 
 auto Connection::WriteRequest(bool reused) -> void {
   state_ = State::kExchange;
+  is_reused_ = reused;
   SetDeadline(exchange_deadline_);
   write_done_ = false;
   write_failed_ = false;
@@ -377,6 +380,12 @@
   return true;
 }
 
+auto Connection::MayBeRepeated() const -> bool {
+  const auto& name = client_->limits().correlation_header;
+  return is_reused_ && !name.empty() && !request_.Header(name).empty() &&
+         reader_.response().Header(name).empty();
+}
+
 auto Connection::IdleTimeout(const HttpResponse& response) const -> Duration {
   const auto own = client_->limits().idle_timeout;
   constexpr std::string_view kKey = "timeout=";
@@ -393,13 +402,15 @@
 auto Connection::FinishIfComplete() -> void {
   if (!reader_.done()) return;
   const auto idle_timeout = IdleTimeout(reader_.response());
-  const bool reusable = write_done_ && !write_failed_ && reader_.keep_alive() && end_ == 0 &&
-                        !out_of_step_ && idle_timeout > Duration::zero();
+  const bool may_be_repeated = MayBeRepeated();
+  const bool reusable = !may_be_repeated && write_done_ && !write_failed_ && reader_.keep_alive() &&
+                        end_ == 0 && !out_of_step_ && idle_timeout > Duration::zero();
   // A complete response that overtakes the notice of the write waits for it; one that came before
   // the whole request was sent costs the connection.
   if (!write_done_ && output_.size() + request_.body.size() <= kMaxCopiedBodyBytes) return;
   HttpResult result;
   result.progress = SendProgress::kCompleted;
+  result.may_be_repeated = may_be_repeated;
   result.response = reader_.Take();
   const auto callback = std::exchange(callback_, nullptr);
   request_ = HttpRequest();
--- a/src/net/http_result.h
+++ b/src/net/http_result.h
@@ -17,6 +17,9 @@
   absl::Status status;  ///< OK exactly if the whole response was read.
   SendProgress progress = SendProgress::kNothingWritten;
   HttpResponse response;
+  /// The response names no request and came on a connection that was used before: it may be a late
+  /// copy of an earlier one.
+  bool may_be_repeated = false;
 };
 
 }  // namespace heatherspan
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -1,4 +1,6 @@
 #include <functional>
+#include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -49,6 +51,8 @@
     store_.Put("servers/i-1", target.Registration());
     Start();
   }
+  std::vector<HttpServer::Responder> held_;  ///< Requests without an answer.
+
   auto SendWithId(const std::string& id) -> HttpResponse {
     auto request = Request("/book/x", "POST");
     for (auto& header : request.headers) {
@@ -58,6 +62,10 @@
   }
 };
 
+/// The bytes of a refusal that a target writes once more.
+class RepeatedRefusalTest : public TargetTroubleTest,
+                            public testing::WithParamInterface<const char*> {};
+
 struct Endless {
   std::string name;
   std::string start;  ///< Sent once.
@@ -127,6 +135,97 @@
   node_.reset();
 }
 
+// Guards against a caller who is told that its request has not run, or whose request runs at a
+// second target, because the target wrote an earlier refusal once more on a connection in use.
+TEST_P(RepeatedRefusalTest, DoesNotRefuseAnotherRequest) {
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(AnswerTo("id-a", "answer to a"));
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(GetParam());
+    socket.ReadUntilClosed();
+  });
+  StartWith(target);
+  EXPECT_EQ(SendWithId("id-a").body, "answer to a");
+  // The target may be running the request.
+  const auto answer = SendWithId("id-b");
+  EXPECT_TRUE(answer.status == 502 || answer.status == 504) << answer.status;
+  EXPECT_TRUE(log_capture_.Contains("verdict=may-have-run"));
+  node_.reset();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Refusals, RepeatedRefusalTest,
+    testing::Values(
+        "HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\nHeatherspan-Request-Id: id-0\r\n"
+        "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 429 Full\r\nHeatherspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"));
+
+// Guards against a success with an empty or short body that is framed as whole, because the target
+// broke off in the head of its answer.
+TEST_F(TargetTroubleTest, AHeadThatBreaksOffIsNoSuccess) {
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(
+        "HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\n"
+        "Heatherspan-Request-Id: id-a\r\n");
+  });
+  StartWith(target);
+  EXPECT_EQ(SendWithId("id-a").status, 502);
+  node_.reset();
+}
+
+// Guards against requests that are taken late in the grace of a planned stop and cut at its end.
+TEST_F(TargetTroubleTest, AStopAnswersEachRequestThatItTakes) {
+  settings_.bounds.stop_grace = std::chrono::milliseconds(1500);
+  TargetStub target("i-1");
+  target.SetBehaviour([this](const HttpRequest& request, const HttpServer::Responder& respond) {
+    // Some answers never come.
+    if (request.Header("Heatherspan-Request-Id").ends_with("7")) {
+      held_.push_back(respond);
+      return;
+    }
+    HttpResponse response;
+    response.headers = {
+        {"Heatherspan-Response-Signature", "sig"},
+        {"Heatherspan-Request-Id", std::string(request.Header("Heatherspan-Request-Id"))}};
+    respond(std::move(response));
+  });
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  std::mutex mutex;
+  std::set<std::string> unanswered;
+  std::atomic<int> in_flight = 0;
+  std::atomic<int> served_while_stopping = 0;
+  node_->BeginStop();
+  for (int i = 0; !stopped_; ++i) {
+    const auto id = "id-" + std::to_string(i);
+    auto request = Request(i % 2 == 0 ? "/book/x" : "/read/x", i % 2 == 0 ? "POST" : "GET");
+    for (auto& header : request.headers) {
+      if (header.name == "Heatherspan-Request-Id") header.value = id;
+    }
+    ++in_flight;
+    caller_.Send(settings_.callers, request, kTimeout, [&, id](const HttpResult& result) {
+      if (!result.status.ok()) {
+        const std::lock_guard lock(mutex);
+        unanswered.insert(id);
+      }
+      if (result.response.status == 200) ++served_while_stopping;
+      --in_flight;
+    });
+    ASSERT_TRUE(Eventually([&] { return in_flight < 8; }));
+  }
+  ASSERT_TRUE(Eventually([&] { return in_flight == 0; }));
+  // A request that crosses the close of its connection is not passed on.
+  for (const auto& request : target.Requests()) {
+    EXPECT_FALSE(unanswered.contains(std::string(request.Header("Heatherspan-Request-Id"))));
+  }
+  EXPECT_GT(served_while_stopping, 0);
+}
+
 // Guards against a planned stop that cuts requests which a caller has just sent ahead on one
 // connection.
 TEST_F(TargetTroubleTest, AStopAnswersPipelinedRequests) {
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -275,6 +275,17 @@
   EXPECT_FALSE(ResultOf("HTTP/1.1 200 OK\r\nContent-Le").status.ok());
 }
 
+// Guards against a head that breaks off at any byte and passes for an answer without a body.
+TEST_F(GatewayHttpClientTest, AHeadThatBreaksOffIsNoAnswer) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nContent-Type: a/b\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    const auto result = ResultOf(head.substr(0, size));
+    EXPECT_FALSE(result.status.ok()) << size;
+    EXPECT_EQ(result.progress, SendProgress::kWritten) << size;
+  }
+}
+
 // Guards against a request that can't be repeated on a connection which its target may have
 // dropped.
 TEST_F(GatewayHttpClientTest, IdleConnectionsCanBeLeftOut) {
