gateway: a target that says in an answer that it leaves gets no more requests

No code read the field; a VM that the store doesn't reach went on.

Change: the field is read in each answer to a request or a probe, of any status, also in the head of one that breaks off later, with and without the prefix; not in a 421, nor in a copy of an earlier answer. Leaving is final for that start of the instance, whatever the store or a later listing shows, and is remembered for 10 minutes. What is placed from then on goes elsewhere or is refused at once.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -108,7 +108,7 @@
                                           settings_.callers, settings_.peers}),
                    [this](MonotonicTime at) { core_.OnAnnouncementRenewed(at); }),
         forwarder_(core_, target_client_, workers_, log_, metrics_),
-        prober_(core_, target_client_, log_),
+        prober_(core_, target_client_, log_, metrics_),
         callers_server_(workers_, CallerServerLimits(settings_.descriptors, CallerLimits()),
                         [this](HttpRequest request, HttpServer::Responder respond) {
                           forwarder_.Forward(std::move(request), std::move(respond));
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -10,6 +10,7 @@
 #include "base/reason.h"
 #include "base/verdict.h"
 #include "edge/platform_ports.h"
+#include "edge/target_notice_handler.h"
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
 #include "gateway/stop_plan.h"
@@ -38,7 +39,12 @@
 
   RequestForwarder(GatewayCore& core, HttpClient& client, WorkerPool& workers, EventLog& log,
                    MetricsRegistry& metrics)
-      : core_(core), client_(client), workers_(workers), log_(log), metrics_(metrics) {}
+      : core_(core),
+        client_(client),
+        workers_(workers),
+        log_(log),
+        metrics_(metrics),
+        notices_(core, log, metrics) {}
 
   auto Forward(HttpRequest request, HttpServer::Responder respond) -> void {
     const auto now = Now();
@@ -192,6 +198,7 @@
     const auto attempt = *std::exchange(active->attempt, std::nullopt);
     active->exchange.reset();
     RecordLimit(*active, attempt.target, reply);
+    notices_.OnNotices(attempt.target, reply.notices, "answer");
     const auto step = core_.EndAttempt(active->forwarded, attempt, reply.end, reply.load, now);
     if (reply.end != AttemptOutcome::kSucceeded) {
       log_.Write(LogLevel::kInfo, "attempt",
@@ -319,6 +326,7 @@
   WorkerPool& workers_;
   EventLog& log_;
   MetricsRegistry& metrics_;
+  TargetNoticeHandler notices_;
   absl::flat_hash_set<ActivePtr> active_;
   MonotonicTime serve_until_ = MonotonicTime::max();
   MonotonicTime complete_by_ = MonotonicTime::max();
--- a/src/edge/target_prober.h
+++ b/src/edge/target_prober.h
@@ -5,6 +5,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "edge/platform_ports.h"
+#include "edge/target_notice_handler.h"
 #include "gateway/gateway_core.h"
 #include "net/http_client.h"
 #include "observe/event_log.h"
@@ -21,8 +22,8 @@
   /// The least time between two probes of one target. A probe takes a slot for some milliseconds.
   static constexpr Duration kProbeInterval = std::chrono::milliseconds(1000);
 
-  TargetProber(GatewayCore& core, HttpClient& client, EventLog& log)
-      : core_(core), client_(client), log_(log) {}
+  TargetProber(GatewayCore& core, HttpClient& client, EventLog& log, MetricsRegistry& metrics)
+      : core_(core), client_(client), log_(log), notices_(core, log, metrics) {}
 
   auto OnTick(MonotonicTime now) -> void {
     if (core_.policy() == nullptr) return;
@@ -54,6 +55,8 @@
     if (target == nullptr) return;
     const auto health = Format::ReadHealth(result.response);
     const bool replaced = result.status.ok() && !health.instance.empty() && health.instance != name;
+    // Only the target itself says that it leaves, not whoever has its address.
+    if (health.instance == name) notices_.OnNotices(name, health.notices, "probe");
     const bool healthy = result.status.ok() && health.healthy && !replaced;
     if (!result.status.ok()) {
       target->health().OnObservation(TargetObservation::kUnreachable, now);
@@ -71,6 +74,7 @@
   GatewayCore& core_;
   HttpClient& client_;
   EventLog& log_;
+  TargetNoticeHandler notices_;
   absl::flat_hash_map<TargetName, MonotonicTime>
       recent_probes_;  ///< Times of the probes in the last interval.
 };
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -13,7 +13,35 @@
   return found == regions_.end() ? RegionName() : found->second;
 }
 
-auto Fleet::Register(const RegisteredTarget& entry, MonotonicTime now) -> void {
+auto Fleet::IsLeaving(const RegisteredTarget& entry, MonotonicTime now) -> bool {
+  const auto found = leaving_.find(entry.name);
+  if (found == leaving_.end() || found->second.start_id != entry.start_id) return false;
+  found->second.named_at = now;
+  return true;
+}
+
+auto Fleet::RememberLeaving(const RegisteredTarget& entry, MonotonicTime now) -> void {
+  absl::erase_if(leaving_, [now](const auto& leaving) {
+    return now - leaving.second.named_at > kLeavingRetention;
+  });
+  leaving_[entry.name] = {entry.start_id, now};
+}
+
+auto Fleet::OnLeaving(const TargetName& name, MonotonicTime now) -> bool {
+  auto* target = Find(name);
+  if (target == nullptr) return false;
+  RememberLeaving(target->entry(), now);
+  if (target->entry().draining) return false;
+  auto entry = target->entry();
+  entry.draining = true;
+  target->Update(std::move(entry), now);
+  return true;
+}
+
+auto Fleet::Register(const RegisteredTarget& registered, MonotonicTime now) -> void {
+  auto entry = registered;
+  if (entry.draining) RememberLeaving(entry, now);
+  entry.draining = entry.draining || IsLeaving(entry, now);
   auto& known = targets_[entry.name];
   if (known != nullptr && known->entry().service == entry.service &&
       known->entry().zone == entry.zone) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -24,8 +26,11 @@
 
   /// Records that requests are forwarded from now on.
   auto OnTraffic() -> void { has_traffic_ = true; }
-  auto Register(const RegisteredTarget& entry, MonotonicTime now) -> void;
+  auto Register(const RegisteredTarget& registered, MonotonicTime now) -> void;
   auto Unregister(const TargetName& name) -> void;
+  /// The target has said in an answer that it leaves. That is final for this start of it, whatever
+  /// the store shows. Returns whether it is new.
+  auto OnLeaving(const TargetName& name, MonotonicTime now) -> bool;
   auto SetEvacuated(const ZoneName& zone, bool evacuated, MonotonicTime now) -> void;
 
   auto Find(const TargetName& name) -> FleetTarget*;
@@ -40,11 +45,24 @@
   auto RegionOf(const ZoneName& zone) const -> RegionName;
   auto RemoveFromService(const FleetTarget& target) -> void;
 
+  /// A target that has said that it leaves. It may register again until it has stopped.
+  struct Leaving {
+    std::int64_t start_id = 0;
+    MonotonicTime named_at;  ///< By itself or by a registration.
+  };
+
+  /// Nothing names a target so long after it has stopped.
+  static constexpr Duration kLeavingRetention = std::chrono::minutes(10);
+
+  auto IsLeaving(const RegisteredTarget& entry, MonotonicTime now) -> bool;
+  auto RememberLeaving(const RegisteredTarget& entry, MonotonicTime now) -> void;
+
   Regions regions_;
   Duration cold_after_evacuation_;
   absl::flat_hash_map<TargetName, std::unique_ptr<FleetTarget>> targets_;
   absl::flat_hash_map<ServiceName, std::vector<FleetTarget*>> by_service_;
   absl::flat_hash_set<ZoneName> evacuated_;
+  absl::flat_hash_map<TargetName, Leaving> leaving_;
   bool has_traffic_ = false;
 };
 
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -93,7 +93,9 @@
   auto OnReadError(const ErrorCode& error) -> void;
   auto ParseInput() -> void;
   auto DropForeignResponse() -> bool;
+  auto NamesOtherRequest() const -> bool;
   auto MayBeRepeated() const -> bool;
+  auto HeadOfResponse() const -> HttpResponse;
   auto IdleTimeout(const HttpResponse& response) const -> Duration;
   auto FinishIfComplete() -> void;
   auto Fail(absl::Status status) -> void;
@@ -370,14 +372,18 @@
 
 /// A late second response to an earlier request stands where the response to this one is due.
 auto Connection::DropForeignResponse() -> bool {
+  if (!NamesOtherRequest()) return false;
+  out_of_step_ = true;
+  reader_.Start(request_.method == "HEAD");
+  return true;
+}
+
+auto Connection::NamesOtherRequest() const -> bool {
   const auto& name = client_->limits().correlation_header;
   if (name.empty()) return false;
   const auto expected = request_.Header(name);
   const auto found = reader_.response().Header(name);
-  if (expected.empty() || found.empty() || expected == found) return false;
-  out_of_step_ = true;
-  reader_.Start(request_.method == "HEAD");
-  return true;
+  return !expected.empty() && !found.empty() && expected != found;
 }
 
 auto Connection::MayBeRepeated() const -> bool {
@@ -427,7 +433,19 @@
   callback(std::move(result));
 }
 
+/// The status and the fields of a response that is known to answer the request.
+auto Connection::HeadOfResponse() const -> HttpResponse {
+  HttpResponse head;
+  if (!response_started_ || !reader_.head_done() || MayBeRepeated() || NamesOtherRequest()) {
+    return head;
+  }
+  head.status = reader_.response().status;
+  head.headers = reader_.response().headers;
+  return head;
+}
+
 auto Connection::Fail(absl::Status status) -> void {
+  auto head = HeadOfResponse();
   CloseSocket();
   client_->Forget(endpoint_, shared_from_this());
   const auto callback = std::exchange(callback_, nullptr);
@@ -435,6 +453,7 @@
   HttpResult result;
   result.status = std::move(status);
   result.progress = progress_;
+  result.response = std::move(head);
   callback(std::move(result));
 }
 
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -249,6 +249,7 @@
 auto HttpResponseReader::OnEndOfInput() -> void { impl_->OnEndOfInput(); }
 
 auto HttpResponseReader::done() const -> bool { return impl_->done(); }
+auto HttpResponseReader::head_done() const -> bool { return impl_->parser().is_header_done(); }
 auto HttpResponseReader::error() const -> HttpReadError { return impl_->error(); }
 auto HttpResponseReader::keep_alive() const -> bool { return impl_->parser().keep_alive(); }
 auto HttpResponseReader::response() const -> const HttpResponse& { return impl_->parser().message; }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -61,6 +61,8 @@
   auto OnEndOfInput() -> void;
 
   auto done() const -> bool;
+  /// The status line and all fields have been read.
+  auto head_done() const -> bool;
   auto error() const -> HttpReadError;
   auto keep_alive() const -> bool;
   auto response() const -> const HttpResponse&;
--- a/src/net/http_result.h
+++ b/src/net/http_result.h
@@ -16,7 +16,7 @@
 struct HttpResult {
   absl::Status status;  ///< OK exactly if the whole response was read.
   SendProgress progress = SendProgress::kNothingWritten;
-  HttpResponse response;
+  HttpResponse response;  ///< Without a body if the response broke off behind its head.
   /// The response names no request and came on a connection that was used before: it may be a late
   /// copy of an earlier one.
   bool may_be_repeated = false;
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -31,6 +31,7 @@
   kRejectedInput,
   kStoreCalls,
   kStoreEra,
+  kTargetNotices,
   kAdminCalls,
   kCount,
 };
@@ -93,6 +94,8 @@
          "Calls to the platform's store by kind and result."},
         {Metric::kStoreEra, "heatherspan_store_era", MetricKind::kGauge,
          "The history of the platform's store that its last answer belongs to."},
+        {Metric::kTargetNotices, "heatherspan_target_notices_total", MetricKind::kCounter,
+         "Changes of what is believed of targets by their answers, by notice and source."},
         {Metric::kAdminCalls, "heatherspan_admin_calls_total", MetricKind::kCounter,
          "Calls to the administration interface by path and status."},
     }};
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -163,6 +163,49 @@
         "HTTP/1.1 429 Full\r\nHeatherspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"));
 
+// Guards against requests to a target that says in its answers that it leaves, because the store
+// does not tell so, and against a request that waits although no other target is left.
+TEST_F(TargetTroubleTest, ATargetThatSaysThatItLeavesGetsNothingMore) {
+  TargetStub target("i-1");
+  target.SetBehaviour([](const HttpRequest& request, const HttpServer::Responder& respond) {
+    HttpResponse response;
+    response.status = 500;
+    response.headers = {
+        {"Heatherspan-Response-Signature", "sig"},
+        {"Server-Leaving", "1"},
+        {"Heatherspan-Request-Id", std::string(request.Header("Heatherspan-Request-Id"))}};
+    respond(std::move(response));
+  });
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  EXPECT_EQ(Send("/book/x", "POST").response.status, 500);
+  EXPECT_TRUE(log_capture_.Contains("event=target-leaving target=i-1 source=answer age_ms=0"));
+  Register(target);
+  store_.Put("op/config", Policy(2));
+  ASSERT_TRUE(Eventually([&] { return log_capture_.Contains("configuration-applied version=2"); }));
+  const auto sent_at = std::chrono::steady_clock::now();
+  const auto answer = Send("/read/x").response;
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_NE(answer.Header("Retry-After"), "");
+  EXPECT_LT(std::chrono::steady_clock::now() - sent_at, std::chrono::seconds(2));
+  EXPECT_EQ(target.Requests().size(), 1U);
+}
+
+// Guards against a notice that is missed because the body of its answer breaks off.
+TEST_F(TargetTroubleTest, ANoticeInAnAnswerThatBreaksOffCounts) {
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(
+        "HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\nServer-Leaving: 1\r\n"
+        "Heatherspan-Request-Id: id-a\r\nContent-Length: 9\r\n\r\nhalf");
+  });
+  StartWith(target);
+  EXPECT_EQ(SendWithId("id-a").status, 502);
+  EXPECT_EQ(SendWithId("id-b").status, 503);
+  node_.reset();
+}
+
 // Guards against a success with an empty or short body that is framed as whole, because the target
 // broke off in the head of its answer.
 TEST_F(TargetTroubleTest, AHeadThatBreaksOffIsNoSuccess) {
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -106,6 +106,37 @@
   }
 }
 
+// Guards against a notice that is missed in an answer that fails or breaks off, and against a value
+// that passes for one.
+TEST(RequestFormat, ReadsThatATargetLeaves) {
+  HttpResult result;
+  result.progress = SendProgress::kCompleted;
+  const auto notices = [&](const std::string& name, const std::string& value) {
+    result.response.headers = {{name, value}};
+    return RequestFormat::ReadReply(result).notices;
+  };
+  for (const int status : {200, 429, 500, 503}) {
+    result.response.status = status;
+    EXPECT_TRUE(notices("Server-Leaving", "1").leaving) << status;
+    EXPECT_TRUE(notices("heatherspan-server-leaving", " 1 ").leaving) << status;
+  }
+  for (const auto* value : {"0", "true", "1.0", "-1", "1,1", "yes"}) {
+    EXPECT_FALSE(notices("Server-Leaving", value).leaving) << value;
+    EXPECT_EQ(notices("Server-Leaving", value).malformed, std::string("Server-Leaving: ") + value);
+  }
+  EXPECT_LT(notices("Server-Leaving", std::string(9000, 'x')).malformed.size(), 100U);
+  EXPECT_EQ(notices("Other", "1").malformed, "");
+  result.status = absl::DataLossError("truncated");
+  EXPECT_TRUE(notices("Server-Leaving", "1").leaving);
+  result.status = absl::OkStatus();
+  // Another instance has the address.
+  result.response.status = 421;
+  EXPECT_FALSE(notices("Server-Leaving", "1").leaving);
+  HttpResponse health;
+  health.headers = {{"Server-Leaving", "1"}};
+  EXPECT_TRUE(RequestFormat::ReadHealth(health).notices.leaving);
+}
+
 // Guards against a response that is changed on its way to the caller.
 TEST(RequestFormat, ForwardsStatusBodyAndEndToEndFields) {
   HttpResponse response;
