gateway: a target that asks for a pause with its 503 gets nothing meanwhile

The time was not kept, and the next request for the object went to the same target.

Requests and probes go elsewhere; when all usable targets want a pause, a request is refused at once, with the earliest end, spread, as Retry-After. The target returns with one request at a time until one has been served, a little later for each VM.

Measured: the model at 7, 34 and 119 VMs, no request in a pause; the gateway with one target, a second request refused at once (it was sent to the target before).

--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -5,7 +5,7 @@
 namespace heatherspan {
 namespace {
 
-constexpr std::array<std::string_view, 40> kTexts = {
+constexpr std::array<std::string_view, 41> kTexts = {
     "none",
     "bad-request",
     "unknown-service",
@@ -46,13 +46,14 @@
     "unknown-route",
     "caller-gone",
     "target-limit",
+    "target-pause",
 };
 
 }  // namespace
 
-auto AllReasons() -> const std::array<Reason, 40>& {
-  static constexpr std::array<Reason, 40> kAll = [] {
-    std::array<Reason, 40> all{};
+auto AllReasons() -> const std::array<Reason, 41>& {
+  static constexpr std::array<Reason, 41> kAll = [] {
+    std::array<Reason, 41> all{};
     for (std::size_t i = 0; i < all.size(); ++i) all[i] = static_cast<Reason>(i);
     return all;
   }();
--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -49,10 +49,11 @@
   kUnknownRoute,
   kCallerGone,
   kTargetLimit,
+  kTargetPause,
 };
 
 /// Every reason, in the order of the enumeration.
-auto AllReasons() -> const std::array<Reason, 40>&;
+auto AllReasons() -> const std::array<Reason, 41>&;
 
 /// The reason as it stands in headers, logs and metric labels, for example "region-cap".
 auto ReasonText(Reason reason) -> std::string_view;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -170,6 +170,8 @@
         return Reason::kOverload;
       case PlacementFailure::kLimited:
         return Reason::kTargetLimit;
+      case PlacementFailure::kPaused:
+        return Reason::kTargetPause;
     }
     return Reason::kInternal;
   }
--- a/src/edge/target_notice_handler.h
+++ b/src/edge/target_notice_handler.h
@@ -26,10 +26,23 @@
       log_.Write(LogLevel::kInfo, "target-leaving",
                  {{"target", target.value()}, {"source", source}, {"age_ms", 0}});
     }
+    if (notices.pause.has_value()) OnPause(target, *notices.pause, source, now);
     if (!notices.malformed.empty()) OnMalformed(target, notices);
   }
 
  private:
+  auto OnPause(const TargetName& name, Duration pause, std::string_view source, MonotonicTime now)
+      -> void {
+    auto* target = core_.fleet().Find(name);
+    if (target == nullptr) return;
+    if (!target->pause().OnRequested(pause, core_.DrawSpread(), now)) return;
+    metrics_.Increment(Metric::kTargetNotices, {{"notice", "pause"}, {"source", source}});
+    log_.Write(LogLevel::kInfo, "target-paused",
+               {{"target", name.value()},
+                {"source", source},
+                {"wait_ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count()}});
+  }
+
   auto OnMalformed(const TargetName& target, const TargetNotices& notices) -> void {
     metrics_.Increment(Metric::kRejectedInput, {{"listener", "target"}, {"cause", "notice"}});
     if (malformed_logged_) return;
--- a/src/edge/target_prober.h
+++ b/src/edge/target_prober.h
@@ -32,7 +32,8 @@
     for (const auto& service : core_.policy()->services) {
       for (auto* target : core_.fleet().TargetsOf(service.name)) {
         const bool due = target->health().OnProbation() && !target->health().IsBlocked(now) &&
-                         target->limit().MaySend(now);
+                         target->limit().MaySend(now) &&
+                         target->pause().Wait(now) == Duration::zero();
         if (due && core_.fleet().MayUse(*target) && target->load().in_flight() == 0) {
           Probe(*target, service.health_path, now);
         }
--- a/src/gateway/fleet_target.cc
+++ b/src/gateway/fleet_target.cc
@@ -32,6 +32,7 @@
   if (restarted) {
     health_.Reset();
     limit_ = TargetLimit();
+    pause_ = TargetPause();
     cached_objects_.Clear();
     slowness_ = 1;
     joined_under_traffic_ = true;
@@ -73,7 +74,10 @@
                       std::optional<TargetObservation> observation, MonotonicTime now) -> Duration {
   const auto duration = load_.End(attempt, now);
   if (observation.has_value()) health_.OnObservation(*observation, now);
-  if (observation == TargetObservation::kServed) cached_objects_.OnHandled(object);
+  if (observation == TargetObservation::kServed) {
+    cached_objects_.OnHandled(object);
+    pause_.OnServed(now);
+  }
   return duration;
 }
 
--- a/src/gateway/fleet_target.h
+++ b/src/gateway/fleet_target.h
@@ -9,6 +9,7 @@
 #include "gateway/target_health.h"
 #include "gateway/target_limit.h"
 #include "gateway/target_load.h"
+#include "gateway/target_pause.h"
 
 namespace heatherspan {
 
@@ -52,6 +53,8 @@
 
   auto load() -> TargetLoad& { return load_; }
   auto load() const -> const TargetLoad& { return load_; }
+  auto pause() -> TargetPause& { return pause_; }
+  auto pause() const -> const TargetPause& { return pause_; }
   auto limit() -> TargetLimit& { return limit_; }
   auto limit() const -> const TargetLimit& { return limit_; }
   auto health() -> TargetHealth& { return health_; }
@@ -64,6 +67,7 @@
   std::uint64_t hash_;
   TargetLoad load_;
   TargetLimit limit_;
+  TargetPause pause_;
   TargetHealth health_;
   CachedObjects cached_objects_;
   double slowness_ = 1;
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string_view>
 #include <vector>
 
@@ -103,6 +104,8 @@
   auto LimitReports(MonotonicTime now) const -> std::vector<LimitReport> {
     return known_limits_.Reports(now);
   }
+  /// Draws a number from 0 to 1, by which this node differs from the others.
+  auto DrawSpread() -> double { return std::uniform_real_distribution<double>(0, 1)(random_); }
   /// Updates this node's standing and its shares of the limits. Called several times per second.
   auto OnTick(MonotonicTime now) -> void;
   /// This node cancelled the attempt.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -120,7 +120,8 @@
 auto Placer::IsCandidate(const FleetTarget& target, const PlacementQuery& query,
                          MonotonicTime now) const -> bool {
   if (!IsAllowed(target, query) || target.health().IsBlocked(now)) return false;
-  if (target.health().OnProbation() && target.load().in_flight() > 0) return false;
+  const bool takes_one = target.health().OnProbation() || target.pause().is_returning();
+  if (takes_one && target.load().in_flight() > 0) return false;
   const auto* attempted_targets = query.attempted_targets;
   return attempted_targets == nullptr ||
          std::find(attempted_targets->begin(), attempted_targets->end(), target.entry().name) ==
@@ -221,6 +222,13 @@
   return result;
 }
 
+auto Placer::Paused(Duration wait, const PlacementQuery& query, Random& random) -> PlacementResult {
+  PlacementResult result;
+  result.failure = PlacementFailure::kPaused;
+  result.retry_after = RetryAfter(wait, query.time_left, random);
+  return result;
+}
+
 auto Placer::ChooseAmong(const std::vector<FleetTarget*>& candidates,
                          const std::vector<FleetTarget*>& unused_targets,
                          const PlacementQuery& query, MonotonicTime now, Random& random) const
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -59,6 +59,7 @@
   kNoTarget,
   kTooLate,
   kLimited,  ///< The usable targets have named limits, of which this node has used its share.
+  kPaused,   ///< The usable targets have asked this node for a pause.
 };
 
 struct PlacementResult {
@@ -98,8 +99,13 @@
     std::vector<FleetTarget*> candidates;
     std::vector<FleetTarget*> unused_targets;
     std::optional<Duration> limit_wait;
+    std::optional<Duration> pause_wait;
     for (auto* target : fleet_.TargetsOf(query.service)) {
       if (!IsCandidate(*target, query, now)) continue;
+      if (const auto wait = target->pause().Wait(now); wait > Duration::zero()) {
+        pause_wait = std::min(pause_wait.value_or(wait), wait);
+        continue;
+      }
       const bool is_unused = target->joined_under_traffic() && !target->used();
       const bool sends = (target->IsCold(now) || is_unused) && sends_to_cold(*target);
       if (target->IsCold(now) && (!sends || !target->MaySendWhileCold(query.cold_interval, now))) {
@@ -113,6 +119,7 @@
       if (is_unused && sends) unused_targets.push_back(target);
     }
     if (candidates.empty() && limit_wait.has_value()) return Limited(*limit_wait, query, random);
+    if (candidates.empty() && pause_wait.has_value()) return Paused(*pause_wait, query, random);
     return ChooseAmong(candidates, unused_targets, query, now, random);
   }
 
@@ -134,6 +141,8 @@
   /// `wait`: until this node may send to a limited target again.
   static auto Limited(Duration wait, const PlacementQuery& query, Random& random)
       -> PlacementResult;
+  /// `wait`: until the first target that has asked for a pause takes requests again.
+  static auto Paused(Duration wait, const PlacementQuery& query, Random& random) -> PlacementResult;
   auto Predict(FleetTarget& target, const PlacementQuery& query, Role role, MonotonicTime now) const
       -> Ranked;
   auto FindUnusedTarget(const std::vector<FleetTarget*>& candidates, MonotonicTime now) const
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -192,6 +192,33 @@
   EXPECT_EQ(target.Requests().size(), 1U);
 }
 
+// Guards against requests to the only target during the pause that it has asked for, and against
+// one that waits for the pause's end.
+TEST_F(TargetTroubleTest, ATargetThatWantsAPauseGetsNothing) {
+  TargetStub target("i-1");
+  target.SetBehaviour([](const HttpRequest& request, const HttpServer::Responder& respond) {
+    HttpResponse response;
+    response.status = 503;
+    response.headers = {
+        {"Heatherspan-Not-Executed", "1"},
+        {"Retry-After", "20"},
+        {"Heatherspan-Request-Id", std::string(request.Header("Heatherspan-Request-Id"))}};
+    respond(std::move(response));
+  });
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  EXPECT_EQ(Send("/read/x").response.status, 503);
+  EXPECT_TRUE(log_capture_.Contains("event=target-paused target=i-1 source=answer wait_ms=20000"));
+  const auto sent_at = std::chrono::steady_clock::now();
+  const auto answer = Send("/book/x", "POST").response;
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_NE(answer.Header("Retry-After"), "");
+  EXPECT_LT(std::chrono::steady_clock::now() - sent_at, std::chrono::seconds(2));
+  EXPECT_TRUE(log_capture_.Contains("reason=target-pause"));
+  EXPECT_EQ(target.Requests().size(), 1U);
+}
+
 // Guards against a notice that is missed because the body of its answer breaks off.
 TEST_F(TargetTroubleTest, ANoticeInAnAnswerThatBreaksOffCounts) {
   RawTarget target(1, [&](const RawSocket& socket) {
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 auto CallerRequest() -> HttpRequest {
   HttpRequest request;
@@ -137,6 +138,33 @@
   EXPECT_TRUE(RequestFormat::ReadHealth(health).notices.leaving);
 }
 
+// Guards against a pause that is read from an answer which asks for none, and against a value that
+// can't be a time.
+TEST(RequestFormat, ReadsThatATargetWantsAPause) {
+  HttpResult result;
+  result.progress = SendProgress::kCompleted;
+  result.response.status = 503;
+  const auto notices = [&](const std::vector<std::string>& values) {
+    result.response.headers.clear();
+    for (const auto& value : values) result.response.headers.push_back({"Retry-After", value});
+    return RequestFormat::ReadReply(result).notices;
+  };
+  EXPECT_EQ(notices({"2"}).pause, seconds(2));
+  EXPECT_EQ(notices({" 0.250 "}).pause, milliseconds(250));
+  EXPECT_EQ(notices({"1", "3", "2"}).pause, seconds(3));
+  EXPECT_EQ(notices({"1e300"}).pause, std::chrono::hours(24));
+  EXPECT_FALSE(notices({"0"}).pause.has_value());
+  EXPECT_EQ(notices({"0"}).malformed, "");
+  for (const auto* value : {"-1", "nan", "inf", "", "Fri, 31 Dec 1999 23:59:59 GMT", "2s", "1,5"}) {
+    EXPECT_FALSE(notices({value}).pause.has_value()) << value;
+    EXPECT_EQ(notices({value}).malformed, std::string("Retry-After: ") + value);
+  }
+  for (const int status : {200, 421, 429, 500}) {
+    result.response.status = status;
+    EXPECT_FALSE(notices({"2"}).pause.has_value()) << status;
+  }
+}
+
 // Guards against a response that is changed on its way to the caller.
 TEST(RequestFormat, ForwardsStatusBodyAndEndToEndFields) {
   HttpResponse response;
--- a/tests/gateway/target_notices_test.cc
+++ b/tests/gateway/target_notices_test.cc
@@ -118,6 +118,76 @@
   EXPECT_EQ(Send(core, "a", kStart + seconds(4)), TargetName("i-1"));
 }
 
+// Guards against requests to a target that has asked for a pause, from any VM that it has told, and
+// against VMs that all return with all of their load in the same moment.
+TEST_P(TargetNoticesTest, ATargetInAPauseGetsNothing) {
+  constexpr auto kPause = seconds(4);
+  for (const auto& core : vms_) {
+    for (int i = 0; i < kTargets; ++i) core->fleet().Register(Target(i), kStart);
+  }
+  const TargetName paused("i-3");
+  std::vector<MonotonicTime> told(vms_.size(), kStart - kPause);
+  std::map<std::int64_t, int> returned;  // By tenth of a second.
+  for (auto now = kStart; now < kStart + seconds(12); now += milliseconds(20)) {
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+      auto& core = *vms_[vm];
+      const auto object = std::to_string((now - kStart) / milliseconds(20) % 50);
+      if (Send(core, object, now) != paused) continue;
+      ASSERT_GE(now - told[vm], kPause) << "VM " << vm;
+      if (told[vm] >= kStart) ++returned[(now - kStart) / milliseconds(100)];
+      // The target turns everything away in the first seconds.
+      if (now < kStart + seconds(5)) {
+        core.fleet().Find(paused)->pause().OnRequested(kPause, core.DrawSpread(), now);
+        told[vm] = now;
+      }
+    }
+  }
+  EXPECT_FALSE(returned.empty());
+}
+
+// Guards against a request that waits although all targets have asked for a pause, and against
+// callers that come back together.
+TEST_P(TargetNoticesTest, RefusesAtOnceWhenAllTargetsPause) {
+  auto& core = *vms_.front();
+  for (int i = 0; i < 3; ++i) {
+    core.fleet().Register(Target(i), kStart);
+    core.fleet().Find(Target(i).name)->pause().OnRequested(seconds(2 + i), 0, kStart);
+  }
+  std::set<Duration> times;
+  for (int i = 0; i < 20; ++i) {
+    auto request =
+        core.Admit(RequestId("id"), *core.routes().Find("h", "/x"), "", seconds(18), kStart);
+    const auto result = core.Place(request, kStart);
+    ASSERT_FALSE(result.placement.has_value());
+    EXPECT_EQ(result.failure, PlacementFailure::kPaused);
+    EXPECT_GE(result.retry_after, seconds(2));
+    EXPECT_LE(result.retry_after, seconds(3));
+    times.insert(result.retry_after);
+  }
+  EXPECT_GT(times.size(), 10U);
+  EXPECT_EQ(Send(core, "", kStart + seconds(2)), TargetName("i-0"));
+}
+
+// Guards against a pause that is shortened, that never ends, or that is ended by what was under way
+// when it began.
+TEST(TargetPause, LastsAsLongAsTheTargetAsks) {
+  TargetPause pause;
+  EXPECT_EQ(pause.Wait(kStart), Duration::zero());
+  EXPECT_TRUE(pause.OnRequested(seconds(4), 0, kStart));
+  EXPECT_FALSE(pause.OnRequested(seconds(1), 1, kStart + seconds(1)));
+  EXPECT_EQ(pause.Wait(kStart + seconds(1)), seconds(3));
+  EXPECT_FALSE(pause.OnRequested(seconds(5), 0, kStart + seconds(1)));
+  EXPECT_EQ(pause.Wait(kStart + seconds(1)), seconds(5));
+  pause.OnServed(kStart + seconds(2));
+  EXPECT_TRUE(pause.is_returning());
+  EXPECT_EQ(pause.Wait(kStart + seconds(6)), Duration::zero());
+  EXPECT_TRUE(pause.is_returning());
+  pause.OnServed(kStart + seconds(7));
+  EXPECT_FALSE(pause.is_returning());
+  EXPECT_TRUE(pause.OnRequested(std::chrono::hours(9), 1, kStart + seconds(8)));
+  EXPECT_EQ(pause.Wait(kStart + seconds(8)), TargetPause::kMaxPause + TargetPause::kMaxSpread);
+}
+
 INSTANTIATE_TEST_SUITE_P(Vms, TargetNoticesTest, testing::Values(7, 34, 119),
                          [](const auto& test) { return std::to_string(test.param) + "Vms"; });
 
