soak: targets say that they leave and want a pause, and the store comes back from copies

A step of its own sequence brings the store back as it was 0.5 to 9 s ago; what the operator and targets did since is done again, the VMs' announcements are not.

Two tests show that the checks can fail.

--- a/tests/fleet_standins/kv_standin.cc
+++ b/tests/fleet_standins/kv_standin.cc
@@ -164,15 +164,27 @@
   const std::lock_guard lock(mutex_);
   saved_items_ = items_;
   saved_revision_ = revision_;
+  saved_leases_ = leases_;
 }
 
-auto KvStandin::Restore() -> void {
+auto KvStandin::Restore(const std::function<bool(const std::string& key)>& is_repeated) -> void {
   const std::lock_guard lock(mutex_);
   ++era_;
-  items_ = saved_items_;
+  const auto lost_items = std::exchange(items_, saved_items_);
   revision_ = saved_revision_;
   history_.erase(history_.upper_bound(revision_), history_.end());
+  leases_ = saved_leases_;
+  for (auto& [lease, deadline] : leases_) deadline = SystemClock().Now() + kLeaseLifetime;
   for (const auto& watch : std::exchange(watches_, {})) watch.respond(Answer(503, "{}"));
+  if (is_repeated == nullptr) return;
+  for (const auto& [key, item] : saved_items_) {
+    if (is_repeated(key) && !lost_items.contains(key)) Remove(key);
+  }
+  for (const auto& [key, item] : lost_items) {
+    const auto known = items_.find(key);
+    const bool is_lost = known == items_.end() || known->second.value != item.value;
+    if (is_lost && is_repeated(key)) Put(key, item.value);
+  }
 }
 
 auto KvStandin::DiscardHistory() -> void {
--- a/tests/fleet_standins/kv_standin.h
+++ b/tests/fleet_standins/kv_standin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -32,7 +33,8 @@
   /// Keeps a copy of the store, and brings the store back as it was then. Revisions go back, and
   /// the era rises.
   auto Save() -> void;
-  auto Restore() -> void;
+  /// `is_repeated`: whether what was done to a key since is done again at once.
+  auto Restore(const std::function<bool(const std::string& key)>& is_repeated = {}) -> void;
   /// Discards the history so far. A watch after an older revision gets 410.
   auto DiscardHistory() -> void;
 
@@ -66,6 +68,7 @@
   std::uint64_t era_ = 1;
   std::map<std::string, Item> saved_items_;
   std::uint64_t saved_revision_ = 1;
+  std::map<std::uint64_t, MonotonicTime> saved_leases_;
   std::uint64_t discarded_revision_ = 0;  ///< The history starts after this revision.
   std::uint64_t last_lease_ = 0;
   std::map<std::uint64_t, MonotonicTime> leases_;  ///< Deadlines of the leases, by id.
--- a/tests/soak/promise_ledger.cc
+++ b/tests/soak/promise_ledger.cc
@@ -228,6 +228,7 @@
   CheckTimeLeft(*entry, arrival, now);
   if (arrival.cold) CheckCold(arrival, now);
   CheckLimit(*entry, arrival, now);
+  CheckNotices(*entry, arrival, now);
   if (!arrival.runs) return;
   CheckPolicy(*entry, arrival, now);
   ++entry->runs;
--- a/tests/soak/promise_ledger.h
+++ b/tests/soak/promise_ledger.h
@@ -34,6 +34,7 @@
   double limit_factor = 1.5;
   double limit_slack = 5;
   double recovered_part = 0.25;
+  int pause_arrivals_most = 2;
   int over_budget_most = 20;  ///< Attempts with more time than is left.
   double over_budget_part = 0.2;
   int gone_arrivals_most = 3;
@@ -104,6 +105,11 @@
       -> void;
   /// The target's answer to the request has the limit.
   auto OnLimitTold(const std::string& target, const std::string& id, MonotonicTime now) -> void;
+  /// The answer to the request, which has just been written, says that the target leaves.
+  auto OnLeavingTold(const std::string& target, const std::string& id, MonotonicTime now) -> void;
+  /// The refusal of the request asks for a pause until then.
+  auto OnPauseTold(const std::string& target, const std::string& id, MonotonicTime until,
+                   MonotonicTime now) -> void;
   auto OnEvacuated(const std::string& zone, bool evacuated, MonotonicTime now) -> void;
 
   auto OnSent(SentRequest request, MonotonicTime now) -> void;
@@ -169,6 +175,14 @@
     std::map<std::string, MonotonicTime> told;  ///< Since when, by gateway.
     std::deque<MonotonicTime> arrivals;         ///< From told gateways, in one window.
   };
+  /// What a target has said of itself to a gateway.
+  struct Notices {
+    std::optional<MonotonicTime> leaving_told;
+    MonotonicTime paused_at;
+    MonotonicTime paused_until;
+    int arrivals_in_pause = 0;
+  };
+
   struct Process {
     bool running = false;
     MonotonicTime since;  ///< Of its start or its end.
@@ -190,6 +204,7 @@
   auto CheckPolicy(const Entry& entry, const SeenArrival& arrival, MonotonicTime now) -> void;
   auto CheckTimeLeft(const Entry& entry, const SeenArrival& arrival, MonotonicTime now) -> void;
   auto CheckLimit(const Entry& entry, const SeenArrival& arrival, MonotonicTime now) -> void;
+  auto CheckNotices(const Entry& entry, const SeenArrival& arrival, MonotonicTime now) -> void;
   auto CheckCold(const SeenArrival& arrival, MonotonicTime now) -> void;
   /// The configurations that may decide a request sent then.
   auto PoliciesFor(MonotonicTime sent, MonotonicTime now) const -> std::vector<const Policy*>;
@@ -204,6 +219,7 @@
   std::map<std::string, MonotonicTime> leaving_;
   std::map<std::string, std::vector<Evacuation>> evacuations_;
   std::map<std::string, Process> processes_;
+  std::map<std::pair<std::string, std::string>, Notices> notices_;      ///< By target and gateway.
   std::map<std::string, Limit> limits_;                                 ///< By target.
   std::map<std::string, std::deque<MonotonicTime>> cold_arrivals_;      ///< By target.
   std::map<std::string, std::vector<MonotonicTime>> repeats_;           ///< By service.
--- a/tests/soak/promise_ledger_test.cc
+++ b/tests/soak/promise_ledger_test.cc
@@ -341,6 +341,30 @@
   EXPECT_THAT(BrokenAtTheEnd(), ElementsAre("GONE"));
 }
 
+TEST_F(PromiseLedgerTest, SeesRequestsToATargetThatSaidThatItLeaves) {
+  Send("1");
+  Arrive("1");
+  ledger_.OnLeavingTold("i-1", "1", kStart + milliseconds(100));
+  Send("2", "book", milliseconds(2500));
+  Arrive("2", "book", milliseconds(2700));
+  EXPECT_THAT(Broken(), testing::IsEmpty());
+  Send("3", "book", milliseconds(2700));
+  Arrive("3", "book", milliseconds(2710));
+  EXPECT_THAT(Broken(), ElementsAre("DRAIN"));
+}
+
+TEST_F(PromiseLedgerTest, SeesRequestsToATargetThatWantsAPause) {
+  Send("1");
+  Arrive("1");
+  ledger_.OnPauseTold("i-1", "1", kStart + seconds(2), kStart);
+  for (int i = 2; i < 6; ++i) {
+    Send(std::to_string(i), "book", milliseconds(300 * i));
+    Arrive(std::to_string(i), "book", milliseconds(300 * i));
+    EXPECT_EQ(Broken().size(), i < 4 ? 0U : 1U) << i;
+  }
+  EXPECT_THAT(Broken(), ElementsAre("BUDGET"));
+}
+
 TEST_F(PromiseLedgerTest, SeesAServiceThatDoesNotRecover) {
   ledger_.OnRecovered(kStart);
   for (int i = 0; i < 8; ++i) {
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -75,12 +75,17 @@
     // Drawn by itself.
     {SoakAction::kTargetNamesLimit, "target-names-limit", 0, Party::kTarget, milliseconds(6000),
      milliseconds(14000)},
+    {SoakAction::kStoreRestored, "store-restored", 0, Party::kGateway, milliseconds(500),
+     milliseconds(9000)},
 };
 
 constexpr milliseconds kMeanGap(700);
-/// Limits have a sequence of their own, so that the other steps of a seed stay the same.
+/// Limits and restores have sequences of their own, so that the other steps of a seed stay the
+/// same.
 constexpr std::uint64_t kLimitSequence = 0x11317;
 constexpr milliseconds kMeanLimitGap(8000);
+constexpr std::uint64_t kRestoreSequence = 0x2e570;
+constexpr milliseconds kMeanRestoreGap(20000);
 /// The same again, or on another party, soon after.
 constexpr double kSeriesPart = 0.35;
 constexpr milliseconds kSeriesGap(250);
@@ -103,11 +108,12 @@
   return std::uniform_int_distribution(0, count - 1)(random);
 }
 
-auto DrawLimits(std::uint64_t seed, Duration length, const SoakSize& size,
-                std::vector<SoakStep>& plan) -> void {
-  Random random(seed ^ kLimitSequence);
-  const auto& info = Info(SoakAction::kTargetNamesLimit);
-  std::uniform_int_distribution<std::int64_t> gap(0, 2 * kMeanLimitGap.count());
+/// Draws the steps of one action.
+auto DrawSequence(SoakAction action, std::uint64_t seed, milliseconds mean_gap, Duration length,
+                  const SoakSize& size, std::vector<SoakStep>& plan) -> void {
+  Random random(seed);
+  const auto& info = Info(action);
+  std::uniform_int_distribution<std::int64_t> gap(0, 2 * mean_gap.count());
   std::uniform_int_distribution<std::int64_t> span(info.shortest.count(), info.longest.count());
   for (Duration at = milliseconds(gap(random)) / 2; at < length; at += milliseconds(gap(random))) {
     plan.push_back(
@@ -145,7 +151,10 @@
       info = &DrawAction(random);
     }
   }
-  DrawLimits(seed, length, size, plan);
+  DrawSequence(SoakAction::kTargetNamesLimit, seed ^ kLimitSequence, kMeanLimitGap, length, size,
+               plan);
+  DrawSequence(SoakAction::kStoreRestored, seed ^ kRestoreSequence, kMeanRestoreGap, length, size,
+               plan);
   std::stable_sort(plan.begin(), plan.end(),
                    [](const SoakStep& a, const SoakStep& b) { return a.at < b.at; });
   return plan;
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -39,6 +39,7 @@
   kEvacuate,
   kBurst,
   kTargetNamesLimit,
+  kStoreRestored,
 };
 
 /// One step. Its party is a gateway or a target, or a zone, by number.
--- a/tests/soak/soak_run_steps.cc
+++ b/tests/soak/soak_run_steps.cc
@@ -35,6 +35,15 @@
       });
       break;
     }
+    case SoakAction::kStoreRestored:
+      store_.Save();
+      After(step.length, [this] {
+        Trouble(TroubleLog::kStore, Kind::kUnplanned, Duration::zero());
+        // The entry VMs announce themselves again.
+        store_.Restore(
+            [](const std::string& key) { return !key.starts_with(names::kEntryVmPrefix); });
+      });
+      break;
     case SoakAction::kBurst:
       caller_workers_.Post([this] { world_.burst = true; });
       After(step.length, [this] { caller_workers_.Post([this] { world_.burst = false; }); });
--- a/tests/soak/soak_target.cc
+++ b/tests/soak/soak_target.cc
@@ -14,6 +14,8 @@
 
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
+/// What a target that sheds load asks for.
+constexpr Duration kPause = milliseconds(1500);
 
 auto Refusal(int status, const std::string& id) -> HttpResponse {
   HttpResponse response;
@@ -110,8 +112,26 @@
   ledger_.With([&](PromiseLedger& ledger) { ledger.OnArrival(arrival, Now()); });
   if (arrival.runs) {
     Work(arrival, request, respond);
-  } else {
-    respond(Refusal(arrival.misdirected ? kMisdirected : kUnavailable, arrival.id));
+    return;
+  }
+  auto refusal = Refusal(arrival.misdirected ? kMisdirected : kUnavailable, arrival.id);
+  if (!arrival.misdirected) AddNotices(arrival, refusal);
+  respond(std::move(refusal));
+}
+
+auto SoakTarget::AddNotices(const SeenArrival& arrival, HttpResponse& response) -> void {
+  if (draining_) {
+    response.headers.push_back({std::string(names::kLeaving), "1"});
+    ledger_.With([&](PromiseLedger& ledger) {
+      ledger.OnLeavingTold(arrival.target_name, arrival.id, Now());
+    });
+  }
+  if (shedding_ && response.status == kUnavailable) {
+    const auto seconds = std::chrono::duration<double>(kPause).count();
+    response.headers.push_back({std::string(names::kRetryAfter), fmt::format("{}", seconds)});
+    ledger_.With([&](PromiseLedger& ledger) {
+      ledger.OnPauseTold(arrival.target_name, arrival.id, Now() + kPause, Now());
+    });
   }
 }
 
@@ -139,6 +159,7 @@
         {std::string(names::kRequestId), arrival.id},
         {std::string(names::kLoad), fmt::format("{},{},{}", std::min(running_, kSlots),
                                                 std::max(0, running_ - kSlots), kSlots)}};
+    AddNotices(arrival, response);
     if (limit_.has_value()) {
       response.headers.push_back({std::string(names::kTargetLimit), fmt::format("{}", *limit_)});
       ledger_.With([&](PromiseLedger& ledger) {
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -44,6 +44,7 @@
   auto Work(const SeenArrival& arrival, const HttpRequest& request,
             const HttpServer::Responder& respond) -> void;
   auto StateLimit(std::optional<double> per_second) -> void;
+  auto AddNotices(const SeenArrival& arrival, HttpResponse& response) -> void;
   auto Health() const -> HttpResponse;
   auto ColdLeft() const -> Duration;
 
