--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -59,7 +59,8 @@
   auto sync_state() const -> const StoreSyncState& { return sync_state_; }
   /// Applies a peer's complete listing of the store. Returns the number of changes.
   auto ApplyPeerState(StorePage state) -> std::size_t {
-    const auto changes = sync_state_.OnPeerState(std::move(state), Now());
+    const MonotonicTime now = Now();
+    const auto changes = sync_state_.OnPeerState(std::move(state), now);
     ApplyAll(changes, true);
     return changes.size();
   }
--- a/src/gateway/target_notices.h
+++ b/src/gateway/target_notices.h
@@ -12,7 +12,7 @@
   bool leaving = false;  ///< It is about to stop and must get no new requests.
   /// It wants nothing from this node for so long.
   std::optional<Duration> pause = std::nullopt;
-  std::string malformed = "";  ///< A notice that can't be read, for the log.
+  std::string malformed;  ///< A notice that can't be read, for the log.
 };
 
 }  // namespace heatherspan
