gateway: a listing that is behind the state replaces it

A node with a revision that the store doesn't have listed the store without end: each watch got 410, and the listing showed nothing newer. With Store-Era that is mended; without it, or after a peer's false revision, it went on until the store caught up.

Change: a listing of the store in one piece with the state's era whose revision is below the state's replaces the state, as one of another era does.

Measured: StoreSyncStateTest.AListingBehindTheStateReplacesIt; the model and the gateway's tests hold.

--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -179,8 +179,8 @@
   }
 
   auto ApplyAll(const std::vector<StoreChange>& changes, bool unconfirmed) -> void {
-    const auto era = std::exchange(applied_era_, sync_state_.era());
-    if (era != applied_era_ && has_state_) on_restored_();
+    const auto before = std::exchange(replacements_, sync_state_.replacements());
+    if (before != replacements_ && has_state_) on_restored_();
     has_state_ = sync_state_.synced();
     for (const auto& change : changes) on_change_(change, unconfirmed);
     on_batch_applied_();
@@ -228,7 +228,7 @@
   StoreReaderRole role_;
   std::uint64_t last_call_ = 0;
   std::uint64_t last_answered_ = 0;
-  StoreEra applied_era_;
+  std::uint64_t replacements_ = 0;  ///< That have been applied.
   bool has_state_ = false;
   bool reads_ = true;
   bool lost_ = false;
--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -298,8 +298,8 @@
 auto StoreSpreadSimulation::Apply(std::size_t vm, const std::vector<StoreChange>& changes) -> void {
   auto& state = vms_[vm];
   const bool unconfirmed = state.sync_state.RemovalsUnconfirmed();
-  if (state.era != state.sync_state.era()) {
-    state.era = state.sync_state.era();
+  if (std::exchange(state.replacements, state.sync_state.replacements()) !=
+      state.sync_state.replacements()) {
     state.snapshot.BeginEra();
     state.highest.clear();
   }
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -79,7 +79,7 @@
     std::uint64_t life = 1;  ///< Answers to an earlier life are dropped.
     StoreSyncState sync_state;
     StoreSnapshot snapshot;
-    StoreEra era;  ///< Of the items.
+    std::uint64_t replacements = 0;  ///< Of the state, that have been applied.
     StoreReaderRole role;
     std::uint64_t last_call = 0;  ///< Number of the last call to the store.
     std::uint64_t last_answered = 0;
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -63,6 +63,11 @@
   std::vector<StoreChange> new_changes;
   if (listing_ == Listing::kNone) return new_changes;
   if (after_key_.empty()) {
+    // The store has gone back without telling another era, or a peer has told a revision that the
+    // store never had.
+    if (listing_ == Listing::kSameEra && synced_ && page.revision < revision_) {
+      listing_ = Listing::kOtherEra;
+    }
     list_revision_ = page.revision;
     list_began_at_ = now;
     listed_revisions_.clear();
@@ -116,6 +121,7 @@
   }
   std::move(state.items.begin(), state.items.end(), std::back_inserter(new_changes));
   known_revisions_ = std::move(revisions);
+  ++replacements_;
   EndListing();
   era_ = state.era;
   revision_ = state.revision;
--- a/src/gateway/store_sync_state.h
+++ b/src/gateway/store_sync_state.h
@@ -74,6 +74,8 @@
   auto era() const -> StoreEra { return era_; }
   /// A later era is known, and the node does not have its state yet.
   auto is_outdated() const -> bool { return synced_ && listing_ == Listing::kOtherEra; }
+  /// How often a state that does not continue the one before has replaced it.
+  auto replacements() const -> std::uint64_t { return replacements_; }
   /// Changes when a listing of another era begins.
   auto listing_number() const -> std::uint64_t { return listing_number_; }
   /// Removals up to this revision may be unknown: the node has read a listing there.
@@ -113,6 +115,7 @@
   std::vector<StoreChange> listed_items_;  ///< Of another era.
   Listing listing_ = Listing::kSameEra;
   std::uint64_t listing_number_ = 0;
+  std::uint64_t replacements_ = 0;
   StoreEra era_;
   StoreEra store_era_;  ///< The latest that is known of the store.
   MonotonicTime store_era_known_at_{};
--- a/tests/gateway/store_sync_state_test.cc
+++ b/tests/gateway/store_sync_state_test.cc
@@ -226,6 +226,18 @@
   EXPECT_EQ(Keys(sync_state_.OnPeerChanges(earlier, now_)), "");
 }
 
+// Guards against a node that lists the store without end because it has a revision which the store
+// doesn't have: the store has gone back and tells no era, or a peer has told a false revision.
+TEST_F(StoreSyncStateTest, AListingBehindTheStateReplacesIt) {
+  ListAll({Put("a", 3), Put("b", 60)}, 60);
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges({{Put("c", 900)}, 900}, now_)), "+c");
+  sync_state_.OnFailure(absl::OutOfRangeError("the store doesn't have revision 900"));
+  EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 3)}, true, 59}, now_)), "");
+  EXPECT_EQ(ListAll({Put("b", 59)}, 59), "-c+a+b");
+  EXPECT_EQ(sync_state_.Next().after_revision, 59U);
+  EXPECT_EQ(Keys(sync_state_.OnChanges({{Put("b", 60)}, 60}, now_)), "+b");
+}
+
 // Guards against answers that were made before the restore and arrive after it, and against a node
 // that never again believes a store whose era has gone back.
 TEST_F(StoreSyncStateTest, OnlyAnswersToLaterCallsTellAnEarlierEra) {
