--- a/tests/experiment/store_spread_test.cc
+++ b/tests/experiment/store_spread_test.cc
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <numeric>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "experiment/store_spread_simulation.h"
@@ -25,11 +27,12 @@
 /// The deployments hold VMs to their bounds when the store has been well for so long.
 constexpr Duration kStableTime = seconds(4);
 constexpr const char* kConfiguration = "configuration";
-const std::vector<std::pair<std::size_t, Duration>> kSizesAndBounds = {{7, kDrainBound},
-                                                                       {27, kDrainBound},
-                                                                       {34, kDrainBound},
-                                                                       {27, kGrownDrainBound},
-                                                                       {34, kGrownDrainBound}};
+constexpr std::array<std::pair<std::size_t, Duration>, 5> kSizesAndBounds = {
+    {{7, kDrainBound},
+     {27, kDrainBound},
+     {34, kDrainBound},
+     {27, kGrownDrainBound},
+     {34, kGrownDrainBound}}};
 
 auto Item(std::uint64_t number) -> std::string { return "item-" + std::to_string(number % 30); }
 
