review: a burst of large configurations outgrows one answer, and the fleet is stale

Rule CONFIG, on a small deployment with links of 1000 Mbit/s, by planned work alone: after the configuration has grown to 2,102 routes (549 kB), 25 changes within 1.5 s leave all machines on the version of before for 19 s.

Code path: the answer to the next watch holds all versions since, 11 MB, more than the 8 MiB that EdgeLimits::StoreClient (src/edge/edge_limits.cc) leaves as HttpClient's bound. StoreFollower::OnFailure (src/edge/store_follower.h) makes the same call again from the same revision, and lists only after 410.

The stand-in of the store now has a retention and a link's rate, off by default.

--- a/review/common/standins.hpp
+++ b/review/common/standins.hpp
@@ -311,6 +311,7 @@
     std::atomic<bool> busy{false};    ///< 503: nothing was done.
     std::atomic<bool> reset{false};   ///< Connections are reset.
     std::atomic<int> delay_ms{4};     ///< The way to the store and back.
+    std::atomic<int> link_mbps{0};    ///< Of the machine that calls; 0: no limit.
     std::atomic<int> answered{0};
     std::atomic<int> reads{0};  ///< Listings and watches that were asked for.
   };
@@ -332,6 +333,11 @@
     return door;
   }
 
+  /// Changes that are older are dropped from the history.
+  auto SetRetention(std::chrono::seconds time) -> void {
+    const std::lock_guard lock(mutex_);
+    retention_ = time;
+  }
   auto Put(const std::string& key, const std::string& value, std::uint64_t lease = 0) -> void {
     const std::lock_guard lock(mutex_);
     PutLocked(key, Base64(value), lease);
@@ -390,12 +396,14 @@
     item.revision = revision_;
     item.lease = lease;
     history_[revision_] = ItemJson(key, item);
+    written_at_[revision_] = Clock::now();
     changed_.notify_all();
   }
   auto RemoveLocked(const std::string& key) -> void {
     if (items_.erase(key) == 0) return;
     ++revision_;
     history_[revision_] = {{"key", key}, {"revision", revision_}, {"tombstone", true}};
+    written_at_[revision_] = Clock::now();
     changed_.notify_all();
   }
   auto ExpireLeases() -> void {
@@ -414,6 +422,15 @@
     for (const auto& key : keys) RemoveLocked(key);
   }
 
+  auto DropOldHistory() -> void {
+    if (retention_ == std::chrono::seconds(0)) return;
+    while (!written_at_.empty() && written_at_.begin()->second < Clock::now() - retention_) {
+      dropped_ = written_at_.begin()->first;
+      history_.erase(dropped_);
+      written_at_.erase(written_at_.begin());
+    }
+  }
+
   static auto Parameter(const std::string& target, const std::string& name) -> std::string {
     for (const char mark : {'?', '&'}) {
       const auto found = target.find(mark + name + "=");
@@ -446,6 +463,9 @@
       auto [status, body] = manner.busy ? std::pair(503, Json::object()) : Handle(*request);
       Sleep(manner.delay_ms / 2000.0);
       const auto text = body.dump();
+      if (manner.link_mbps > 0) {
+        Sleep(static_cast<double>(text.size()) * 8 / (manner.link_mbps * 1e6));
+      }
       std::uint64_t era = 0;
       {
         const std::lock_guard lock(mutex_);
@@ -505,7 +525,8 @@
     const auto after = std::strtoull(Parameter(target, "after").c_str(), nullptr, 10);
     const auto wait = std::strtoull(Parameter(target, "wait_ms").c_str(), nullptr, 10);
     const auto era = era_;
-    if (after > revision_) return {410, Json::object()};
+    DropOldHistory();
+    if (after > revision_ || after < dropped_) return {410, Json::object()};
     const auto until = Clock::now() + std::chrono::milliseconds(wait);
     while (!stopped_ && era == era_ && revision_ <= after && Clock::now() < until) {
       changed_.wait_until(lock, std::min(until, Clock::now() + std::chrono::milliseconds(200)));
@@ -524,6 +545,9 @@
   std::condition_variable changed_;
   std::map<std::string, Item> items_;
   std::map<std::uint64_t, Json> history_;
+  std::map<std::uint64_t, Clock::time_point> written_at_;
+  std::chrono::seconds retention_{0};  ///< Zero: without end.
+  std::uint64_t dropped_ = 0;          ///< The last revision that the history lacks.
   std::uint64_t revision_ = 1;
   std::uint64_t era_ = 1;
   std::uint64_t last_lease_ = 0;
