review: one client's bodies, within the operator's limit, end a machine's process

The process goes over its memory and is killed; twelve requests from kept connections, each at a sound backend, get no answer.

Code path: Connection::ParseInput (src/net/http_connection.cc) collects whole bodies, RequestFormat::ForTarget (platform/request_format.cc) copies them, and RequestForwarder keeps the first until the answer. Nothing bounds the sum, and the settings don't name the machine's memory.

--- a/review/common/standins.hpp
+++ b/review/common/standins.hpp
@@ -635,7 +635,9 @@
 };
 
 /// The operator's configuration, as the store holds it under op/config.
-inline auto Config(int version, const std::vector<RouteSpec>& routes) -> std::string {
+inline auto Config(int version, const std::vector<RouteSpec>& routes,
+                   std::size_t max_body_bytes = 1048576, double header_timeout_s = 10)
+    -> std::string {
   auto resources = Json::array();
   std::map<std::string, bool> services;
   for (const auto& route : routes) {
@@ -665,8 +667,8 @@
                        {"metadata", {{"name", "limits"}}},
                        {"spec",
                         {{"header_bytes", 16384},
-                         {"max_body_bytes", 1048576},
-                         {"header_timeout_s", 10},
+                         {"max_body_bytes", max_body_bytes},
+                         {"header_timeout_s", header_timeout_s},
                          {"idle_timeout_s", 30}}}});
   return Json{{"version", "r" + std::to_string(version)}, {"resources", resources}}.dump();
 }
