--- a/review/trials/days.py
+++ b/review/trials/days.py
@@ -40,7 +40,7 @@
     lambda r: dict(kind="after_ack_kill", for_s=3.0, how="kill"),
     lambda r: dict(kind="poison", how="deadly", **{"class": "@c0"}, share=0.03, for_s=12.0),
 ]
-# Of the grown sites only; the drill is left out there, since case 2 breaks rules by itself.
+# Of the grown sites only; the drill is left out there, since case 4 breaks rules by itself.
 GROWN = [
     lambda r: dict(kind="idle_race", share=0.5, x=320.0, for_s=6.5),
     lambda r: dict(kind="srv_flap", share=0.1, gap_s=1.4, for_s=6.5),
--- a/review/trials/two_pages.cpp
+++ b/review/trials/two_pages.cpp
@@ -1,4 +1,4 @@
-// Case 2, the order of events by hand: a node that has read the first of two pages of the store's new
+// Case 4, the order of events by hand: a node that has read the first of two pages of the store's new
 // era takes a peer's state of the era before. Does the answer of the second page still count?
 // Built with build/default: see the comment in two_pages.txt.
 #include <cstdio>
