soak: the test of cuts does not depend on how fast an owner is found

soak.CutProxyTest.EachCutHarmsThePartysConnections failed in full runs in the order of a fresh clone. Cause, as traced in review/trials/flaky.txt: the proxy looks up the owner of each new connection in /proc/net/tcp. An edge test that runs at the same time leaves some 12,000 closed connections there, one look-up took 386 ms, and the test gave each request 300 ms.

Served requests now have the 5 s of the proxy's other tests. A cut is told by its effect: a connection that hangs times out, one that is reset fails otherwise. Before, a look-up that was too slow passed for a cut, too.

--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -62,6 +62,12 @@
   static constexpr int kParty = 1;
 
   auto IsServed() -> bool { return Ask(milliseconds(300)).ok(); }
+  /// The proxy answers with a reset, where a connection that hangs would time out.
+  auto IsReset() -> bool {
+    const auto status = Ask();
+    return !status.ok() && !absl::IsDeadlineExceeded(status);
+  }
+  auto Hangs() -> bool { return absl::IsDeadlineExceeded(Ask(milliseconds(300))); }
 
   CutProxyTest()
       : FaultProxyTest([](const Endpoint& client, const Endpoint& proxy) {
@@ -71,19 +77,20 @@
 
 // Guards against cuts of a party that leave its connections to targets as they were.
 TEST_F(CutProxyTest, EachCutHarmsThePartysConnections) {
-  ASSERT_TRUE(IsServed());
+  // No bound on the time to find the connection's owner: it grows with the machine's connections.
+  ASSERT_TRUE(Ask().ok());
   proxy_.SetCut(kParty, FaultProxy::Cut::kHang);
-  EXPECT_FALSE(IsServed());
+  EXPECT_TRUE(Hangs());
   proxy_.SetCut(kParty, FaultProxy::Cut::kNone);
-  EXPECT_TRUE(IsServed());
+  EXPECT_TRUE(Ask().ok());
   proxy_.SetCut(kParty, FaultProxy::Cut::kRefuseNew);
-  EXPECT_TRUE(IsServed()) << "on the connection that is open";
+  EXPECT_TRUE(Ask().ok()) << "on the connection that is open";
   proxy_.ResetConnections();
-  EXPECT_FALSE(IsServed());
+  EXPECT_TRUE(IsReset());
   proxy_.SetCut(kParty, FaultProxy::Cut::kReset);
-  EXPECT_FALSE(IsServed());
+  EXPECT_TRUE(IsReset());
   proxy_.SetCut(kParty, FaultProxy::Cut::kNone);
-  EXPECT_TRUE(IsServed());
+  EXPECT_TRUE(Ask().ok());
 }
 
 // Guards against a cut of one party that harms others.
