edge: the test of a repeated refusal waits for the log line

Cause: a race of the test. It looked for the line verdict=may-have-run as soon as it had the answer, and the gateway writes the line after it has answered (RequestForwarder::Conclude). The test now waits for the line as EndlessBytesTest does.

--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -150,7 +150,8 @@
   // The target may be running the request.
   const auto answer = SendWithId("id-b");
   EXPECT_TRUE(answer.status == 502 || answer.status == 504) << answer.status;
-  EXPECT_TRUE(log_capture_.Contains("verdict=may-have-run"));
+  // The line is written after the answer.
+  EXPECT_TRUE(Eventually([&] { return log_capture_.Contains("verdict=may-have-run"); }));
   node_.reset();
 }
 
