experiment: the simulation of the store's spread runs the gateway's follower

StoreFollower now takes the task runner that it uses as a template parameter, and the simulation runs it in virtual time. Which state of a peer a node needs is a function beside the state, so that the simulation can use it, too. No change of behaviour.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -25,6 +25,7 @@
 #include "gateway/gateway_core.h"
 #include "gateway/listing_budget.h"
 #include "gateway/peer_selection.h"
+#include "gateway/peer_state_need.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -43,9 +44,6 @@
   using Store = typename Platform::Store;
 
   static constexpr Duration kTickInterval = std::chrono::milliseconds(250);
-  /// A store that has not answered the first call by then may be silent. A call times out only
-  /// after 2 s, and callers are refused meanwhile.
-  static constexpr Duration kStorePatienceAtStart = std::chrono::milliseconds(400);
   /// Requests still in flight get their final answer this long before the process would be killed.
   static constexpr Duration kStopMargin = std::chrono::milliseconds(500);
   /// Time for the final answers to leave the machine.
@@ -81,7 +79,7 @@
             [this](const RegisteredTarget& target) { harm_.OnRegistered(target, Now()); }),
         peer_reader_(
             store_client_, settings_.seeds, workers_, log_, std::random_device()(),
-            [this] { return PeerStateNeed(); },
+            [this] { return PeerStateNeedOf(follower_.sync_state(), Now() - started_at_); },
             [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
         peer_sync_(
             store_client_, workers_, [this] { return SyncedPosition(); },
@@ -217,14 +215,6 @@
     return response;
   }
 
-  auto PeerStateNeed() const -> typename PeerReader<Store>::Need {
-    using Need = typename PeerReader<Store>::Need;
-    const auto& sync_state = follower_.sync_state();
-    if (sync_state.synced() && !sync_state.is_outdated()) return Need::kNone;
-    const bool silent = !sync_state.in_contact() && Now() - started_at_ > kStorePatienceAtStart;
-    return sync_state.lost() || silent ? Need::kNow : Need::kLater;
-  }
-
   auto OnPeerRequest(const HttpRequest& request, const HttpServer::Responder& respond) -> void {
     if (auto relayed = Messages::RelayedRequest(request)) {
       forwarder_.ForwardForPeer(*std::move(relayed), respond);
--- a/src/edge/peer_reader.h
+++ b/src/edge/peer_reader.h
@@ -8,6 +8,7 @@
 
 #include "base/random.h"
 #include "edge/platform_ports.h"
+#include "gateway/peer_state_need.h"
 #include "net/http_client.h"
 #include "net/worker_pool.h"
 #include "observe/event_log.h"
@@ -20,19 +21,12 @@
 template <GatewayStore Store>
 class PeerReader {
  public:
-  /// Whether this process needs the state of a peer.
-  enum class Need {
-    kNone,   ///< The process has a complete listing, or the state of a peer.
-    kLater,  ///< The store answers or has just been asked, but its listing is still incomplete.
-    kNow,
-  };
-
   /// How often the need is checked. A store that refuses connections has failed by the first check.
   static constexpr Duration kNeedCheckInterval = std::chrono::milliseconds(200);
   /// The pause after all seeds have failed.
   static constexpr Duration kRoundInterval = std::chrono::milliseconds(400);
 
-  using NeedCallback = std::function<Need()>;
+  using NeedCallback = std::function<PeerStateNeed()>;
   using OnState = std::function<void(const Endpoint& peer, StorePage state)>;
 
   PeerReader(HttpClient& client, const std::vector<Endpoint>& seeds, WorkerPool& workers,
@@ -60,11 +54,11 @@
 
   auto ReadPeer(std::size_t index) -> void {
     const auto need = need_();
-    if (need == Need::kNone) {
+    if (need == PeerStateNeed::kNone) {
       is_running_ = false;
       return;
     }
-    if (need == Need::kLater) {
+    if (need == PeerStateNeed::kLater) {
       ScheduleRound(kNeedCheckInterval);
       return;
     }
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -21,18 +21,23 @@
 
 namespace heatherspan {
 
-/// A key-value service with leases and watches. Every call invokes its callback once.
+/// A key-value service that can be listed and watched. Every call invokes its callback once.
 template <class T>
-concept GatewayStore = requires(T& store, std::string key, std::uint64_t number, Duration wait,
-                                typename T::PageCallback on_page,
-                                typename T::ChangesCallback on_changes,
-                                typename T::LeaseCallback on_lease,
-                                typename T::StatusCallback on_status, const HttpRequest& request,
-                                const StorePage& page,
-                                const std::optional<std::vector<StoreChange>>& changes,
-                                const StorePosition& position, const PeerNews& news) {
+concept ReadableStore = requires(T& store, std::string key, std::uint64_t number, Duration wait,
+                                 typename T::PageCallback on_page,
+                                 typename T::ChangesCallback on_changes) {
   store.List(key, on_page);
   store.Watch(number, wait, on_changes);
+};
+
+/// A key-value service with leases and watches, for which entry VMs stand in at their peers.
+template <class T>
+concept GatewayStore = ReadableStore<T> &&
+    requires(T& store, std::string key, std::uint64_t number, Duration wait,
+             typename T::ChangesCallback on_changes, typename T::LeaseCallback on_lease,
+             typename T::StatusCallback on_status, const HttpRequest& request,
+             const StorePage& page, const std::optional<std::vector<StoreChange>>& changes,
+             const StorePosition& position, const PeerNews& news) {
   store.AskPeer(position, news, on_changes);
   store.Grant(wait, on_lease);
   store.KeepAlive(number, on_status);
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <utility>
 
+#include "base/task_runner.h"
 #include "edge/platform_ports.h"
 #include "gateway/store_reader_role.h"
 #include "gateway/store_sync_state.h"
@@ -19,7 +20,7 @@
 /// longer has the history of changes since the last one seen. A second call is outstanding only
 /// while the answer to a watch is overdue. After the first listing, a node reads the store only as
 /// long as that is its role.
-template <GatewayStore Store>
+template <ReadableStore Store, TaskRunner Workers = WorkerPool>
 class StoreFollower {
  public:
   /// `unconfirmed`: if the item was removed, its owner may still run.
@@ -41,7 +42,7 @@
   static constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
 
   /// `on_change` is called for each change, `on_batch_applied` after all changes of one response.
-  StoreFollower(Store& store, WorkerPool& workers, EventLog& log, OnChange on_change,
+  StoreFollower(Store& store, Workers& workers, EventLog& log, OnChange on_change,
                 OnBatchApplied on_batch_applied, OnRestored on_restored)
       : store_(store),
         workers_(workers),
@@ -56,6 +57,7 @@
     sync_state_.SetMaxGap(timing.max_answer_gap());
   }
   auto role() -> StoreReaderRole& { return role_; }
+  auto role() const -> const StoreReaderRole& { return role_; }
   auto sync_state() const -> const StoreSyncState& { return sync_state_; }
   /// Applies a peer's complete listing of the store. Returns the number of changes.
   auto ApplyPeerState(StorePage state) -> std::size_t {
@@ -81,7 +83,7 @@
   }
 
  private:
-  auto Now() const -> MonotonicTime { return SystemClock().Now(); }
+  auto Now() const -> MonotonicTime { return workers_.Now(); }
 
   auto CallNext() -> void {
     const auto now = Now();
@@ -219,7 +221,7 @@
   }
 
   Store& store_;
-  WorkerPool& workers_;
+  Workers& workers_;
   EventLog& log_;
   const OnChange on_change_;
   const OnBatchApplied on_batch_applied_;
@@ -233,7 +235,7 @@
   bool reads_ = true;
   bool lost_ = false;
   Duration backoff_ = kMinBackoff;
-  std::shared_ptr<WorkerPool::Timer> timer_;
+  std::shared_ptr<typename Workers::Timer> timer_;
 };
 
 }  // namespace heatherspan
--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ostream>
 #include <string_view>
 #include <utility>
 
 #include "base/number_text.h"
-#include "gateway/peer_selection.h"
+#include "experiment/simulated_follower.h"
+#include "gateway/entry_vm_directory.h"
 
 namespace heatherspan {
 namespace {
@@ -17,29 +19,37 @@
 constexpr Duration kRegionDelay = milliseconds(35);
 /// The store stands in this region.
 constexpr std::size_t kStoreRegion = 0;
-/// Timing of the gateway: the pause after a batch of changes, the timeout of a call, the time after
-/// which an answer is overdue, and the longest pause after a failed call.
-constexpr Duration kBatchDelay = milliseconds(900);
+/// The gateway's timeout of a call.
 constexpr Duration kCallTimeout = milliseconds(2000);
-constexpr Duration kOverdueTime = milliseconds(500);
-constexpr Duration kBackoff = milliseconds(800);
-constexpr Duration kRoleCheckInterval = milliseconds(100);
 /// A frozen VM looks again after this time.
 constexpr Duration kFreezeCheck = milliseconds(50);
 /// Items of one page. Small, so that listings have several pages.
 constexpr std::size_t kPageItems = 7;
 constexpr std::string_view kNamePrefix = "vm-";
 
+auto NumberOf(const StoreChange& item) -> std::uint64_t {
+  return ParseNumber<std::uint64_t>(item.value.value_or("")).value_or(0);
+}
+
+/// Takes what nobody reads.
+auto NullStream() -> std::ostream& {
+  static std::ostream stream(nullptr);
+  return stream;
+}
+
 }  // namespace
 
 StoreSpreadSimulation::StoreSpreadSimulation(const Options& options)
     : options_(options),
       random_(options.seed),
       scheduler_(MonotonicTime(std::chrono::hours(1))),
+      log_(LogLevel::kError, NullStream()),
       vms_(options.vm_count) {
   for (std::size_t vm = 0; vm < vms_.size(); ++vm) Restart(vm);
 }
 
+StoreSpreadSimulation::~StoreSpreadSimulation() = default;
+
 auto StoreSpreadSimulation::Name(std::size_t vm) const -> std::string {
   return std::string(kNamePrefix) + std::to_string(vm);
 }
@@ -83,24 +93,14 @@
 }
 
 auto StoreSpreadSimulation::Restart(std::size_t vm) -> void {
-  auto& state = vms_[vm];
-  const auto life = state.life + 1;
-  const auto reach = state.reach;
-  state = Vm();
-  state.reach = reach;
-  state.life = life;
-  const auto timing = StoreReadTiming::For(options_.change_bound);
-  state.role.SetTiming(timing);
-  state.sync_state.SetMaxGap(timing.max_answer_gap());
-  if (options_.peers_ask) {
-    state.role.SetPeers(SelectPeersOf(vm));
-  }
-  CallStore(vm, life);
+  auto& process = vms_[vm].process;
+  process = std::make_shared<SimulatedFollower>(
+      *this, vm, log_, [this] { return now(); }, StoreReadTiming::For(options_.change_bound));
+  if (options_.peers_ask) process->follower().role().SetPeers(SelectPeersOf(vm));
+  process->Start();
   const auto first_questions = Duration(std::uniform_int_distribution<Duration::rep>(
       0, StoreReaderRole::kQuestionInterval.count())(random_));
-  if (options_.peers_ask) {
-    RunAt(vm, life, first_questions, [this, vm, life] { AskPeers(vm, life); });
-  }
+  if (options_.peers_ask) RunAt(vm, process, first_questions, [this, vm] { AskPeers(vm); });
 }
 
 auto StoreSpreadSimulation::SelectPeersOf(std::size_t vm) const -> PeerSelection {
@@ -120,132 +120,96 @@
   return from_region == to_region ? kZoneDelay : kRegionDelay;
 }
 
-auto StoreSpreadSimulation::RunAt(std::size_t vm, std::uint64_t life, Duration delay,
-                                  std::function<void()> task) -> void {
-  scheduler_.RunAfter(delay, [this, vm, life, task = std::move(task)]() mutable {
-    if (vms_[vm].life != life) return;
-    if (IsUp(vm)) {
-      task();
-    } else {
-      RunAt(vm, life, kFreezeCheck, std::move(task));
-    }
-  });
-}
-
-auto StoreSpreadSimulation::CallStore(std::size_t vm, std::uint64_t life) -> void {
-  auto& state = vms_[vm];
-  const bool reads =
-      state.sync_state.Next().list || state.role.ReadsStore(state.sync_state.Age(now()), now());
-  if (!reads) {
-    CallAgain(vm, life, kRoleCheckInterval);
-    return;
-  }
-  ++store_calls_;
-  const auto call = ++state.last_call;
-  const auto called_at = now();
-  const auto next = state.sync_state.Next();
-  const auto interval = state.role.timing().answer_interval;
-  const auto wait = std::clamp(interval - state.sync_state.Age(now()), Duration::zero(), interval);
-  if (!next.list && !state.store_lost) {
-    RunAt(vm, life, wait + kOverdueTime, [this, vm, life, call] {
-      if (vms_[vm].last_call != call || vms_[vm].store_lost) return;
-      vms_[vm].sync_state.OnOverdue();
-      CallStore(vm, life);
-    });
-  }
-  scheduler_.RunAfter(Delay(Region(vm), kStoreRegion),
-                      [this, vm, life, call, next, wait, called_at] {
-                        if (!vms_[vm].reach.store) {
-                          RunAt(vm, life, kCallTimeout + (next.list ? Duration::zero() : wait),
-                                [this, vm, life, call] { OnStoreFailure(vm, life, call); });
-                        } else if (next.list) {
-                          AnswerList({vm, life, call, called_at}, next.after_key);
-                        } else if (next.after_revision != revision_) {
-                          AnswerWatch({{vm, life, call, called_at}, next.after_revision});
+auto StoreSpreadSimulation::RunAt(std::size_t vm, std::weak_ptr<SimulatedFollower> process,
+                                  Duration delay, std::function<void()> task) -> void {
+  scheduler_.RunAfter(delay,
+                      [this, vm, process = std::move(process), task = std::move(task)]() mutable {
+                        const auto running = process.lock();
+                        if (running == nullptr) return;
+                        if (vms_[vm].reach.frozen) {
+                          RunAt(vm, std::move(process), kFreezeCheck, std::move(task));
                         } else {
-                          const auto number = ++last_watch_;
-                          watches_[number] = {{vm, life, call, called_at}, next.after_revision};
-                          scheduler_.RunAfter(wait, [this, number] {
-                            if (const auto watch = watches_.extract(number))
-                              AnswerWatch(watch.mapped());
-                          });
+                          task();
                         }
                       });
 }
 
-auto StoreSpreadSimulation::OnStoreFailure(std::size_t vm, std::uint64_t life, std::uint64_t call)
+auto StoreSpreadSimulation::List(std::size_t vm, const std::string& after_key, OnPage on_page)
     -> void {
-  auto& state = vms_[vm];
-  const bool is_last = state.last_call == call;
-  if (!is_last && (call < state.last_answered || state.sync_state.Next().list)) return;
-  state.sync_state.OnFailure(absl::UnavailableError("no answer"));
-  state.store_lost = true;
-  if (is_last) CallAgain(vm, life, kBackoff);
+  ++store_calls_;
+  scheduler_.RunAfter(
+      Delay(Region(vm), kStoreRegion),
+      [this, call = Call{vm, vms_[vm].process, now()}, after_key, on_page = std::move(on_page)] {
+        if (!vms_[call.vm].reach.store) {
+          RunAt(call.vm, call.process, kCallTimeout,
+                [on_page] { on_page(absl::UnavailableError("no answer")); });
+          return;
+        }
+        Answer(call, [on_page, page = PageAfter(after_key)] { on_page(page); });
+      });
 }
 
-auto StoreSpreadSimulation::CallAgain(std::size_t vm, std::uint64_t life, Duration pause) -> void {
-  RunAt(vm, life, pause, [this, vm, life] { CallStore(vm, life); });
+auto StoreSpreadSimulation::WatchStore(std::size_t vm, std::uint64_t after, Duration wait,
+                                       OnChanges on_changes) -> void {
+  ++store_calls_;
+  scheduler_.RunAfter(
+      Delay(Region(vm), kStoreRegion),
+      [this, watch = Watch{{vm, vms_[vm].process, now()}, after, std::move(on_changes)}, wait] {
+        const auto& call = watch.call;
+        if (!vms_[call.vm].reach.store) {
+          RunAt(call.vm, call.process, kCallTimeout + wait, [on_changes = watch.on_changes] {
+            on_changes(absl::UnavailableError("no answer"));
+          });
+        } else if (watch.after_revision != revision_) {
+          AnswerWatch(watch);
+        } else {
+          const auto number = ++last_watch_;
+          watches_[number] = watch;
+          scheduler_.RunAfter(wait, [this, number] {
+            if (const auto waiting = watches_.extract(number)) AnswerWatch(waiting.mapped());
+          });
+        }
+      });
 }
 
 auto StoreSpreadSimulation::OnStoreChanged() -> void {
   for (const auto& [number, watch] : std::exchange(watches_, {})) AnswerWatch(watch);
 }
 
-auto StoreSpreadSimulation::AnswerList(const Call& call, const std::string& after_key) -> void {
+auto StoreSpreadSimulation::PageAfter(const std::string& key) const -> StorePage {
   StorePage page;
   page.revision = revision_;
   page.era = era_;
-  for (auto item = store_items_.upper_bound(after_key); item != store_items_.end(); ++item) {
+  for (auto item = store_items_.upper_bound(key); item != store_items_.end(); ++item) {
     if (page.items.size() == kPageItems) {
       page.more = true;
       break;
     }
     page.items.push_back(item->second);
   }
-  Answer(call, [this, call, page] {
-    auto& state = vms_[call.vm];
-    Apply(call.vm, state.sync_state.OnPage(page, now()));
-    state.store_lost = false;
-    if (call.number == state.last_call) CallAgain(call.vm, call.life, Duration::zero());
-  });
+  return page;
 }
 
 auto StoreSpreadSimulation::AnswerWatch(const Watch& watch) -> void {
-  const bool history_gone =
-      watch.after_revision < history_start_ || watch.after_revision > revision_;
+  if (watch.after_revision < history_start_ || watch.after_revision > revision_) {
+    Answer(watch.call,
+           [on_changes = watch.on_changes] { on_changes(absl::OutOfRangeError("history gone")); });
+    return;
+  }
   StoreChanges changes;
   changes.revision = revision_;
   changes.era = era_;
   for (auto event = history_.upper_bound(watch.after_revision); event != history_.end(); ++event) {
     changes.changes.push_back(event->second.change);
   }
-  Answer(watch.call, [this, call = watch.call, history_gone, changes] {
-    auto& state = vms_[call.vm];
-    const bool is_last = call.number == state.last_call;
-    if (history_gone && !is_last) return;
-    state.last_answered = std::max(state.last_answered, call.number);
-    if (history_gone) {
-      state.sync_state.OnFailure(absl::OutOfRangeError("history gone"));
-      CallAgain(call.vm, call.life, Duration::zero());
-      return;
-    }
-    const auto new_changes = state.sync_state.OnChanges(changes, now());
-    Apply(call.vm, new_changes);
-    state.store_lost = false;
-    if (is_last) {
-      CallAgain(call.vm, call.life, new_changes.empty() ? Duration::zero() : kBatchDelay);
-    }
-  });
+  Answer(watch.call, [on_changes = watch.on_changes, changes] { on_changes(changes); });
 }
 
-/// Delivers an answer of the store, unless it tells that its call belongs to an era that is over.
 auto StoreSpreadSimulation::Answer(const Call& call, std::function<void()> apply) -> void {
-  const auto listing = vms_[call.vm].sync_state.listing_number();
-  RunAt(call.vm, call.life, Delay(kStoreRegion, Region(call.vm)),
-        [this, call, listing, era = era_, apply = std::move(apply)] {
-          auto& sync_state = vms_[call.vm].sync_state;
-          if (sync_state.OnStoreEra(era, call.made_at, now())) CallStore(call.vm, call.life);
-          if (sync_state.listing_number() == listing) apply();
+  RunAt(call.vm, call.process, Delay(kStoreRegion, Region(call.vm)),
+        [this, call, era = era_, apply = std::move(apply)] {
+          vms_[call.vm].process->follower().OnStoreEra(era, call.made_at);
+          apply();
         });
 }
 
@@ -253,93 +217,66 @@
   return ParseNumber<std::size_t>(endpoint.address.substr(kNamePrefix.size())).value_or(0);
 }
 
-auto StoreSpreadSimulation::AskPeers(std::size_t vm, std::uint64_t life) -> void {
-  auto& role = vms_[vm].role;
-  const auto state = vms_[vm].sync_state.Quality(now());
+auto StoreSpreadSimulation::AskPeers(std::size_t vm) -> void {
+  auto& process = *vms_[vm].process;
+  auto& role = process.follower().role();
+  const auto state = process.state().Quality(now());
   if (state.age > role.timing().max_state_age) ++old_states_;
   const auto peers = role.NextQuestions(state, now());
-  RunAt(vm, life, role.QuestionInterval(state, now()), [this, vm, life] { AskPeers(vm, life); });
-  if (!vms_[vm].sync_state.synced()) return;
-  for (const auto& peer : peers) AskPeer(vm, life, peer);
+  RunAt(vm, vms_[vm].process, role.QuestionInterval(state, now()), [this, vm] { AskPeers(vm); });
+  if (!process.state().synced()) return;
+  for (const auto& peer : peers) AskPeer(vm, peer);
 }
 
-auto StoreSpreadSimulation::AskPeer(std::size_t vm, std::uint64_t life, const Endpoint& peer)
-    -> void {
+auto StoreSpreadSimulation::AskPeer(std::size_t vm, const Endpoint& peer) -> void {
   const auto to = IndexOf(peer);
-  const StorePosition after{vms_[vm].sync_state.era(), vms_[vm].sync_state.revision()};
+  const auto process = vms_[vm].process;
+  const StorePosition after{process->state().era(), process->state().revision()};
   const auto delay = Delay(Region(vm), Region(to));
-  RunAt(to, vms_[to].life, delay, [this, vm, life, to, peer, after, delay, asked_at = now()] {
+  const auto ask = [this, vm, to, peer, after, delay, asked_at = now(),
+                    asking = std::weak_ptr(process)] {
     if (!vms_[vm].reach.peers || !vms_[to].reach.peers) return;
-    HearEra(to, after.era);
-    const auto& state = vms_[to].sync_state;
+    vms_[to].process->follower().OnPeerEra(after.era);
+    const auto& state = vms_[to].process->state();
     if (!state.synced()) return;
     if (after.era != state.era() || after.revision < state.history_start()) {
-      RunAt(vm, life, delay, [this, vm, era = state.era()] { HearEra(vm, era); });
+      RunAt(vm, asking, delay,
+            [this, vm, era = state.era()] { vms_[vm].process->follower().OnPeerEra(era); });
       return;
     }
-    auto changes = vms_[to].snapshot.ChangesAfter(after.revision);
+    auto changes = vms_[to].process->snapshot().ChangesAfter(after.revision);
     if (!changes.has_value()) return;
     StoreChanges answer{*std::move(changes), state.revision(), state.Age(now()),
                         state.ContactAge(now())};
     answer.era = state.era();
-    RunAt(vm, life, delay, [this, vm, peer, asked_at, answer]() mutable {
+    RunAt(vm, asking, delay, [this, vm, peer, asked_at, answer]() mutable {
+      auto& follower = vms_[vm].process->follower();
       answer.age += now() - asked_at;
-      vms_[vm].role.OnAnswer(peer, answer.age, now());
+      follower.role().OnAnswer(peer, answer.age, now());
       answer.contact_age = std::max(answer.contact_age, answer.age);
-      Apply(vm, vms_[vm].sync_state.OnPeerChanges(answer, now()));
+      follower.ApplyPeerChanges(std::move(answer));
     });
-  });
-}
-
-auto StoreSpreadSimulation::HearEra(std::size_t vm, StoreEra era) -> void {
-  if (vms_[vm].sync_state.OnPeerEra(era, now())) CallStore(vm, vms_[vm].life);
-}
-
-auto StoreSpreadSimulation::Apply(std::size_t vm, const std::vector<StoreChange>& changes) -> void {
-  auto& state = vms_[vm];
-  const bool unconfirmed = state.sync_state.RemovalsUnconfirmed();
-  if (std::exchange(state.replacements, state.sync_state.replacements()) !=
-      state.sync_state.replacements()) {
-    state.snapshot.BeginEra();
-    state.highest.clear();
-  }
-  for (const auto& change : changes) {
-    auto& highest = state.highest[change.key];
-    if (change.revision < highest) ++reversals_;
-    highest = std::max(highest, change.revision);
-    if (change.value.has_value()) {
-      state.items[change.key] = WriteOf(change);
-      state.pending_removals.Remove(TargetName(change.key));
-    } else {
-      state.items.erase(change.key);
-      if (unconfirmed) state.pending_removals.Add(TargetName(change.key), now());
-    }
-    state.snapshot.Apply(change);
-  }
-  state.snapshot.EndOfNewState();
-  state.pending_removals.Take(state.sync_state.removals_certain_until(), now());
-}
-
-auto StoreSpreadSimulation::WriteOf(const StoreChange& item) -> std::uint64_t {
-  return ParseNumber<std::uint64_t>(item.value.value_or("")).value_or(0);
+  };
+  RunAt(to, vms_[to].process, delay, ask);
 }
 
 auto StoreSpreadSimulation::WriteAt(std::size_t vm, const std::string& key) const -> std::uint64_t {
-  const auto found = vms_[vm].items.find(key);
-  return found == vms_[vm].items.end() ? 0 : found->second;
+  const auto& items = vms_[vm].process->items();
+  const auto found = items.find(key);
+  return found == items.end() ? 0 : found->second;
 }
 
 auto StoreSpreadSimulation::Uses(std::size_t vm, const std::string& key) const -> bool {
-  return WriteAt(vm, key) > 0 || vms_[vm].pending_removals.Contains(TargetName(key));
+  return WriteAt(vm, key) > 0 || vms_[vm].process->IsRemovalPending(key);
 }
 
 auto StoreSpreadSimulation::ItemsAt(std::size_t vm) const -> std::map<std::string, std::uint64_t> {
-  return vms_[vm].items;
+  return vms_[vm].process->items();
 }
 
 auto StoreSpreadSimulation::StoreItems() const -> std::map<std::string, std::uint64_t> {
   std::map<std::string, std::uint64_t> writes;
-  for (const auto& [key, item] : store_items_) writes[key] = WriteOf(item);
+  for (const auto& [key, item] : store_items_) writes[key] = NumberOf(item);
   return writes;
 }
 
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -4,21 +4,25 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "absl/status/statusor.h"
+#include "base/endpoint.h"
 #include "base/random.h"
 #include "base/time.h"
 #include "experiment/event_scheduler.h"
-#include "gateway/pending_removals.h"
-#include "gateway/store_reader_role.h"
-#include "gateway/store_snapshot.h"
-#include "gateway/store_sync_state.h"
+#include "gateway/peer_selection.h"
+#include "gateway/store_changes.h"
+#include "observe/event_log.h"
 
 namespace heatherspan {
 
-/// A store and the entry VMs that follow it, in virtual time, driven by the decisions of the
-/// gateway. The load pattern: items are written and removed all the time, while the store turns
+class SimulatedFollower;
+
+/// A store and the entry VMs that follow it, in virtual time, by the code of the gateway. The load
+/// pattern: items are written and removed all the time, while the store turns
 /// some VMs away, leaves their calls without an answer, drops its history, and VMs are cut off from
 /// each other, freeze and restart.
 class StoreSpreadSimulation {
@@ -41,6 +45,7 @@
   };
 
   explicit StoreSpreadSimulation(const Options& options);
+  ~StoreSpreadSimulation();
   StoreSpreadSimulation(const StoreSpreadSimulation&) = delete;
   auto operator=(const StoreSpreadSimulation&) -> StoreSpreadSimulation& = delete;
 
@@ -74,19 +79,11 @@
   auto old_states() const -> int { return old_states_; }
 
  private:
+  friend class SimulatedFollower;
+
   struct Vm {
     Reach reach;
-    std::uint64_t life = 1;  ///< Answers to an earlier life are dropped.
-    StoreSyncState sync_state;
-    StoreSnapshot snapshot;
-    std::uint64_t replacements = 0;  ///< Of the state, that have been applied.
-    StoreReaderRole role;
-    std::uint64_t last_call = 0;  ///< Number of the last call to the store.
-    std::uint64_t last_answered = 0;
-    bool store_lost = false;  ///< The last call has failed.
-    std::map<std::string, std::uint64_t> items;
-    PendingRemovals<TargetName> pending_removals;
-    std::map<std::string, std::uint64_t> highest;  ///< Highest revision applied, by key.
+    std::shared_ptr<SimulatedFollower> process;
   };
 
   struct Event {
@@ -94,49 +91,49 @@
     MonotonicTime made_at;
   };
 
-  static auto WriteOf(const StoreChange& item) -> std::uint64_t;
-  auto Write(StoreChange change) -> void;
-  auto Name(std::size_t vm) const -> std::string;
-  auto Region(std::size_t vm) const -> std::size_t { return vm % options_.region_count; }
-  auto Zone(std::size_t vm) const -> std::size_t {
-    return vm % (options_.region_count * options_.zones_per_region);
-  }
-  auto SelectPeersOf(std::size_t vm) const -> PeerSelection;
-  auto Delay(std::size_t from_region, std::size_t to_region) -> Duration;
-  auto IsUp(std::size_t vm) const -> bool { return !vms_[vm].reach.frozen; }
-  /// A call of a VM to the store.
+  /// A call of a VM's process to the store.
   struct Call {
     std::size_t vm = 0;
-    std::uint64_t life = 0;
-    std::uint64_t number = 0;
+    std::weak_ptr<SimulatedFollower> process;
     MonotonicTime made_at;
   };
+  using OnPage = std::function<void(absl::StatusOr<StorePage>)>;
+  using OnChanges = std::function<void(absl::StatusOr<StoreChanges>)>;
   /// A watch that the store answers at the next change.
   struct Watch {
     Call call;
     std::uint64_t after_revision = 0;
+    OnChanges on_changes;
   };
 
-  auto CallStore(std::size_t vm, std::uint64_t life) -> void;
-  auto AnswerList(const Call& call, const std::string& after_key) -> void;
+  auto Write(StoreChange change) -> void;
+  auto Name(std::size_t vm) const -> std::string;
+  auto Region(std::size_t vm) const -> std::size_t { return vm % options_.region_count; }
+  auto Zone(std::size_t vm) const -> std::size_t {
+    return vm % (options_.region_count * options_.zones_per_region);
+  }
+  auto SelectPeersOf(std::size_t vm) const -> PeerSelection;
+  static auto Delay(std::size_t from_region, std::size_t to_region) -> Duration;
+
+  auto List(std::size_t vm, const std::string& after_key, OnPage on_page) -> void;
+  auto WatchStore(std::size_t vm, std::uint64_t after, Duration wait, OnChanges on_changes) -> void;
+  auto PageAfter(const std::string& key) const -> StorePage;
   auto AnswerWatch(const Watch& watch) -> void;
+  /// Delivers an answer of the store, which tells the store's era.
   auto Answer(const Call& call, std::function<void()> apply) -> void;
-  auto HearEra(std::size_t vm, StoreEra era) -> void;
   auto OnStoreChanged() -> void;
-  auto CallAgain(std::size_t vm, std::uint64_t life, Duration pause) -> void;
-  auto OnStoreFailure(std::size_t vm, std::uint64_t life, std::uint64_t call) -> void;
-  auto AskPeers(std::size_t vm, std::uint64_t life) -> void;
-  auto AskPeer(std::size_t vm, std::uint64_t life, const Endpoint& peer) -> void;
-  auto Apply(std::size_t vm, const std::vector<StoreChange>& changes) -> void;
+  auto AskPeers(std::size_t vm) -> void;
+  auto AskPeer(std::size_t vm, const Endpoint& peer) -> void;
   auto IndexOf(const Endpoint& endpoint) const -> std::size_t;
-  /// Runs the task at a VM after the delay, once the VM is not frozen and if its process still
-  /// lives.
-  auto RunAt(std::size_t vm, std::uint64_t life, Duration delay, std::function<void()> task)
-      -> void;
+  /// Runs the task at a VM's process after the delay, once the VM is not frozen and if the process
+  /// still runs.
+  auto RunAt(std::size_t vm, std::weak_ptr<SimulatedFollower> process, Duration delay,
+             std::function<void()> task) -> void;
 
   Options options_;
   Random random_;
   EventScheduler scheduler_;
+  EventLog log_;
   std::vector<Vm> vms_;
   std::map<std::string, StoreChange> store_items_;
   std::map<std::uint64_t, Event> history_;  ///< By revision.
--- a/src/net/worker_pool.h
+++ b/src/net/worker_pool.h
@@ -26,6 +26,7 @@
   auto operator=(const WorkerPool&) -> WorkerPool& = delete;
 
   auto Post(Task task) -> void;
+  auto Now() const -> MonotonicTime { return SystemClock().Now(); }
   /// Runs the task once after the delay.
   [[nodiscard]] auto RunAfter(Duration delay, Task task) -> std::shared_ptr<Timer>;
   /// Runs the task at each interval until the timer is destroyed. The runs don't overlap.
