edge: the log tells of unused answers of the store and of peers' states

Now store-answer-unused names the call and the listing, and peer-state-received comes before the items, with era and revision.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -274,6 +274,13 @@
 
   auto OnPeerState(const Endpoint& peer, StorePage state) -> void {
     const auto revision = state.revision;
+    // Before the lines of the items: many of these are left out by the limit of the log's rate.
+    log_.Write(LogLevel::kInfo, "peer-state-received",
+               {{"peer", peer.Text()},
+                {"items", state.items.size()},
+                {"era", state.era.value()},
+                {"revision", revision},
+                {"synced", follower_.sync_state().synced() ? 1 : 0}});
     const auto change_count = follower_.ApplyPeerState(std::move(state));
     log_.Write(LogLevel::kInfo, "peer-state-applied",
                {{"peer", peer.Text()}, {"changes", change_count}, {"revision", revision}});
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -110,8 +110,10 @@
           OnFailure(call, page.status());
           return;
         }
-        // The answer belongs to the listing or the era before.
-        if (listing != sync_state_.listing_number()) return;
+        if (listing != sync_state_.listing_number()) {
+          LogUnused(call, listing);
+          return;
+        }
         LogListing(*page);
         Apply(call, sync_state_.OnPage(*std::move(page), Now()));
       });
@@ -130,13 +132,26 @@
                      OnFailure(call, changes.status());
                      return;
                    }
-                   if (listing != sync_state_.listing_number()) return;
+                   if (listing != sync_state_.listing_number()) {
+                     LogUnused(call, listing);
+                     return;
+                   }
                    // An overdue answer was made at any time since the call.
                    const auto seen_at = call == last_call_ ? Now() : called_at;
                    Apply(call, sync_state_.OnChanges(*std::move(changes), seen_at));
                  });
   }
 
+  /// The answer belongs to the listing or the era before.
+  auto LogUnused(std::uint64_t call, std::uint64_t listing) -> void {
+    log_.Write(LogLevel::kInfo, "store-answer-unused",
+               {{"call", call},
+                {"last_call", last_call_},
+                {"listing", listing},
+                {"last_listing", sync_state_.listing_number()},
+                {"era", sync_state_.era().value()}});
+  }
+
   auto LogListing(const StorePage& page) -> void {
     if (page.more) return;
     log_.Write(LogLevel::kInfo, "store-listed",
