gateway: a peer's state replaces pages of another era

Cause: StoreSyncState::OnPeerState merged a peer's state into the pages that a VM without a state had read before, by revision. Pages of another era have revisions of another history: theirs may be higher, so that the peer's items, and their later changes, were dropped. Change: only pages of the peer's own era are continued; others are replaced as a whole.

--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -165,17 +165,23 @@
     return ReplaceState(std::move(state));
   }
   contact_.Reset();
+  // Pages of another era than the state's may have been applied.
+  const bool continues_pages = listing_ == Listing::kSameEra && state.era == store_era_;
   if (state.era > store_era_) {
     store_era_ = state.era;
     store_era_known_at_ = now;
   }
-  era_ = state.era;
-  listed_revisions_.clear();
-  for (auto& item : state.items) {
-    listed_revisions_[item.key] = item.revision;
-    Accept(std::move(item), new_changes);
+  if (continues_pages) {
+    era_ = state.era;
+    listed_revisions_.clear();
+    for (auto& item : state.items) {
+      listed_revisions_[item.key] = item.revision;
+      Accept(std::move(item), new_changes);
+    }
+    CompleteListing(state.revision, new_changes);
+  } else {
+    new_changes = ReplaceState(std::move(state));
   }
-  CompleteListing(state.revision, new_changes);
   // Until the store can be read, the state of an earlier era is better than none.
   if (era_ != store_era_) BeginOtherEra();
   return new_changes;
--- a/tests/gateway/store_sync_state_test.cc
+++ b/tests/gateway/store_sync_state_test.cc
@@ -289,5 +289,29 @@
   EXPECT_TRUE(sync_state_.RemovalsUnconfirmed());
 }
 
+// Guards against a state of two eras: a peer's state of the era after keeps items of the pages that
+// were read before, whose revisions hide the peer's items and their later changes.
+TEST_F(StoreSyncStateTest, APeersStateOfALaterEraReplacesThePagesReadBefore) {
+  sync_state_.OnStoreEra(StoreEra(1), now_, now_);
+  EXPECT_EQ(Keys(sync_state_.OnPage({{Put("a", 50), Put("b", 60)}, true, 60, StoreEra(1)}, now_)),
+            "+a+b");
+  sync_state_.OnFailure(absl::UnavailableError("away"));
+  EXPECT_EQ(
+      Keys(sync_state_.OnPeerState({{Put("a", 20), Put("c", 21)}, false, 22, StoreEra(2)}, now_)),
+      "-b+a+c");
+  EXPECT_EQ(sync_state_.era(), StoreEra(2));
+  StoreChanges changes{{Put("a", 30)}, 30};
+  changes.era = StoreEra(2);
+  EXPECT_EQ(Keys(sync_state_.OnPeerChanges(changes, now_)), "+a");
+}
+
+// Guards against items of a later era's first pages beside a peer's state of the era before.
+TEST_F(StoreSyncStateTest, APeersStateOfAnEarlierEraReplacesThePagesReadBefore) {
+  sync_state_.OnStoreEra(StoreEra(2), now_, now_);
+  sync_state_.OnPage({{Put("a", 20), Put("b", 21)}, true, 22, StoreEra(2)}, now_);
+  EXPECT_EQ(Keys(sync_state_.OnPeerState({{Put("a", 10)}, false, 60, StoreEra(1)}, now_)), "-b+a");
+  EXPECT_TRUE(sync_state_.is_outdated());
+}
+
 }  // namespace
 }  // namespace heatherspan
