edge: an answer that is not used is followed by the next call

Change: the answer to the last call leads to the next one whether it is used or not, so that the chain of calls no longer depends on who begins a listing. A call that fails already did so.

The simulation reads peers' whole states as PeerReader does, and its store may refuse calls at once. Looked at for the same cause: a watch (mended by the same line), PeerReader, PeerSync and VmAnnouncer, whose next step does not depend on the use of an answer.

--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -111,7 +111,7 @@
           return;
         }
         if (listing != sync_state_.listing_number()) {
-          LogUnused(call, listing);
+          OnUnused(call, listing);
           return;
         }
         LogListing(*page);
@@ -133,7 +133,7 @@
                      return;
                    }
                    if (listing != sync_state_.listing_number()) {
-                     LogUnused(call, listing);
+                     OnUnused(call, listing);
                      return;
                    }
                    // An overdue answer was made at any time since the call.
@@ -142,14 +142,16 @@
                  });
   }
 
-  /// The answer belongs to the listing or the era before.
-  auto LogUnused(std::uint64_t call, std::uint64_t listing) -> void {
+  /// The answer belongs to the listing or the era before. A peer's state may have begun the present
+  /// one beside the call, so that nobody else makes the next.
+  auto OnUnused(std::uint64_t call, std::uint64_t listing) -> void {
     log_.Write(LogLevel::kInfo, "store-answer-unused",
                {{"call", call},
                 {"last_call", last_call_},
                 {"listing", listing},
                 {"last_listing", sync_state_.listing_number()},
                 {"era", sync_state_.era().value()}});
+    if (call == last_call_) CallNext();
   }
 
   auto LogListing(const StorePage& page) -> void {
--- a/src/experiment/simulated_follower.cc
+++ b/src/experiment/simulated_follower.cc
@@ -26,6 +26,7 @@
                [this, vm](Duration delay, VirtualWorkers::Task task) {
                  simulation_.RunAt(vm, weak_from_this(), delay, std::move(task));
                }),
+      started_at_(workers_.Now()),
       follower_(
           store_, workers_, log,
           [this](const StoreChange& change, bool unconfirmed) { OnChange(change, unconfirmed); },
--- a/src/experiment/simulated_follower.h
+++ b/src/experiment/simulated_follower.h
@@ -49,6 +49,7 @@
   auto Start() -> void { follower_.Start(); }
   auto follower() -> Follower& { return follower_; }
   auto state() const -> const StoreSyncState& { return follower_.sync_state(); }
+  auto running() const -> Duration { return workers_.Now() - started_at_; }
   auto snapshot() const -> const StoreSnapshot& { return snapshot_; }
   /// The number of the last write of each present item.
   auto items() const -> const std::map<std::string, std::uint64_t>& { return items_; }
@@ -64,6 +65,7 @@
   StoreSpreadSimulation& simulation_;
   Store store_;
   VirtualWorkers workers_;
+  const MonotonicTime started_at_;
   StoreSnapshot snapshot_;
   std::map<std::string, std::uint64_t> items_;
   PendingRemovals<TargetName> pending_removals_;
--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -9,6 +9,7 @@
 #include "base/number_text.h"
 #include "experiment/simulated_follower.h"
 #include "gateway/entry_vm_directory.h"
+#include "gateway/peer_state_need.h"
 
 namespace heatherspan {
 namespace {
@@ -21,6 +22,8 @@
 constexpr std::size_t kStoreRegion = 0;
 /// The gateway's timeout of a call.
 constexpr Duration kCallTimeout = milliseconds(2000);
+/// How often the gateway looks whether it needs the state of a peer.
+constexpr Duration kPeerStateCheck = milliseconds(200);
 /// A frozen VM looks again after this time.
 constexpr Duration kFreezeCheck = milliseconds(50);
 /// Items of one page. Small, so that listings have several pages.
@@ -98,6 +101,7 @@
       *this, vm, log_, [this] { return now(); }, StoreReadTiming::For(options_.change_bound));
   if (options_.peers_ask) process->follower().role().SetPeers(SelectPeersOf(vm));
   process->Start();
+  if (options_.peers_ask) RunAt(vm, process, kPeerStateCheck, [this, vm] { ReadPeerState(vm); });
   const auto first_questions = Duration(std::uniform_int_distribution<Duration::rep>(
       0, StoreReaderRole::kQuestionInterval.count())(random_));
   if (options_.peers_ask) RunAt(vm, process, first_questions, [this, vm] { AskPeers(vm); });
@@ -134,17 +138,29 @@
                       });
 }
 
+auto StoreSpreadSimulation::FailCall(const Call& call, Duration time, std::function<void()> fail)
+    -> bool {
+  const auto& reach = vms_[call.vm].reach;
+  if (!reach.store) {
+    RunAt(call.vm, call.process, time, std::move(fail));
+  } else if (reach.refusal == Refusal::kBusy) {
+    Answer(call, std::move(fail));
+  } else if (reach.refusal == Refusal::kReset) {
+    RunAt(call.vm, call.process, Delay(kStoreRegion, Region(call.vm)), std::move(fail));
+  } else {
+    return false;
+  }
+  return true;
+}
+
 auto StoreSpreadSimulation::List(std::size_t vm, const std::string& after_key, OnPage on_page)
     -> void {
   ++store_calls_;
   scheduler_.RunAfter(
       Delay(Region(vm), kStoreRegion),
       [this, call = Call{vm, vms_[vm].process, now()}, after_key, on_page = std::move(on_page)] {
-        if (!vms_[call.vm].reach.store) {
-          RunAt(call.vm, call.process, kCallTimeout,
-                [on_page] { on_page(absl::UnavailableError("no answer")); });
-          return;
-        }
+        const auto fail = [on_page] { on_page(absl::UnavailableError("no answer")); };
+        if (FailCall(call, kCallTimeout, fail)) return;
         Answer(call, [on_page, page = PageAfter(after_key)] { on_page(page); });
       });
 }
@@ -155,20 +171,19 @@
   scheduler_.RunAfter(
       Delay(Region(vm), kStoreRegion),
       [this, watch = Watch{{vm, vms_[vm].process, now()}, after, std::move(on_changes)}, wait] {
-        const auto& call = watch.call;
-        if (!vms_[call.vm].reach.store) {
-          RunAt(call.vm, call.process, kCallTimeout + wait, [on_changes = watch.on_changes] {
-            on_changes(absl::UnavailableError("no answer"));
-          });
-        } else if (watch.after_revision != revision_) {
+        const auto fail = [on_changes = watch.on_changes] {
+          on_changes(absl::UnavailableError("no answer"));
+        };
+        if (FailCall(watch.call, kCallTimeout + wait, fail)) return;
+        if (watch.after_revision != revision_) {
           AnswerWatch(watch);
-        } else {
-          const auto number = ++last_watch_;
-          watches_[number] = watch;
-          scheduler_.RunAfter(wait, [this, number] {
-            if (const auto waiting = watches_.extract(number)) AnswerWatch(waiting.mapped());
-          });
+          return;
         }
+        const auto number = ++last_watch_;
+        watches_[number] = watch;
+        scheduler_.RunAfter(wait, [this, number] {
+          if (const auto waiting = watches_.extract(number)) AnswerWatch(waiting.mapped());
+        });
       });
 }
 
@@ -217,6 +232,24 @@
   return ParseNumber<std::size_t>(endpoint.address.substr(kNamePrefix.size())).value_or(0);
 }
 
+auto StoreSpreadSimulation::ReadPeerState(std::size_t vm) -> void {
+  const auto process = vms_[vm].process;
+  RunAt(vm, process, kPeerStateCheck, [this, vm] { ReadPeerState(vm); });
+  if (PeerStateNeedOf(process->state(), process->running()) != PeerStateNeed::kNow) return;
+  const auto to = random_() % vms_.size();
+  if (to == vm) return;
+  const auto delay = Delay(Region(vm), Region(to));
+  RunAt(to, vms_[to].process, delay, [this, vm, to, delay, asking = std::weak_ptr(process)] {
+    const auto& state = vms_[to].process->state();
+    if (!vms_[vm].reach.peers || !vms_[to].reach.peers || !state.synced()) return;
+    auto page = vms_[to].process->snapshot().Page(state.revision());
+    page.era = state.era();
+    RunAt(vm, asking, delay, [this, vm, page = std::move(page)] {
+      vms_[vm].process->follower().ApplyPeerState(page);
+    });
+  });
+}
+
 auto StoreSpreadSimulation::AskPeers(std::size_t vm) -> void {
   auto& process = *vms_[vm].process;
   auto& role = process.follower().role();
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -27,9 +27,17 @@
 /// each other, freeze and restart.
 class StoreSpreadSimulation {
  public:
+  /// How the store turns a call away at once.
+  enum class Refusal {
+    kNone,
+    kBusy,   ///< By an answer, which tells its era.
+    kReset,  ///< By ending the connection.
+  };
+
   /// What a VM can reach. Both hold in both directions.
   struct Reach {
-    bool store = true;
+    bool store = true;  ///< Otherwise calls have no answer.
+    Refusal refusal = Refusal::kNone;
     bool peers = true;
     bool frozen = false;
   };
@@ -117,11 +125,16 @@
 
   auto List(std::size_t vm, const std::string& after_key, OnPage on_page) -> void;
   auto WatchStore(std::size_t vm, std::uint64_t after, Duration wait, OnChanges on_changes) -> void;
+  /// Fails the call as the VM's reach says. Returns false if the store serves it. `time`: that a
+  /// call without an answer takes.
+  auto FailCall(const Call& call, Duration time, std::function<void()> fail) -> bool;
   auto PageAfter(const std::string& key) const -> StorePage;
   auto AnswerWatch(const Watch& watch) -> void;
   /// Delivers an answer of the store, which tells the store's era.
   auto Answer(const Call& call, std::function<void()> apply) -> void;
   auto OnStoreChanged() -> void;
+  /// Reads a peer's whole state if the VM needs one, and looks again later.
+  auto ReadPeerState(std::size_t vm) -> void;
   auto AskPeers(std::size_t vm) -> void;
   auto AskPeer(std::size_t vm, const Endpoint& peer) -> void;
   auto IndexOf(const Endpoint& endpoint) const -> std::size_t;
--- a/tests/experiment/store_spread_test.cc
+++ b/tests/experiment/store_spread_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <numeric>
 #include <string>
 #include <utility>
@@ -344,6 +345,62 @@
   }
 }
 
+/// VMs start again while the store is away or just as it is back from an older copy. It refuses
+/// some of them for a moment longer.
+class StartsInARestore {
+ public:
+  StartsInARestore(std::size_t vm_count, std::uint64_t seed)
+      : outage_(vm_count, kApplyBound, seed) {
+    using Refusal = StoreSpreadSimulation::Refusal;
+    auto& simulation = outage_.simulation();
+    SetRefusal(Refusal::kReset, 1);
+    simulation.RunFor(milliseconds(1400));
+    simulation.Restore(milliseconds(2000 + outage_.Draw(3000)));
+    std::map<std::uint64_t, std::vector<std::size_t>> starts;
+    for (std::size_t vm = 0; vm < vm_count; ++vm) {
+      if (outage_.Draw(2) == 0) starts[outage_.Draw(700)].push_back(vm);
+    }
+    const auto back = outage_.Draw(700);
+    const auto served = back + outage_.Draw(300);
+    for (std::uint64_t time = 0; time <= 1000; ++time) {
+      for (const auto vm : starts[time]) simulation.Restart(vm);
+      if (time == back) {
+        SetRefusal(Refusal::kNone, 1);
+        SetRefusal(Refusal::kBusy, 3);
+      }
+      if (time == served) SetRefusal(Refusal::kNone, 1);
+      simulation.RunFor(milliseconds(1));
+    }
+    simulation.RunFor(kStableTime);
+  }
+  auto outage() -> OutageForAll& { return outage_; }
+
+ private:
+  /// For each VM whose number is a multiple of `step`.
+  auto SetRefusal(StoreSpreadSimulation::Refusal refusal, std::size_t step) -> void {
+    auto& simulation = outage_.simulation();
+    for (std::size_t vm = 0; vm < simulation.vm_count(); vm += step) {
+      simulation.SetReach(vm, {.refusal = refusal});
+    }
+  }
+
+  OutageForAll outage_;
+};
+
+// Guards against a VM that starts as the store comes back from an older copy, drops the answer to
+// its listing for a peer's state of the era before, and never calls the store again.
+TEST(StoreSpread, VmsThatStartInARestoreFollowTheStore) {
+  for (const std::size_t vm_count : {4, 7, 34}) {
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+      StartsInARestore starts(vm_count, seed);
+      auto& outage = starts.outage();
+      outage.simulation().Put(kConfiguration);
+      outage.simulation().RunFor(kApplyBound);
+      ASSERT_TRUE(outage.AllKnow(kConfiguration)) << vm_count << " VMs, seed " << seed;
+    }
+  }
+}
+
 // Guards against calls to the store that grow with the number of VMs, and against changes that
 // arrive late at those that don't read it.
 TEST(StoreSpread, CallsGrowWithTheZones) {
@@ -406,10 +463,10 @@
 /// Draws writes, removals and faults for some seconds.
 class RandomSchedule {
  public:
-  /// `restores`: the store also comes back from older copies of itself.
+  /// `restores`: the store also comes back from older copies of itself, and refuses calls at once.
   explicit RandomSchedule(std::uint64_t seed, bool restores = false)
       : random_(seed),
-        steps_(restores ? 10 : 9),
+        steps_(restores ? 12 : 9),
         simulation_({.vm_count = 4 + seed % 9, .seed = seed}) {}
 
   auto Run() -> void {
@@ -449,6 +506,12 @@
       case 6:
         simulation_.Remove(Item(Draw(30)));
         break;
+      case 10:
+        simulation_.SetReach(vm, {.refusal = StoreSpreadSimulation::Refusal::kBusy});
+        break;
+      case 11:
+        simulation_.SetReach(vm, {.refusal = StoreSpreadSimulation::Refusal::kReset});
+        break;
       case 9:
         simulation_.Restore(milliseconds(Draw(5000)));
         break;
