edge: a second attempt at an address has a connection of its own

What callers would see: 503 for a request that runs (REFUSED), or a run at a third target (TWICE). Cause: an answer is told by the request's id. When an instance refuses a request and the next instance has the same address, the second attempt went on the connection of the first, and a second copy of the refusal that arrived there late named the very request. Change: the forwarder notes the addresses that have got a request; a further attempt there opens a new connection.

Test: RefusedAtOneAddressTest; before: "answer.status Which is: 503" and "reused Actual: true" for both kinds of refusal. Whether it is what the users saw is not known: they kept no logs. Looked at for the same cause: retries at other addresses and relays to another VM (own servers write no second copies) don't share a connection with the attempt before.

--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -7,6 +8,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_set.h"
+#include "base/endpoint.h"
 #include "base/reason.h"
 #include "base/verdict.h"
 #include "edge/harm_monitor.h"
@@ -101,8 +103,9 @@
     HttpResponse last_response;      ///< A failure, delivered if no retry succeeds.
     Duration expected_queue_wait{};  ///< Of the last attempt, or of the late placement.
     Duration expected_processing_time{};
-    std::string through;    ///< The entry VM that has got the request for this one.
-    bool for_peer = false;  ///< Another entry VM has passed the request on.
+    std::vector<Endpoint> endpoints;  ///< Of the targets that have got the request.
+    std::string through;              ///< The entry VM that has got the request for this one.
+    bool for_peer = false;            ///< Another entry VM has passed the request on.
     bool finished = false;
   };
   using ActivePtr = std::shared_ptr<Active>;
@@ -270,6 +273,13 @@
   auto Send(const ActivePtr& active, const Placement& placement, MonotonicTime now) -> void {
     const auto& entry = placement.target->entry();
     const auto endpoint = entry.endpoint;
+    auto options = OptionsFor(*active);
+    // Another instance had the address. Its answer may arrive a second time on the connection, and
+    // names this request.
+    if (std::count(active->endpoints.begin(), active->endpoints.end(), endpoint) > 0) {
+      options.max_idle = HttpClient::SendOptions::kNewConnection;
+    }
+    active->endpoints.push_back(endpoint);
     const auto time_left = active->forwarded.deadline() - now;
     auto request = Format::ForTarget(active->request, entry, time_left);
     active->attempt = core_.BeginAttempt(active->forwarded, placement, now);
@@ -277,9 +287,9 @@
     relay_.OnSentToTarget(now);
     active->expected_queue_wait = placement.queue_wait;
     active->expected_processing_time = placement.processing_time;
-    active->exchange = client_.Send(
-        endpoint, std::move(request), time_left + kClientTimeoutMargin, OptionsFor(*active),
-        [this, active](HttpResult result) { OnResult(active, std::move(result)); });
+    active->exchange =
+        client_.Send(endpoint, std::move(request), time_left + kClientTimeoutMargin, options,
+                     [this, active](HttpResult result) { OnResult(active, std::move(result)); });
   }
 
   auto OnResult(const ActivePtr& active, HttpResult result) -> void {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -51,6 +51,9 @@
     /// Leaves out connections that have been idle for longer. A peer may drop an idle connection at
     /// any time, and a request that was written on it may or may not have run.
     Duration max_idle = Duration::max();
+
+    /// A value of `max_idle` that leaves out all connections that have been used.
+    static constexpr Duration kNewConnection = Duration::min();
   };
 
   /// Abandons the exchange and closes its connection; the callback gets a cancelled status.
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -25,11 +25,11 @@
   RawTarget(const RawTarget&) = delete;
   auto operator=(const RawTarget&) -> RawTarget& = delete;
 
-  auto Registration() const -> std::string {
+  auto Registration(const std::string& zone = "a") const -> std::string {
     return fmt::format(
-        R"({{"address":"{}","info":{{"service":"s","version":"v1","zone":"a","max_concurrency":3}},)"
+        R"({{"address":"{}","info":{{"service":"s","version":"v1","zone":"{}","max_concurrency":3}},)"
         R"("status":{{"state":"ready","sequence":1,"cold_left_s":0}}}})",
-        listener_.endpoint().Text());
+        listener_.endpoint().Text(), zone);
   }
 
  private:
@@ -53,10 +53,11 @@
   }
   std::vector<HttpServer::Responder> held_;  ///< Requests without an answer.
 
-  auto SendWithId(const std::string& id) -> HttpResponse {
+  auto SendWithId(const std::string& id, const std::string& deadline_ms = "4000") -> HttpResponse {
     auto request = Request("/book/x", "POST");
     for (auto& header : request.headers) {
       if (header.name == "Heatherspan-Request-Id") header.value = id;
+      if (header.name == "Heatherspan-Deadline-Ms") header.value = deadline_ms;
     }
     return caller_.SendAndWait(settings_.callers, request, kTimeout).response;
   }
@@ -164,6 +165,41 @@
         "HTTP/1.1 429 Full\r\nHeatherspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"));
 
+/// The first lines of an answer that refuses the request id-a without its having run.
+class RefusedAtOneAddressTest : public TargetTroubleTest,
+                                public testing::WithParamInterface<const char*> {};
+
+// Guards against a caller who is told "not run", or whose request runs at a third target, because
+// the next instance at an address gets the request on the connection on which the first one's
+// refusal arrives a second time: it names this very request.
+TEST_P(RefusedAtOneAddressTest, ACopyOfTheRefusalIsNotTakenForTheNextInstances) {
+  const auto refusal =
+      std::string(GetParam()) + "Heatherspan-Request-Id: id-a\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<bool> reused = false;
+  // A further connection is accepted by the machine and never answered.
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(refusal);
+    reused = !socket.ReadUntil("\r\n\r\n").empty();
+    socket.Send(refusal);
+    socket.ReadUntilClosed();
+  });
+  settings_.bounds.retry_ratio = 2;
+  StartWith(target);
+  store_.Put("servers/i-2", target.Registration());
+  ASSERT_TRUE(Eventually([&] { return log_capture_.Contains("target-registered target=i-2"); }));
+  const auto answer = SendWithId("id-a", "1500");
+  // The next instance may be running the request.
+  EXPECT_EQ(answer.status, 504);
+  EXPECT_FALSE(reused);
+  EXPECT_TRUE(log_capture_.Contains("next=retry"));
+  node_.reset();
+}
+
+INSTANTIATE_TEST_SUITE_P(Refusals, RefusedAtOneAddressTest,
+                         testing::Values("HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\n",
+                                         "HTTP/1.1 421 Other\r\n"));
+
 // Guards against requests to a target that says in its answers that it leaves, because the store
 // does not tell so, and against a request that waits although no other target is left.
 TEST_F(TargetTroubleTest, ATargetThatSaysThatItLeavesGetsNothingMore) {
