edge: a target's status is no promise of the gateway

What callers would see: 503 (or 408, 421, 429) for a request that has run, which these statuses promise has not and never will (REFUSED); a caller who believes it sends the request again. Cause: only Heatherspan-Not-Executed states that a target did not run a request, or a 421 of another instance. A target's 503 without it counted as a failure and reached the caller with its status; 408 and 429 counted as served; a signed 421 counted as refused and was sent again, although a target signs what it has run. Change: a signed answer with such a status is a failure, with the verdict "ran". For a request that must run once the caller gets 502 in its place, without the target's signature, and the log says false-promise. A request that may be repeated has the target's own answer, as before.

RequestFormat.ReadsTheOutcomeOfAnAttempt has the table.

--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -78,6 +78,7 @@
   { T::ForRelay(request, time) } -> std::same_as<HttpRequest>;
   { T::RelayedRequest(request) } -> std::same_as<std::optional<HttpRequest>>;
   { T::ReadReply(result) } -> std::same_as<typename T::Reply>;
+  { T::PromisesNotRun(response) } -> std::same_as<bool>;
   { T::ForCaller(response) } -> std::same_as<HttpResponse>;
   { T::Refused(time) } -> std::same_as<HttpResponse>;
   { T::Harmful() } -> std::same_as<HttpResponse>;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -381,6 +381,7 @@
         answer = Format::ForCaller(response.headers.empty() ? std::move(active->last_response)
                                                             : std::move(response));
         if (reason != Reason::kNone) outcome = "failed-at-target";
+        WithdrawFalsePromise(*active, answer);
         break;
       case RequestStep::kRefuse:
         answer = Format::Refused(retry_after);
@@ -410,6 +411,21 @@
     Finish(active, outcome, status, reason);
   }
 
+  /// Replaces the answer of a target that may have run the request if its status would make the
+  /// caller send the request again.
+  auto WithdrawFalsePromise(const Active& active, HttpResponse& answer) -> void {
+    const auto& forwarded = active.forwarded;
+    if (forwarded.verdict() == Verdict::kNotRun || !Format::PromisesNotRun(answer) ||
+        forwarded.attributes().route.retry_rule == RetryRule::kIdempotent) {
+      return;
+    }
+    log_.Write(LogLevel::kWarning, "false-promise",
+               {{"id", forwarded.attributes().id.value()},
+                {"status", answer.status},
+                {"verdict", VerdictText(forwarded.verdict())}});
+    answer = Format::Failed();
+  }
+
   auto Finish(const ActivePtr& active, const char* outcome, int status, Reason reason) -> void {
     active->finished = true;
     active->deadline_timer.reset();
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -200,6 +200,38 @@
                          testing::Values("HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\n",
                                          "HTTP/1.1 421 Other\r\n"));
 
+/// A status that tells a caller that its request has not run.
+class PromisingStatusTest : public TargetTroubleTest, public testing::WithParamInterface<int> {};
+
+// Guards against a caller who is told "not run" of a request that has run: its target has answered
+// with a status that promises that to callers, but does not say that it refused.
+TEST_P(PromisingStatusTest, OfATargetThatMayHaveRunTheRequestIsNotPassedOn) {
+  TargetStub target("i-1");
+  TargetStub other("i-2");
+  const auto behaviour = [](const HttpRequest& request, const HttpServer::Responder& respond) {
+    HttpResponse response;
+    response.status = GetParam();
+    response.headers = {
+        {"Heatherspan-Response-Signature", "sig"},
+        {"Heatherspan-Request-Id", std::string(request.Header("Heatherspan-Request-Id"))}};
+    respond(std::move(response));
+  };
+  target.SetBehaviour(behaviour);
+  other.SetBehaviour(behaviour);
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Register(other);
+  Start();
+  const auto answer = Send("/book/x", "POST").response;
+  EXPECT_EQ(answer.status, 502);
+  EXPECT_EQ(answer.Header("Heatherspan-Response-Signature"), "");
+  EXPECT_EQ(target.Requests().size() + other.Requests().size(), 1U);
+  // A request that may be repeated has the target's own answer.
+  EXPECT_EQ(Send("/read/x").response.status, GetParam());
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses, PromisingStatusTest, testing::Values(408, 421, 429, 503));
+
 // Guards against requests to a target that says in its answers that it leaves, because the store
 // does not tell so, and against a request that waits although no other target is left.
 TEST_F(TargetTroubleTest, ATargetThatSaysThatItLeavesGetsNothingMore) {
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -76,6 +76,12 @@
   EXPECT_EQ(outcome(Answered(503, {})), AttemptOutcome::kFailed);
   EXPECT_EQ(outcome(Answered(503, {{"Heatherspan-Not-Executed", "1"}})), AttemptOutcome::kRefused);
   EXPECT_EQ(outcome(Answered(421, {})), AttemptOutcome::kReplaced);
+  for (const int promising : {408, 421, 429, 503}) {
+    const HeaderField not_executed{"Heatherspan-Not-Executed", "1"};
+    EXPECT_EQ(outcome(Answered(promising, {signature})), AttemptOutcome::kFailed) << promising;
+    EXPECT_EQ(VerdictOf(outcome(Answered(promising, {signature, not_executed}))), Verdict::kNotRun)
+        << promising;
+  }
   HttpResult failed;
   failed.status = absl::UnavailableError("reset");
   EXPECT_EQ(outcome(failed), AttemptOutcome::kNotSent);
