net: the bodies that a client reads at once are bounded together

Here each head is bounded by 64 KiB and each body by 8 MiB (EndlessBytesTest, ten kinds), but nothing bounded their sum. Bodies up to 64 KiB are never given up.

--- a/src/edge/edge_limits.cc
+++ b/src/edge/edge_limits.cc
@@ -35,6 +35,7 @@
 auto EdgeLimits::TargetClient(std::string correlation_header) -> HttpClient::Limits {
   HttpClient::Limits limits;
   limits.max_connections_per_endpoint = kConnectionsPerTarget;
+  limits.max_reading_bytes = kMaxReadingBytes;
   limits.connect_timeout = kConnectTimeout;
   limits.unacknowledged_timeout = kUnacknowledgedTimeout;
   limits.accept_unframed_responses = true;
--- a/src/edge/edge_limits.h
+++ b/src/edge/edge_limits.h
@@ -22,6 +22,8 @@
   /// TCP retransmits a lost connection request only after 1 s; an attempt at another target is
   /// faster.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+  /// Memory of the answers of all targets that are being read: a quarter of the smallest machine.
+  static constexpr std::size_t kMaxReadingBytes = std::size_t{64} * 1024 * 1024;
   static constexpr std::size_t kConnectionsPerTarget = 40;
   /// A few peers ask for changes all the time; after a restart of many VMs, others want a listing,
   /// and many peers search for changes when the store is out of reach of some VMs.
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -20,7 +21,8 @@
 /// exchange is closed.
 ///
 /// Status codes of failures: kInvalidArgument (the request can't be written), kResourceExhausted
-/// (with nothing written: all connections are in use; else: the response is too large),
+/// (with nothing written: all connections are in use; else: the response is too large, by itself or
+/// beside others),
 /// kUnavailable (with nothing written: no connection; else: closed without a response), kDataLoss
 /// (truncated or malformed response, or one whose end can't be told), kDeadlineExceeded,
 /// kCancelled.
@@ -31,6 +33,8 @@
   struct Limits {
     std::size_t max_connections_per_endpoint = 64;  ///< Further requests fail at once.
     std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
+    /// All bodies that are being read, in memory. Above it, the largest are given up.
+    std::size_t max_reading_bytes = std::numeric_limits<std::size_t>::max();
     Duration connect_timeout = std::chrono::seconds(1);
     /// A shorter time in a response's Keep-Alive field goes first.
     Duration idle_timeout = std::chrono::seconds(30);
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -38,6 +38,8 @@
 constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
 // Bodies up to this size are copied behind the header, which is cheaper than a second buffer.
 constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} * 1024;
+// Bodies up to this size are read whatever others take.
+constexpr std::size_t kSmallBodyBytes = std::size_t{64} * 1024;
 
 /// Private methods run on the strand.
 class Connection final : public HttpClientConnection,
@@ -52,6 +54,10 @@
         reader_(client_->limits().max_response_bytes, client_->limits().accept_unframed_responses) {
   }
 
+  ~Connection() override { SetReadingBytes(0); }
+  Connection(const Connection&) = delete;
+  auto operator=(const Connection&) -> Connection& = delete;
+
   auto Begin(std::uint64_t exchange, HttpRequest request, Duration timeout,
              HttpClient::Callback callback) -> void override {
     // Posted, not dispatched: the callback must not run before Send has returned.
@@ -91,6 +97,8 @@
   auto OnRead(const ErrorCode& error, std::size_t size) -> void;
   auto OnReadError(const ErrorCode& error) -> void;
   auto ParseInput() -> void;
+  /// Returns false if the response has to be given up.
+  auto SetReadingBytes(std::size_t bytes) -> bool;
   auto DropForeignResponse() -> bool;
   auto NamesOtherRequest() const -> bool;
   auto MayBeRepeated() const -> bool;
@@ -122,7 +130,8 @@
   bool write_done_ = false;
   bool write_failed_ = false;
   bool response_started_ = false;
-  bool is_reused_ = false;    ///< The connection has had another exchange.
+  std::size_t reading_bytes_ = 0;  ///< Memory of the body that is being read, unless it is small.
+  bool is_reused_ = false;         ///< The connection has had another exchange.
   bool out_of_step_ = false;  ///< A response to another request came: nothing more may be sent.
   SteadyClock::time_point exchange_deadline_;
 
@@ -332,6 +341,13 @@
   std::copy(buffer_.begin() + static_cast<std::ptrdiff_t>(used),
             buffer_.begin() + static_cast<std::ptrdiff_t>(end_), buffer_.begin());
   end_ -= used;
+  if (!SetReadingBytes(reader_.response().body.capacity())) {
+    Fail(absl::ResourceExhaustedError(fmt::format(
+        "the response from {} is one of the largest, and all that are being read take more than "
+        "{} bytes",
+        endpoint_.Text(), client_->limits().max_reading_bytes)));
+    return;
+  }
   switch (reader_.error()) {
     case HttpReadError::kNone:
       break;
@@ -360,6 +376,11 @@
   }
 }
 
+auto Connection::SetReadingBytes(std::size_t bytes) -> bool {
+  if (bytes <= kSmallBodyBytes) bytes = 0;
+  return client_->response_memory().Change(std::exchange(reading_bytes_, bytes), bytes);
+}
+
 /// A late second response to an earlier request stands where the response to this one is due.
 auto Connection::DropForeignResponse() -> bool {
   if (!NamesOtherRequest()) return false;
@@ -408,6 +429,7 @@
   result.progress = SendProgress::kCompleted;
   result.may_be_repeated = may_be_repeated;
   result.response = reader_.Take();
+  SetReadingBytes(0);
   const auto callback = std::exchange(callback_, nullptr);
   request_ = HttpRequest();
   if (reusable) {
@@ -437,6 +459,9 @@
 auto Connection::Fail(absl::Status status, ConnectionEnd end) -> void {
   auto head = HeadOfResponse();
   CloseSocket();
+  // The connection may live on in handlers that are pending.
+  reader_.Start(false);
+  SetReadingBytes(0);
   client_->Forget(endpoint_, shared_from_this());
   const auto callback = std::exchange(callback_, nullptr);
   request_ = HttpRequest();
--- a/src/net/http_client_state.h
+++ b/src/net/http_client_state.h
@@ -12,6 +12,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "net/http_client.h"
+#include "net/response_memory.h"
 
 namespace heatherspan {
 
@@ -20,10 +21,13 @@
 /// The connections of an HttpClient, by endpoint. Thread-safe.
 class HttpClientState {
  public:
-  explicit HttpClientState(HttpClient::Limits limits) : limits_(std::move(limits)) {}
+  explicit HttpClientState(HttpClient::Limits limits)
+      : limits_(std::move(limits)), response_memory_(limits_.max_reading_bytes) {}
 
   auto limits() const -> const HttpClient::Limits& { return limits_; }
 
+  auto response_memory() -> ResponseMemory& { return response_memory_; }
+
   /// A connection that has been idle for at most that time, or a new one from the function; null at
   /// the limit or after Stop.
   auto Take(const Endpoint& endpoint, Duration max_idle,
@@ -55,6 +59,7 @@
   };
 
   const HttpClient::Limits limits_;
+  ResponseMemory response_memory_;
   std::mutex mutex_;
   absl::flat_hash_map<Endpoint, Pool> pools_;  ///< Guarded by the mutex, as is the flag.
   bool stopped_ = false;
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -1,4 +1,8 @@
+#include <unistd.h>
+
+#include <fstream>
 #include <functional>
+#include <list>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -25,11 +29,12 @@
   RawTarget(const RawTarget&) = delete;
   auto operator=(const RawTarget&) -> RawTarget& = delete;
 
-  auto Registration(const std::string& zone = "a") const -> std::string {
+  auto Registration() const -> std::string { return RegistrationAt(listener_.endpoint()); }
+  static auto RegistrationAt(const Endpoint& endpoint) -> std::string {
     return fmt::format(
-        R"({{"address":"{}","info":{{"service":"s","version":"v1","zone":"{}","max_concurrency":3}},)"
+        R"({{"address":"{}","info":{{"service":"s","version":"v1","zone":"a","max_concurrency":3}},)"
         R"("status":{{"state":"ready","sequence":1,"cold_left_s":0}}}})",
-        listener_.endpoint().Text(), zone);
+        endpoint.Text());
   }
 
  private:
@@ -44,6 +49,15 @@
       id, body.size(), body);
 }
 
+/// Of this process.
+auto ResidentBytes() -> std::size_t {
+  std::ifstream file("/proc/self/statm");
+  std::size_t size = 0;
+  std::size_t resident = 0;
+  file >> size >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 class TargetTroubleTest : public EdgeNodeFixture {
  protected:
   auto StartWith(const RawTarget& target) -> void {
@@ -118,6 +132,75 @@
                     Endless{"NoHttp", "", "x"}),
     [](const auto& test) { return test.param.name; });
 
+/// A target that begins a body without end on each connection and leaves it there.
+class EndlessTarget {
+ public:
+  explicit EndlessTarget(std::size_t bytes)
+      : acceptor_([this, bytes] {
+          while (!ended_) {
+            threads_.emplace_back([bytes, socket = listener_.Accept()] { Serve(socket, bytes); });
+          }
+        }) {}
+  ~EndlessTarget() {
+    ended_ = true;
+    RawSocket::Connect(listener_.endpoint()).Close();
+    acceptor_.join();
+    for (auto& thread : threads_) thread.join();
+  }
+  EndlessTarget(const EndlessTarget&) = delete;
+  auto operator=(const EndlessTarget&) -> EndlessTarget& = delete;
+
+  auto Registration() const -> std::string {
+    return RawTarget::RegistrationAt(listener_.endpoint());
+  }
+
+ private:
+  static auto Serve(const RawSocket& socket, std::size_t bytes) -> void {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send("HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\n\r\n");
+    const std::string piece(std::size_t{64} * 1024, 'x');
+    while (bytes >= piece.size() && socket.Send(piece)) bytes -= piece.size();
+    socket.ReadUntilClosed();
+  }
+
+  RawListener listener_;
+  std::atomic<bool> ended_ = false;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+// Guards against a VM that runs out of its machine's memory, and ends with the requests of others,
+// because each of many bodies without end, in answers to requests and to health checks, stays below
+// the bound of one response.
+TEST_F(TargetTroubleTest, ManyBodiesWithoutEndFitInTheMachine) {
+  constexpr int kTargets = 36;
+  constexpr std::size_t kBody = std::size_t{7} * 1024 * 1024;
+  // The smallest machine of the deployments has 260 MB.
+  constexpr std::size_t kMachine = std::size_t{260} * 1000 * 1000;
+  std::list<EndlessTarget> targets;
+  store_.Put("op/config", Policy(1));
+  for (int i = 0; i < kTargets; ++i) {
+    store_.Put("servers/i-" + std::to_string(i), targets.emplace_back(kBody).Registration());
+  }
+  Start();
+  const auto before = ResidentBytes();
+  std::atomic<int> answered = 0;
+  std::size_t peak = 0;
+  for (int i = 0; i < kTargets; ++i) {
+    caller_.Send(settings_.callers, Request("/read/" + std::to_string(i)), kTimeout,
+                 [&](const HttpResult&) { ++answered; });
+  }
+  EXPECT_TRUE(Eventually([&] {
+    peak = std::max(peak, ResidentBytes());
+    return answered == kTargets;
+  }));
+  EXPECT_LT(peak, before + kMachine / 2);
+  EXPECT_TRUE(log_capture_.Contains("is one of the largest"));
+  // The node still serves.
+  EXPECT_EQ(Get(settings_.readiness, "/heatherspan/ready").status, 200);
+  node_.reset();
+}
+
 // Guards against a caller who gets the late second copy of another caller's answer: it arrives on a
 // connection that is in use again, before the answer to the request in flight.
 TEST_F(TargetTroubleTest, ALateSecondCopyReachesNoOtherCaller) {
