soak: targets send answers a second time, and refuse some requests

REFUSED and TWICE were seen by the users on real processes, without logs. Both belong together: the second copy arrives when the connection has the next request. New: the proxies send a response again 1 to 60 ms later, in a sequence of steps of its own; such a target refuses one request in three meanwhile, and half of all refusals leave the id out.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t kBufferBytes = 16384;
 /// How often held bytes look whether they may go on.
 constexpr Duration kHoldCheck = std::chrono::milliseconds(20);
+/// The longest time after which a response is repeated: while its connection is idle, or after it
+/// has taken the next request.
+constexpr int kMaxRepeatDelayMs = 60;
 /// A response that belongs to no request.
 constexpr std::string_view kExtraResponse =
     "HTTP/1.1 200 OK\r\nHeatherspan-Request-Id: nobodys\r\n"
@@ -60,6 +63,7 @@
   asio::steady_timer timer;
   std::array<char, kBufferBytes> buffer{};
   std::string pending;
+  bool writing = false;
   bool break_after = false;
 };
 
@@ -224,8 +228,11 @@
       if (pipe->to_server) Break(*pipe->link);
       return;
     }
+    pipe->writing = true;
     asio::async_write(pipe->To(), asio::buffer(pipe->pending),
                       [self = shared_from_this(), pipe](error_code error, std::size_t /*count*/) {
+                        pipe->writing = false;
+                        if (!pipe->to_server) self->RepeatLater(pipe);
                         if (error || pipe->break_after) {
                           self->Break(*pipe->link);
                           return;
@@ -234,6 +241,17 @@
                       });
   }
 
+  auto RepeatLater(const std::shared_ptr<Pipe>& pipe) -> void {
+    if (behaviour_.spoil != Spoil::kRepeat) return;
+    auto timer = std::make_shared<asio::steady_timer>(context_);
+    timer->expires_after(std::chrono::milliseconds(1 + repeats_++ * 7 % kMaxRepeatDelayMs));
+    timer->async_wait([timer, pipe, bytes = pipe->pending](error_code /*never cancelled*/) {
+      if (pipe->writing || !pipe->link->client.is_open()) return;
+      error_code ignored;  // The client may have closed the connection.
+      asio::write(pipe->link->client, asio::buffer(bytes), ignored);
+    });
+  }
+
   auto CutOf(const Link& link) const -> Cut {
     const auto cut = cuts_.find(link.party);
     return cut == cuts_.end() ? Cut::kNone : cut->second;
@@ -252,6 +270,7 @@
   PartyOf party_of_;
   std::map<int, Cut> cuts_;
   std::list<std::shared_ptr<Link>> links_;
+  int repeats_ = 0;
 };
 
 FaultProxy::FaultProxy(WorkerPool& workers, const Endpoint& listen, Endpoint server,
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -19,6 +19,7 @@
     kNone,
     kTruncate,  ///< Ends the connection in the middle of a response.
     kExtra,     ///< Adds a whole response that nobody asked for.
+    kRepeat,    ///< Sends the bytes of its last response again, a little later.
   };
 
   struct Behaviour {
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -81,6 +81,8 @@
      milliseconds(12000)},
     {SoakAction::kHarmfulRequests, "harmful-requests", 0, Party::kGateway, milliseconds(4000),
      milliseconds(15000)},
+    {SoakAction::kTargetRepeatsAnswers, "target-repeats-answers", 0, Party::kTarget,
+     milliseconds(500), milliseconds(5000)},
 };
 
 constexpr milliseconds kMeanGap(700);
@@ -93,6 +95,8 @@
 constexpr milliseconds kMeanStrandedGap(6000);
 constexpr std::uint64_t kHarmfulSequence = 0xba4f;
 constexpr milliseconds kMeanHarmfulGap(10000);
+constexpr std::uint64_t kRepeatSequence = 0x4e9ea7;
+constexpr milliseconds kMeanRepeatGap(1500);
 /// The same again, or on another party, soon after.
 constexpr double kSeriesPart = 0.35;
 constexpr milliseconds kSeriesGap(250);
@@ -166,6 +170,8 @@
                plan);
   DrawSequence(SoakAction::kHarmfulRequests, seed ^ kHarmfulSequence, kMeanHarmfulGap, length, size,
                plan);
+  DrawSequence(SoakAction::kTargetRepeatsAnswers, seed ^ kRepeatSequence, kMeanRepeatGap, length,
+               size, plan);
   std::stable_sort(plan.begin(), plan.end(),
                    [](const SoakStep& a, const SoakStep& b) { return a.at < b.at; });
   return plan;
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -42,6 +42,7 @@
   kStoreRestored,
   kStranded,
   kHarmfulRequests,
+  kTargetRepeatsAnswers,
 };
 
 /// One step. Its party is a gateway or a target, or a zone, by number.
--- a/tests/soak/soak_plan_test.cc
+++ b/tests/soak/soak_plan_test.cc
@@ -29,7 +29,7 @@
     drawn.insert(step.action);
     overlap = overlap || step.length > std::chrono::seconds(5);
   }
-  EXPECT_EQ(drawn.size(), static_cast<std::size_t>(SoakAction::kHarmfulRequests) + 1);
+  EXPECT_EQ(drawn.size(), static_cast<std::size_t>(SoakAction::kTargetRepeatsAnswers) + 1);
   EXPECT_TRUE(overlap);
 }
 
--- a/tests/soak/soak_run_steps.cc
+++ b/tests/soak/soak_run_steps.cc
@@ -216,6 +216,12 @@
       HarmTarget(step.party, step.length,
                  [](Behaviour& now) { now.spoil = FaultProxy::Spoil::kExtra; });
       break;
+    case SoakAction::kTargetRepeatsAnswers:
+      target.target->SetNearlyFull(true);
+      After(step.length, [&target] { target.target->SetNearlyFull(false); });
+      HarmTarget(step.party, step.length,
+                 [](Behaviour& now) { now.spoil = FaultProxy::Spoil::kRepeat; });
+      break;
     case SoakAction::kTargetReset:
       Trouble(target.identity.name, Kind::kUnplanned, Duration::zero());
       target.proxy->ResetConnections();
--- a/tests/soak/soak_target.cc
+++ b/tests/soak/soak_target.cc
@@ -14,14 +14,17 @@
 
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
+/// One in so many requests.
+constexpr int kRefusedWhenNearlyFull = 3;
 /// What a target that sheds load asks for.
 constexpr Duration kPause = milliseconds(1500);
 
+/// Some targets leave the request's id out of their refusals.
 auto Refusal(int status, const std::string& id) -> HttpResponse {
   HttpResponse response;
   response.status = status;
-  response.headers = {{std::string(names::kNotExecuted), "1"},
-                      {std::string(names::kRequestId), id}};
+  response.headers = {{std::string(names::kNotExecuted), "1"}};
+  if ((id.back() - '0') % 2 == 0) response.headers.push_back({std::string(names::kRequestId), id});
   return response;
 }
 
@@ -68,6 +71,10 @@
   workers_.Post([this, shedding] { shedding_ = shedding; });
 }
 
+auto SoakTarget::SetNearlyFull(bool nearly_full) -> void {
+  workers_.Post([this, nearly_full] { nearly_full_ = nearly_full; });
+}
+
 auto SoakTarget::SetLimit(std::optional<double> per_second) -> void {
   workers_.Post([this, per_second] { StateLimit(per_second); });
 }
@@ -110,7 +117,9 @@
   arrival.misdirected = !expected.empty() && expected != identity_.name;
   arrival.cold = ColdLeft() > Duration::zero();
   arrival.work = WorkTime(request.target);
-  arrival.runs = !arrival.misdirected && !shedding_ && running_ < kSlots + kQueue;
+  const bool full =
+      running_ >= kSlots + kQueue || (nearly_full_ && ++arrivals_ % kRefusedWhenNearlyFull == 0);
+  arrival.runs = !arrival.misdirected && !shedding_ && !full;
   ledger_.With([&](PromiseLedger& ledger) { ledger.OnArrival(arrival, Now()); });
   if (arrival.runs && PromiseLedger::IsHarmful(request.target)) {
     on_harm_();
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -39,6 +39,8 @@
   auto Become(const Identity& identity, bool cold) -> void;
   auto SetDraining(bool draining) -> void;
   auto SetShedding(bool shedding) -> void;
+  /// Refuses some of the requests from now on.
+  auto SetNearlyFull(bool nearly_full) -> void;
   /// Names a limit of requests per second from now on, or none.
   auto SetLimit(std::optional<double> per_second) -> void;
 
@@ -58,6 +60,8 @@
   MonotonicTime cold_until_{};
   bool draining_ = false;
   bool shedding_ = false;
+  bool nearly_full_ = false;
+  int arrivals_ = 0;  ///< While it is nearly full.
   std::optional<double> limit_;
   int running_ = 0;
   HttpServer server_;
