net: responses to other requests without end are cut off

Change: after 16 of them the exchange fails, like after too many informational responses; the request may have run.

Test: GatewayHttpClientTest.ResponsesToOtherRequestsWithoutEndAreCutOff; before: "DEADLINE_EXCEEDED ... did not answer in time" after 10 s.

--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -40,6 +40,9 @@
 constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} * 1024;
 // Bodies up to this size are read whatever others take.
 constexpr std::size_t kSmallBodyBytes = std::size_t{64} * 1024;
+// More responses to other requests in front of one response come from a peer that sends without
+// end.
+constexpr int kMaxForeignResponses = 16;
 
 /// Private methods run on the strand.
 class Connection final : public HttpClientConnection,
@@ -130,6 +133,7 @@
   bool write_done_ = false;
   bool write_failed_ = false;
   bool response_started_ = false;
+  int foreign_responses_ = 0;
   std::size_t reading_bytes_ = 0;  ///< Memory of the body that is being read, unless it is small.
   bool is_reused_ = false;         ///< The connection has had another exchange.
   bool out_of_step_ = false;  ///< A response to another request came: nothing more may be sent.
@@ -223,6 +227,7 @@
   write_done_ = false;
   write_failed_ = false;
   response_started_ = false;
+  foreign_responses_ = 0;
   reader_.Start(request_.method == "HEAD");
   output_.clear();
   const auto own_host = request_.Header("Host");
@@ -370,6 +375,11 @@
   if (!reader_.done()) {
     ReadMore();
   } else if (DropForeignResponse()) {
+    if (++foreign_responses_ > kMaxForeignResponses) {
+      Fail(absl::DataLossError(
+          fmt::format("{} sends responses to other requests without end", endpoint_.Text())));
+      return;
+    }
     end_ > 0 ? ParseInput() : ReadMore();
   } else {
     FinishIfComplete();
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -265,6 +265,23 @@
   EXPECT_EQ(socket.ReadUntil("\r\n\r\n"), "");
 }
 
+// Guards against a peer that keeps a worker busy with responses to other requests, one after the
+// other until the exchange's time is over.
+TEST_F(GatewayHttpClientTest, ResponsesToOtherRequestsWithoutEndAreCutOff) {
+  constexpr std::size_t kMaxAccepted = std::size_t{16} * 1024 * 1024;
+  Send(WithId("2"));
+  auto socket = listener_.Accept();
+  socket.ReadUntil("\r\n\r\n");
+  std::string piece;
+  while (piece.size() < 16384) piece += "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 1\r\n\r\na";
+  std::size_t accepted = 0;
+  while (accepted < kMaxAccepted && socket.Send(piece)) accepted += piece.size();
+  EXPECT_LT(accepted, kMaxAccepted);
+  const auto result = results_.Pop();
+  EXPECT_TRUE(absl::IsDataLoss(result->status)) << result->status;
+  EXPECT_EQ(result->progress, SendProgress::kWritten);
+}
+
 // Guards against a complete response that is thrown away because its end is that of the connection,
 // and against one that was cut and passes for complete.
 TEST_F(GatewayHttpClientTest, TheEndOfTheConnectionEndsAnUnframedResponse) {
