platform: notices count in an answer that names no request

A target speaks of itself, whichever request the answer belongs to. A 421 that breaks off names another instance and is left out, as a whole one was.

--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -172,6 +172,21 @@
 }
 
 // Guards against a response that is changed on its way to the caller.
+// Guards against a target that goes on getting requests although it has said that it leaves or
+// wants a pause, in an answer that does not name the request it belongs to.
+TEST(RequestFormat, ReadsNoticesOfAnAnswerThatMayBeRepeated) {
+  auto result = Answered(
+      503, {{"Heatherspan-Not-Executed", "1"}, {"Server-Leaving", "1"}, {"Retry-After", "1.5"}});
+  result.may_be_repeated = true;
+  const auto reply = RequestFormat::ReadReply(result);
+  EXPECT_EQ(reply.end, AttemptOutcome::kLost);
+  EXPECT_TRUE(reply.notices.leaving);
+  EXPECT_EQ(reply.notices.pause, std::chrono::milliseconds(1500));
+  // Another instance has the address.
+  result.response.status = 421;
+  EXPECT_FALSE(RequestFormat::ReadReply(result).notices.leaving);
+}
+
 TEST(RequestFormat, ForwardsStatusBodyAndEndToEndFields) {
   HttpResponse response;
   response.status = 500;
