edge: an announcement that is removed during a renewal is made again

What callers would see: a VM that no directory names any more. Cause: VmAnnouncer::OnRemoved did nothing unless the announcement was settled, and the answer to a renewal shows only that the lease lives. A store that is back from a copy may have the lease and not the announcement, and says so once. Change: a removal during a renewal, or before the next one after a failure, is made good by the renewal's answer.

--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -30,19 +30,25 @@
   store.Watch(number, wait, on_changes);
 };
 
-/// A key-value service with leases and watches, for which entry VMs stand in at their peers.
+/// A key-value service whose items may end with a lease. Every call invokes its callback once.
 template <class T>
-concept GatewayStore = ReadableStore<T> &&
-    requires(T& store, std::string key, std::uint64_t number, Duration wait,
-             typename T::ChangesCallback on_changes, typename T::LeaseCallback on_lease,
-             typename T::StatusCallback on_status, const HttpRequest& request,
-             const StorePage& page, const std::optional<std::vector<StoreChange>>& changes,
-             const StorePosition& position, const PeerNews& news) {
-  store.AskPeer(position, news, on_changes);
-  store.Grant(wait, on_lease);
+concept LeasingStore = requires(T& store, std::string key, std::uint64_t number, Duration time,
+                                typename T::LeaseCallback on_lease,
+                                typename T::StatusCallback on_status) {
+  store.Grant(time, on_lease);
   store.KeepAlive(number, on_status);
   store.Revoke(number, on_status);
   store.Put(key, key, number, on_status);
+};
+
+/// The platform's key-value service, in whose place entry VMs answer their peers.
+template <class T>
+concept GatewayStore = ReadableStore<T> && LeasingStore<T> &&
+    requires(T& store, Duration wait, typename T::ChangesCallback on_changes,
+             const HttpRequest& request, const StorePage& page,
+             const std::optional<std::vector<StoreChange>>& changes, const StorePosition& position,
+             const PeerNews& news) {
+  store.AskPeer(position, news, on_changes);
   { T::IsListCall(request) } -> std::same_as<bool>;
   { T::ListAnswer(page) } -> std::same_as<HttpResponse>;
   { T::WatchedPosition(request) } -> std::same_as<std::optional<StorePosition>>;
--- a/src/edge/vm_announcer.h
+++ b/src/edge/vm_announcer.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "base/task_runner.h"
 #include "base/time.h"
 #include "edge/platform_ports.h"
 #include "net/worker_pool.h"
@@ -14,7 +15,7 @@
 
 /// Keeps this entry VM's announcement in the store under a lease, so that the announcement expires
 /// when the process ends.
-template <GatewayStore Store>
+template <LeasingStore Store, TaskRunner Workers = WorkerPool>
 class VmAnnouncer {
  public:
   /// Callers still get the address of a lost VM for at most this time plus the delay of a watch.
@@ -25,7 +26,7 @@
   /// The store has renewed the announcement, at the given time or later.
   using OnRenewal = std::function<void(MonotonicTime at)>;
 
-  VmAnnouncer(Store& store, WorkerPool& workers, EventLog& log, std::string key, std::string value,
+  VmAnnouncer(Store& store, Workers& workers, EventLog& log, std::string key, std::string value,
               OnRenewal on_renewal)
       : store_(store),
         workers_(workers),
@@ -57,7 +58,11 @@
   /// Announces the VM again if its announcement was removed although this process has not withdrawn
   /// it.
   auto OnRemoved() -> void {
-    if (state_ != State::kAnnounced) return;
+    if (state_ != State::kAnnounced) {
+      // The renewal of the lease shows nothing of the announcement.
+      if (state_ != State::kWithdrawn && lease_ != 0) is_removed_ = true;
+      return;
+    }
     log_.Write(LogLevel::kWarning, "announcement-lost", {{"key", key_}});
     lease_ = 0;
     CallStore();
@@ -69,7 +74,7 @@
   auto CallStore() -> void {
     if (state_ == State::kCalling || state_ == State::kWithdrawn) return;
     timer_.reset();
-    const MonotonicTime called_at = SystemClock().Now();
+    const MonotonicTime called_at = workers_.Now();
     if (lease_ != 0) {
       state_ = State::kCalling;
       store_.KeepAlive(
@@ -77,6 +82,7 @@
       return;
     }
     state_ = State::kCalling;
+    is_removed_ = false;
     store_.Grant(kLeaseLifetime, [this, called_at](absl::StatusOr<StoreLease> lease) {
       if (!lease.ok()) {
         OnCallFailed("grant", lease.status());
@@ -117,6 +123,10 @@
       return;
     }
     state_ = State::kAnnounced;
+    if (is_removed_) {
+      OnRemoved();
+      return;
+    }
     on_renewal_(called_at);
     ScheduleRenewal();
     if (written_ != value_) Rewrite();
@@ -147,7 +157,7 @@
   }
 
   Store& store_;
-  WorkerPool& workers_;
+  Workers& workers_;
   EventLog& log_;
   const std::string key_;
   std::string value_;
@@ -155,7 +165,8 @@
   const OnRenewal on_renewal_;
   State state_ = State::kIdle;
   std::uint64_t lease_ = 0;
-  std::shared_ptr<WorkerPool::Timer> timer_;
+  bool is_removed_ = false;  ///< Since the last call to renew the lease, or before it.
+  std::shared_ptr<typename Workers::Timer> timer_;
 };
 
 }  // namespace heatherspan
