--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -26,6 +26,8 @@
   GatewayProcess(const GatewayProcess&) = delete;
   auto operator=(const GatewayProcess&) -> GatewayProcess& = delete;
 
+  /// Runs another build from the next start on.
+  auto SetProgram(std::string program) -> void { program_ = std::move(program); }
   /// False if the process can't be started.
   auto Start() -> bool;
   auto Signal(int number) const -> void;
@@ -36,7 +38,7 @@
   auto id() const -> pid_t { return id_; }
 
  private:
-  const std::string program_;
+  std::string program_;
   const std::string settings_path_;
   const std::string log_path_;
   std::atomic<pid_t> id_ = 0;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -37,6 +37,8 @@
   int recovery_s = 15;
   bool print_plan = false;
   app.add_option("--gateway", options.program, "The gateway program")->required();
+  app.add_option("--previous", options.previous,
+                 "The gateway program of the build before; each start changes the build");
   app.add_option("--folder", options.folder, "An existing folder for settings and logs")
       ->required();
   app.add_option("--seed", options.seed, "Seed of the faults and of the callers");
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -228,7 +228,16 @@
   tasks_.emplace(Now() + delay, std::move(task));
 }
 
+auto SoakRun::ChooseBuild(Gateway& gateway) -> void {
+  if (options_.previous.empty()) return;
+  const auto number = &gateway - gateways_.data();
+  const bool is_previous = (number + gateway.starts++) % 2 == 0;
+  gateway.process->SetProgram(is_previous ? options_.previous : options_.program);
+  Log(fmt::format("{} starts with the {} build", gateway.name, is_previous ? "previous" : "new"));
+}
+
 auto SoakRun::StartGateway(Gateway& gateway) -> void {
+  ChooseBuild(gateway);
   gateway.ending = false;
   gateway.restart_at = MonotonicTime::max();
   gateway.stop_deadline = MonotonicTime::max();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -25,7 +25,9 @@
  public:
   struct Options {
     std::string program;  ///< Path of the gateway program.
-    std::string folder;   ///< For settings and logs; exists.
+    /// Path of the build before; empty to run one build. Each start of a gateway changes the build.
+    std::string previous;
+    std::string folder;  ///< For settings and logs; exists.
     std::uint64_t seed = 1;
     Duration length = std::chrono::seconds(15);  ///< Of the faults.
     Duration recovery = std::chrono::seconds(15);
@@ -59,6 +61,7 @@
     MonotonicTime stop_deadline = MonotonicTime::max();
     MonotonicTime restart_at = MonotonicTime::max();
     Duration down_time{};
+    int starts = 0;
     int log_lines = 200;  ///< The setting that a reload changes.
   };
   struct Target {
@@ -77,6 +80,8 @@
   auto AddTarget(int number) -> void;
   auto WriteSettings(Gateway& gateway) -> void;
   auto StartGateway(Gateway& gateway) -> void;
+  /// Chooses the build for the gateway's next start.
+  auto ChooseBuild(Gateway& gateway) -> void;
   auto Register(Target& target, const std::string& state) -> void;
   auto PutPolicy() -> void;
   auto AwaitReady() -> bool;
