--- /dev/null
+++ b/src/base/build_version.cc
@@ -0,0 +1,7 @@
+#include "base/build_version.h"
+
+namespace heatherspan {
+
+auto BuildVersion() -> std::string_view { return HS_BUILD_VERSION; }
+
+}  // namespace heatherspan
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "base/build_version.h"
 #include "edge/edge_limits.h"
 #include "edge/edge_settings.h"
 #include "edge/harm_monitor.h"
@@ -123,8 +124,10 @@
       const auto bound = server->Listen(*endpoint);
       if (!bound.ok()) return bound.status();
     }
+    metrics_.Set(Metric::kBuild, {{"version", BuildVersion()}}, 1);
     log_.Write(LogLevel::kInfo, "started",
                {{"node", settings_.node.value()},
+                {"build", BuildVersion()},
                 {"zone", settings_.zone.value()},
                 {"callers", settings_.callers.Text()},
                 {"store", settings_.store.Text()}});
--- a/src/edge/edge_program.h
+++ b/src/edge/edge_program.h
@@ -8,6 +8,7 @@
 #include <iostream>
 #include <string>
 
+#include "base/build_version.h"
 #include "base/file_text.h"
 #include "edge/edge_node.h"
 #include "edge/edge_settings.h"
@@ -30,6 +31,7 @@
     bool check = false;
     app.add_option("--settings", path, "Settings file (TOML)")->required();
     app.add_flag("--check", check, "Check the settings and exit");
+    app.set_version_flag("--version", std::string(BuildVersion()));
     try {
       app.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -8,6 +8,7 @@
 
 /// The metrics of the daemon.
 enum class Metric : std::size_t {
+  kBuild,
   kLookups,
   kRequests,
   kRefusals,
@@ -51,6 +52,8 @@
 
 inline constexpr std::array<MetricDescription, static_cast<std::size_t>(Metric::kCount)>
     kMetricDescriptions = {{
+        {Metric::kBuild, "heatherspan_build_info", MetricKind::kGauge,
+         "1, with the version and revision of the running build."},
         {Metric::kLookups, "heatherspan_lookups_total", MetricKind::kCounter,
          "Look-ups by result."},
         {Metric::kRequests, "heatherspan_requests_total", MetricKind::kCounter,
--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -32,6 +32,18 @@
             std::string::npos);
 }
 
+// Guards against an upgrade in which nobody can tell which VM runs which build.
+TEST_F(EdgeNodeTest, NamesItsBuildInMetricsAndLog) {
+  store_.Put("op/config", Policy(1));
+  Start();
+  const std::string version(BuildVersion());
+  EXPECT_NE(Get(settings_.metrics, "/metrics")
+                .body.find("heatherspan_build_info{version=\"" + version + "\"} 1"),
+            std::string::npos);
+  node_.reset();
+  EXPECT_NE(log_capture_.Text().find("build=" + version), std::string::npos);
+}
+
 // Guards against requests that can't be traced: each request writes a log line with its id and the
 // inputs of the decision.
 TEST_F(EdgeNodeTest, LogsEachRequest) {
--- a/tests/edge/edge_settings_test.cc
+++ b/tests/edge/edge_settings_test.cc
@@ -54,6 +54,23 @@
   EXPECT_THAT(message, HasSubstr("did you mean \"level\"?"));
 }
 
+/// The parameter is the build whose deploy template gave the file.
+class EarlierSettingsTest : public testing::TestWithParam<std::string> {};
+
+// Guards against an upgrade that refuses the settings of a build that is in use.
+TEST_P(EarlierSettingsTest, AreAccepted) {
+  const auto path = std::string(HS_TEST_DATA_DIR "/earlier_settings/") + GetParam() + ".toml";
+  const auto text = ReadFileText(path);
+  ASSERT_TRUE(text.has_value()) << path;
+  const auto settings = ReadEdgeSettings(*text, path);
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->bounds.retry_allowance, 60);
+}
+
+// One file for each form that the template has had.
+INSTANTIATE_TEST_SUITE_P(Builds, EarlierSettingsTest, testing::Values("f0961b4", "2d5f177"),
+                         [](const auto& param_info) { return param_info.param; });
+
 TEST(EdgeSettings, ReportsMissingTables) {
   const auto settings = ReadEdgeSettings("", "file");
   ASSERT_FALSE(settings.ok());
