daemon: a late copy of a refusal is no answer to the next request

What callers saw: heatherspand answered a booking with 503 not-run although its target ran it; a caller who trusts the promise books twice, and the router itself may send the request to another node.

Cause: heatherspand's client of targets had no correlation header.

Change: the client asks targets' answers for the request's id. An answer that names another request is dropped; a refusal that names none, on a connection that has had an exchange before, is 'may have run'. The stand-in targets name the request.

Evidence: daemon.NodeTest.ARepeatedRefusalIsNoAnswerToTheNextRequest failed before with "503 not-run target-refused" in place of "502 may-have-run target-refused", at its first request that ran behind a copy.

What remains: an answer that is no refusal and names no request is still accepted on a used connection, as targets may not know the field.

--- a/src/daemon/daemon_limits.cc
+++ b/src/daemon/daemon_limits.cc
@@ -1,6 +1,9 @@
 #include "daemon/daemon_limits.h"
 
 #include <cstddef>
+#include <string>
+
+#include "daemon/header_names.h"
 
 namespace heatherspan {
 
@@ -24,6 +27,7 @@
 auto TargetLimits(const Settings& settings) -> HttpClient::Limits {
   HttpClient::Limits limits;
   limits.max_response_bytes = static_cast<std::size_t>(settings.limits.max_response_bytes);
+  limits.correlation_header = std::string(kRequestIdHeader);
   return limits;
 }
 
--- a/src/daemon/target_exchange.cc
+++ b/src/daemon/target_exchange.cc
@@ -29,8 +29,11 @@
   return std::nullopt;
 }
 
-auto InterpretResponse(HttpResponse response) -> ExchangeResult {
+auto InterpretResponse(HttpResponse response, bool may_be_repeated) -> ExchangeResult {
   if (const auto refusal = RefusalOutcome(response); refusal.has_value()) {
+    if (may_be_repeated) {
+      return {RefusalForwardResponse(Verdict::kMayHaveRun, Reason::kTargetRefused), *refusal};
+    }
     const auto reason =
         *refusal == TargetOutcome::kDeadlineRefused ? Reason::kDeadline : Reason::kTargetRefused;
     return {RefusalForwardResponse(Verdict::kNotRun, reason), *refusal};
@@ -83,7 +86,9 @@
 }
 
 auto InterpretExchange(HttpResult result) -> ExchangeResult {
-  if (result.status.ok()) return InterpretResponse(std::move(result.response));
+  if (result.status.ok()) {
+    return InterpretResponse(std::move(result.response), result.may_be_repeated);
+  }
   return InterpretFailure(result);
 }
 
--- a/standins/target_model.cc
+++ b/standins/target_model.cc
@@ -13,6 +13,8 @@
 
 using nlohmann::json;
 
+constexpr std::string_view kRequestIdHeader = "Heatherspan-Request-Id";
+
 auto Refused(std::string_view reason) -> HttpResponse {
   return {.status = 503, .headers = {{"Target-Refused", std::string(reason)}}, .body = ""};
 }
@@ -68,10 +70,13 @@
 
 auto TargetModel::Begin(const HttpRequest& request, MonotonicTime now, Random& random) -> Start {
   if (const auto reason = RefusalReason(request); !reason.empty()) {
-    return {.refusal = Refused(reason)};
+    auto refusal = Refused(reason);
+    refusal.headers.push_back(
+        {std::string(kRequestIdHeader), std::string(request.Header(kRequestIdHeader))});
+    return {.refusal = std::move(refusal)};
   }
   Running running{.log_index = 0,
-                  .request_id = std::string(request.Header("Heatherspan-Request-Id")),
+                  .request_id = std::string(request.Header(kRequestIdHeader)),
                   .ticket = std::string(request.Header("Heatherspan-Ticket")),
                   .digest = RequestDigest(request.method, request.target, request.body)};
   running.log_index = log_.Add({.target = name_,
@@ -101,7 +106,8 @@
                           .ticket = running.ticket,
                           .digest = running.digest};
   return {.status = 200,
-          .headers = {{"Content-Type", "text/plain"}},
+          .headers = {{"Content-Type", "text/plain"},
+                      {std::string(kRequestIdHeader), running.request_id}},
           .body = answer.Compose(behaviour_.answer_bytes)};
 }
 
--- a/tests/daemon/node_test.cc
+++ b/tests/daemon/node_test.cc
@@ -207,6 +207,26 @@
   }
 }
 
+// Guards against a booking that is refused, or sent again, because a late copy of an earlier
+// refusal passes for the answer to it.
+TEST_F(NodeTest, ARepeatedRefusalIsNoAnswerToTheNextRequest) {
+  cluster_.StartTwoNodes();
+  auto& target = cluster_.scripted();
+  target.SetAnswer("HTTP/1.1 503 No\r\nTarget-Refused: shed\r\nContent-Length: 0\r\n\r\n");
+  target.RepeatAnswers();
+  EXPECT_TRUE(TestCluster::WaitUntil([&] {
+    const auto ticket = Ticket("entry-1");
+    const auto before = target.repeats();
+    const auto response = cluster_.Send("entry-1", "POST", "/v1/services/scripted/orders",
+                                        {{"Heatherspan-Ticket", ticket}});
+    const bool ran = target.repeats() > before;
+    if (ran) {
+      EXPECT_EQ(Verdict(response), "502 may-have-run target-refused");
+    }
+    return HasFailure() || ran;
+  }));
+}
+
 // Guards against a refusal by one target that reaches the caller although another target has free
 // slots.
 TEST_F(NodeTest, RetriesShedRequestsAtAnotherTarget) {
--- a/tests/daemon/scripted_target.cc
+++ b/tests/daemon/scripted_target.cc
@@ -16,6 +16,7 @@
   tcp::socket socket;
   std::string input;
   std::string output;
+  std::string repeated;  ///< The answer that comes again.
 };
 
 ScriptedTarget::ScriptedTarget(boost::asio::io_context& context)
@@ -52,19 +53,32 @@
   return requests_;
 }
 
+auto ScriptedTarget::RepeatAnswers() -> void {
+  const std::lock_guard lock(mutex_);
+  repeating_ = true;
+}
+
+auto ScriptedTarget::repeats() const -> int {
+  const std::lock_guard lock(mutex_);
+  return repeats_;
+}
+
 auto ScriptedTarget::Accept() -> void {
   acceptor_.async_accept([this](Error error, tcp::socket socket) {
     if (error) return;
-    const auto connection = std::make_shared<Connection>(std::move(socket));
-    boost::asio::async_read_until(connection->socket,
-                                  boost::asio::dynamic_buffer(connection->input), "\r\n\r\n",
-                                  [this, connection](Error failure, std::size_t /*size*/) {
-                                    if (!failure) OnRequest(connection);
-                                  });
+    Read(std::make_shared<Connection>(std::move(socket)));
     Accept();
   });
 }
 
+auto ScriptedTarget::Read(const std::shared_ptr<Connection>& connection) -> void {
+  boost::asio::async_read_until(connection->socket, boost::asio::dynamic_buffer(connection->input),
+                                "\r\n\r\n",
+                                [this, connection](Error failure, std::size_t /*size*/) {
+                                  if (!failure) OnRequest(connection);
+                                });
+}
+
 auto ScriptedTarget::OnRequest(const std::shared_ptr<Connection>& connection) -> void {
   if (connection->input.starts_with("GET /-/")) {
     return Answer(connection,
@@ -73,10 +87,25 @@
   }
   const std::lock_guard lock(mutex_);
   ++requests_;
+  if (repeating_) return AnswerAndRepeat(connection);
   if (holding_) return held_.push_back(connection);
   Answer(connection, answer_);
 }
 
+auto ScriptedTarget::AnswerAndRepeat(const std::shared_ptr<Connection>& connection) -> void {
+  if (connection->repeated.empty()) {
+    connection->output = connection->repeated = answer_;
+  } else {
+    ++repeats_;
+    connection->output = connection->repeated + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  }
+  connection->input.clear();
+  boost::asio::async_write(connection->socket, boost::asio::buffer(connection->output),
+                           [this, connection](Error error, std::size_t /*size*/) {
+                             if (!error) Read(connection);
+                           });
+}
+
 auto ScriptedTarget::Answer(const std::shared_ptr<Connection>& connection, std::string bytes)
     -> void {
   connection->output = std::move(bytes);
--- a/tests/daemon/scripted_target.h
+++ b/tests/daemon/scripted_target.h
@@ -12,8 +12,8 @@
 namespace heatherspan {
 
 /// A target that answers each request with the bytes that the test has set, then closes the
-/// connection. Its answers to probes are those of a healthy target. Thread-safe; the handlers run
-/// on the context's thread.
+/// connection unless it repeats its answers. Its answers to probes are those of a healthy target.
+/// Thread-safe; the handlers run on the context's thread.
 class ScriptedTarget {
  public:
   explicit ScriptedTarget(boost::asio::io_context& context);
@@ -25,12 +25,19 @@
   auto Release() -> void;
   /// The number of requests received, without probes.
   auto requests() const -> int;
+  /// From now on, connections stay open, and the first answer on each comes a second time in front
+  /// of the answer to the next request, which runs. Requests must have no body.
+  auto RepeatAnswers() -> void;
+  /// The number of requests that ran behind a repeated answer.
+  auto repeats() const -> int;
 
  private:
   struct Connection;
 
   auto Accept() -> void;
   auto OnRequest(const std::shared_ptr<Connection>& connection) -> void;
+  auto Read(const std::shared_ptr<Connection>& connection) -> void;
+  auto AnswerAndRepeat(const std::shared_ptr<Connection>& connection) -> void;
   static auto Answer(const std::shared_ptr<Connection>& connection, std::string bytes) -> void;
 
   boost::asio::io_context& context_;
@@ -41,7 +48,9 @@
   /// has run.
   std::string answer_ = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
   bool holding_ = false;
+  bool repeating_ = false;
   int requests_ = 0;
+  int repeats_ = 0;
   std::vector<std::shared_ptr<Connection>> held_;
 };
 
--- a/tests/daemon/target_exchange_test.cc
+++ b/tests/daemon/target_exchange_test.cc
@@ -17,6 +17,7 @@
   const char* target_refused;
   Verdict verdict;
   Reason reason;
+  bool may_be_repeated = false;
 };
 
 auto Interpret(const ExchangeCase& test) -> ExchangeResult {
@@ -24,6 +25,7 @@
   result.status = test.status;
   result.progress = test.progress;
   result.response.status = test.http_status;
+  result.may_be_repeated = test.may_be_repeated;
   if (*test.target_refused != '\0') {
     result.response.headers.push_back({"Target-Refused", test.target_refused});
   }
@@ -46,6 +48,8 @@
        Reason::kTargetRefused},
       {"draining", absl::OkStatus(), SendProgress::kCompleted, 503, "draining", Verdict::kNotRun,
        Reason::kTargetRefused},
+      {"shed that may answer an earlier request", absl::OkStatus(), SendProgress::kCompleted, 503,
+       "shed", Verdict::kMayHaveRun, Reason::kTargetRefused, true},
       {"shed without 503", absl::OkStatus(), SendProgress::kCompleted, 200, "shed", Verdict::kRan,
        Reason::kNone},
       {"no connection", lost, SendProgress::kNothingWritten, 0, "", Verdict::kNotRun,
