net: an exchange tells how it went

Cause: the result of an exchange had its status and progress only. Whether a false "not run" came from an answer to another request, from a copy on a used connection or from a write that counted as empty couldn't be told afterwards.

Change: HttpResult carries an ExchangeTrace: the connection's number, its earlier exchanges, the bytes of the request and those reported as taken, the answers to other requests that were dropped, whose request the answer names, and the order of write, answer and end.

--- /dev/null
+++ b/src/net/correlated_response_reader.cc
@@ -0,0 +1,160 @@
+#include "net/correlated_response_reader.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "fmt/format.h"
+#include "net/http_client_state.h"
+#include "net/http_request.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr std::size_t kInitialBufferBytes = std::size_t{4} * 1024;
+// Long bodies are read in pieces of this size; a header has to fit in.
+constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
+// Bodies up to this size are read whatever others take.
+constexpr std::size_t kSmallBodyBytes = std::size_t{64} * 1024;
+// More responses to other requests in front of one response come from a peer that sends without
+// end.
+constexpr int kMaxForeignResponses = 16;
+
+}  // namespace
+
+CorrelatedResponseReader::CorrelatedResponseReader(std::string peer,
+                                                   std::shared_ptr<HttpClientState> client)
+    : peer_(std::move(peer)),
+      client_(std::move(client)),
+      reader_(client_->limits().max_response_bytes, client_->limits().accept_unframed_responses) {}
+
+CorrelatedResponseReader::~CorrelatedResponseReader() { SetReadingBytes(0); }
+
+auto CorrelatedResponseReader::OnConnected() -> void {
+  buffer_.resize(kInitialBufferBytes);
+  end_ = 0;
+  in_step_ = true;
+}
+
+auto CorrelatedResponseReader::Start(const HttpRequest& request, bool reused) -> void {
+  const auto& name = client_->limits().correlation_header;
+  expected_ = name.empty() ? std::string_view() : request.Header(name);
+  is_head_request_ = request.method == "HEAD";
+  is_reused_ = reused;
+  has_started_ = false;
+  foreign_responses_ = 0;
+  reader_.Start(is_head_request_);
+}
+
+auto CorrelatedResponseReader::Shrink() -> void {
+  if (buffer_.size() > kInitialBufferBytes) buffer_ = std::vector<char>(kInitialBufferBytes);
+}
+
+auto CorrelatedResponseReader::Abandon() -> void {
+  reader_.Start(false);
+  SetReadingBytes(0);
+}
+
+auto CorrelatedResponseReader::Space() -> std::span<char> {
+  if (end_ == buffer_.size()) {
+    if (buffer_.size() >= kMaxBufferBytes) return {};
+    buffer_.resize(buffer_.size() * 2);
+  }
+  return std::span(buffer_).subspan(end_);
+}
+
+auto CorrelatedResponseReader::OnBytes(std::size_t size) -> absl::Status {
+  end_ += size;
+  if (end_ == buffer_.size() && end_ < kMaxBufferBytes) buffer_.resize(buffer_.size() * 2);
+  has_started_ = true;
+  do {
+    if (auto status = Parse(); !status.ok()) return status;
+    if (!reader_.done() || !DropForeignResponse()) return absl::OkStatus();
+    if (foreign_responses_ > kMaxForeignResponses) {
+      return absl::DataLossError(
+          fmt::format("{} sends responses to other requests without end", peer_));
+    }
+  } while (end_ > 0);
+  return absl::OkStatus();
+}
+
+auto CorrelatedResponseReader::OnEndOfInput() -> bool {
+  reader_.OnEndOfInput();
+  return reader_.done() && reader_.error() == HttpReadError::kNone && !DropForeignResponse();
+}
+
+auto CorrelatedResponseReader::Parse() -> absl::Status {
+  const auto used = reader_.Read({buffer_.data(), end_});
+  std::copy(buffer_.begin() + static_cast<std::ptrdiff_t>(used),
+            buffer_.begin() + static_cast<std::ptrdiff_t>(end_), buffer_.begin());
+  end_ -= used;
+  if (!SetReadingBytes(reader_.response().body.capacity())) {
+    return absl::ResourceExhaustedError(fmt::format(
+        "the response from {} is one of the largest, and all that are being read take more than "
+        "{} bytes",
+        peer_, client_->limits().max_reading_bytes));
+  }
+  switch (reader_.error()) {
+    case HttpReadError::kNone:
+      break;
+    case HttpReadError::kHeaderTooLarge:
+    case HttpReadError::kBodyTooLarge:
+      return absl::ResourceExhaustedError(
+          fmt::format("the response from {} is larger than {} bytes", peer_,
+                      client_->limits().max_response_bytes));
+    case HttpReadError::kNoLength:
+      return absl::DataLossError(fmt::format(
+          "the response from {} has neither Content-Length nor chunked encoding, so that a "
+          "truncation would go unnoticed",
+          peer_));
+    case HttpReadError::kMalformed:
+      return absl::DataLossError(fmt::format("malformed response from {}", peer_));
+  }
+  return absl::OkStatus();
+}
+
+auto CorrelatedResponseReader::SetReadingBytes(std::size_t bytes) -> bool {
+  if (bytes <= kSmallBodyBytes) bytes = 0;
+  return client_->response_memory().Change(std::exchange(reading_bytes_, bytes), bytes);
+}
+
+/// A late second response to an earlier request stands where the response to this one is due.
+auto CorrelatedResponseReader::DropForeignResponse() -> bool {
+  if (identity() != AnswerIdentity::kOtherRequest) return false;
+  in_step_ = false;
+  ++foreign_responses_;
+  reader_.Start(is_head_request_);
+  return true;
+}
+
+auto CorrelatedResponseReader::identity() const -> AnswerIdentity {
+  if (!has_started_ || !reader_.head_done()) return AnswerIdentity::kNoAnswer;
+  if (expected_.empty()) return AnswerIdentity::kUnnamed;
+  const auto found = reader_.response().Header(client_->limits().correlation_header);
+  if (found.empty()) return AnswerIdentity::kUnnamed;
+  return found == expected_ ? AnswerIdentity::kThisRequest : AnswerIdentity::kOtherRequest;
+}
+
+auto CorrelatedResponseReader::may_be_repeated() const -> bool {
+  return is_reused_ && !expected_.empty() && identity() == AnswerIdentity::kUnnamed;
+}
+
+auto CorrelatedResponseReader::HeadOfResponse() const -> HttpResponse {
+  HttpResponse head;
+  const auto known = identity();
+  if (known == AnswerIdentity::kNoAnswer || known == AnswerIdentity::kOtherRequest ||
+      may_be_repeated()) {
+    return head;
+  }
+  head.status = reader_.response().status;
+  head.headers = reader_.response().headers;
+  return head;
+}
+
+auto CorrelatedResponseReader::Take() -> HttpResponse {
+  auto response = reader_.Take();
+  SetReadingBytes(0);
+  return response;
+}
+
+}  // namespace heatherspan
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -12,12 +14,11 @@
 #include <cerrno>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "base/number_text.h"
 #include "fmt/format.h"
+#include "net/correlated_response_reader.h"
 #include "net/http_client_state.h"
-#include "net/http_reader.h"
 #include "net/http_text.h"
 #include "net/path_timeouts.h"
 #include "net/worker_pool.h"
@@ -33,16 +34,27 @@
 
 // The peer counts the idle time from when it sent its response, and closes without a warning.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(500);
-constexpr std::size_t kInitialBufferBytes = std::size_t{4} * 1024;
-// Long bodies are read in pieces of this size; a header has to fit in.
-constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
 // Bodies up to this size are copied behind the header, which is cheaper than a second buffer.
 constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} * 1024;
-// Bodies up to this size are read whatever others take.
-constexpr std::size_t kSmallBodyBytes = std::size_t{64} * 1024;
-// More responses to other requests in front of one response come from a peer that sends without
-// end.
-constexpr int kMaxForeignResponses = 16;
+
+/// Numbers the connections of all clients.
+auto NextConnectionNumber() -> ConnectionNumber {
+  static std::atomic<std::uint64_t> last{0};
+  return ConnectionNumber(last.fetch_add(1) + 1);
+}
+
+auto EventOf(const ErrorCode& error) -> ExchangeEvent {
+  namespace errors = asio::error;
+  if (error == errors::eof) return ExchangeEvent::kClose;
+  if (error == errors::connection_refused) return ExchangeEvent::kRefused;
+  const bool reset = error == errors::connection_reset || error == errors::broken_pipe;
+  return reset ? ExchangeEvent::kReset : ExchangeEvent::kFailure;
+}
+
+auto EventOf(const absl::Status& status) -> ExchangeEvent {
+  if (absl::IsDeadlineExceeded(status)) return ExchangeEvent::kDeadline;
+  return absl::IsCancelled(status) ? ExchangeEvent::kCancel : ExchangeEvent::kFailure;
+}
 
 /// Private methods run on the strand.
 class Connection final : public HttpClientConnection,
@@ -54,10 +66,9 @@
         timer_(strand_),
         endpoint_(std::move(endpoint)),
         client_(std::move(client)),
-        reader_(client_->limits().max_response_bytes, client_->limits().accept_unframed_responses) {
-  }
+        responses_(endpoint_.Text(), client_) {}
 
-  ~Connection() override { SetReadingBytes(0); }
+  ~Connection() override = default;
   Connection(const Connection&) = delete;
   auto operator=(const Connection&) -> Connection& = delete;
 
@@ -99,16 +110,13 @@
   auto ReadMore() -> void;
   auto OnRead(const ErrorCode& error, std::size_t size) -> void;
   auto OnReadError(const ErrorCode& error) -> void;
-  auto ParseInput() -> void;
-  /// Returns false if the response has to be given up.
-  auto SetReadingBytes(std::size_t bytes) -> bool;
-  auto DropForeignResponse() -> bool;
-  auto NamesOtherRequest() const -> bool;
-  auto MayBeRepeated() const -> bool;
-  auto HeadOfResponse() const -> HttpResponse;
   auto IdleTimeout(const HttpResponse& response) const -> Duration;
   auto FinishIfComplete() -> void;
-  auto Fail(absl::Status status, ConnectionEnd end = ConnectionEnd::kOther) -> void;
+  auto TraceForeignResponses(int count_before) -> void;
+  auto FinalTrace() const -> ExchangeTrace;
+  auto Fail(absl::Status status) -> void;
+  auto Fail(absl::Status status, const ErrorCode& error) -> void;
+  auto Fail(absl::Status status, ExchangeEvent event, ConnectionEnd end) -> void;
   auto CloseSocket() -> void;
   auto SetDeadline(SteadyClock::time_point deadline) -> void;
   auto OnTimer() -> void;
@@ -118,12 +126,12 @@
   asio::steady_timer timer_;
   const Endpoint endpoint_;
   const std::shared_ptr<HttpClientState> client_;
-  HttpResponseReader reader_;
-  std::vector<char> buffer_;
-  std::size_t end_ = 0;  ///< Bytes in the buffer that are not read yet.
+  CorrelatedResponseReader responses_;
   std::string output_;
   State state_ = State::kClosed;
   std::uint64_t socket_number_ = 0;  ///< Handlers of earlier sockets are told by it.
+  ConnectionNumber connection_number_;
+  int earlier_exchanges_ = 0;  ///< On the socket.
 
   // The present exchange.
   std::uint64_t exchange_ = 0;
@@ -132,11 +140,7 @@
   SendProgress progress_ = SendProgress::kNothingWritten;
   bool write_done_ = false;
   bool write_failed_ = false;
-  bool response_started_ = false;
-  int foreign_responses_ = 0;
-  std::size_t reading_bytes_ = 0;  ///< Memory of the body that is being read, unless it is small.
-  bool is_reused_ = false;         ///< The connection has had another exchange.
-  bool out_of_step_ = false;  ///< A response to another request came: nothing more may be sent.
+  ExchangeTrace trace_;
   SteadyClock::time_point exchange_deadline_;
 
   SteadyClock::time_point deadline_ = SteadyClock::time_point::max();
@@ -150,6 +154,7 @@
   callback_ = std::move(callback);
   progress_ = SendProgress::kNothingWritten;
   exchange_deadline_ = deadline;
+  trace_ = ExchangeTrace();
   if (state_ == State::kIdle && !ClosedByPeer()) {
     WriteRequest(true);
   } else {
@@ -176,6 +181,8 @@
     return;
   }
   state_ = State::kConnecting;
+  connection_number_ = NextConnectionNumber();
+  earlier_exchanges_ = 0;
   SetDeadline(
       std::min(exchange_deadline_,
                SteadyClock::time_point(SteadyClock::now() + client_->limits().connect_timeout)));
@@ -199,14 +206,12 @@
   if (error) {
     Fail(absl::UnavailableError(
              fmt::format("cannot connect to {}: {}", endpoint_.Text(), error.message())),
-         ConnectionEndOf(error));
+         error);
     return;
   }
   ErrorCode ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-  buffer_.resize(kInitialBufferBytes);
-  end_ = 0;
-  out_of_step_ = false;
+  responses_.OnConnected();
   WriteRequest(false);
   // The socket may have failed at the first write.
   if (state_ == State::kExchange) ReadMore();
@@ -222,13 +227,10 @@
 
 auto Connection::WriteRequest(bool reused) -> void {
   state_ = State::kExchange;
-  is_reused_ = reused;
   SetDeadline(exchange_deadline_);
   write_done_ = false;
   write_failed_ = false;
-  response_started_ = false;
-  foreign_responses_ = 0;
-  reader_.Start(request_.method == "HEAD");
+  responses_.Start(request_, reused);
   output_.clear();
   const auto own_host = request_.Header("Host");
   const bool forward = client_->limits().forward_host && !own_host.empty();
@@ -238,7 +240,14 @@
   const std::array buffers{
       asio::const_buffer(output_.data(), output_.size()),
       asio::const_buffer(request_.body.data(), copied ? 0 : request_.body.size())};
-  asio::async_write(socket_, buffers,
+  trace_.request_bytes = output_.size() + buffers[1].size();
+  // Counts what is taken; the handler keeps the connection alive.
+  const auto condition = [this, number = socket_number_, exchange = exchange_](
+                             const ErrorCode& error, std::size_t size) {
+    if (socket_number_ == number && exchange_ == exchange) trace_.written_bytes = size;
+    return asio::transfer_all()(error, size);
+  };
+  asio::async_write(socket_, buffers, condition,
                     [self = shared_from_this(), number = socket_number_, exchange = exchange_,
                      reused](const ErrorCode& error, std::size_t size) {
                       if (self->socket_number_ != number || self->exchange_ != exchange) return;
@@ -251,6 +260,8 @@
 auto Connection::OnWritten(const ErrorCode& error, std::size_t size, bool reused) -> void {
   if (callback_ == nullptr) return;
   write_done_ = true;
+  trace_.written_bytes = size;
+  trace_.events.Add(error ? ExchangeEvent::kWriteFailed : ExchangeEvent::kWrite);
   if (!error) {
     FinishIfComplete();
     return;
@@ -263,23 +274,22 @@
   }
   progress_ = SendProgress::kNothingWritten;
   if (reused) {
+    trace_.events.Add(ExchangeEvent::kReconnect);
     Connect();
     return;
   }
   Fail(absl::UnavailableError(
            fmt::format("the connection to {} failed: {}", endpoint_.Text(), error.message())),
-       ConnectionEndOf(error));
+       error);
 }
 
 auto Connection::ReadMore() -> void {
-  if (end_ == buffer_.size()) {
-    if (buffer_.size() >= kMaxBufferBytes) {
-      Fail(absl::DataLossError(fmt::format("malformed response from {}", endpoint_.Text())));
-      return;
-    }
-    buffer_.resize(buffer_.size() * 2);
+  const auto space = responses_.Space();
+  if (space.empty()) {
+    Fail(absl::DataLossError(fmt::format("malformed response from {}", endpoint_.Text())));
+    return;
   }
-  socket_.async_read_some(asio::buffer(buffer_.data() + end_, buffer_.size() - end_),
+  socket_.async_read_some(asio::buffer(space.data(), space.size()),
                           [self = shared_from_this(), number = socket_number_](
                               const ErrorCode& error, std::size_t size) {
                             if (self->socket_number_ == number) self->OnRead(error, size);
@@ -316,101 +326,40 @@
     OnReadError(error);
     return;
   }
-  end_ += size;
-  if (end_ == buffer_.size() && end_ < kMaxBufferBytes) buffer_.resize(buffer_.size() * 2);
-  ParseInput();
+  const auto foreign_before = responses_.foreign_responses();
+  auto status = responses_.OnBytes(size);
+  TraceForeignResponses(foreign_before);
+  if (!status.ok()) {
+    Fail(std::move(status));
+  } else if (responses_.done()) {
+    trace_.events.Add(ExchangeEvent::kAnswer);
+    FinishIfComplete();
+  } else {
+    ReadMore();
+  }
 }
 
 auto Connection::OnReadError(const ErrorCode& error) -> void {
   if (error == asio::error::eof) {
-    reader_.OnEndOfInput();
-    if (reader_.done() && reader_.error() == HttpReadError::kNone && !DropForeignResponse()) {
+    const auto foreign_before = responses_.foreign_responses();
+    const bool complete = responses_.OnEndOfInput();
+    TraceForeignResponses(foreign_before);
+    if (complete) {
+      trace_.events.Add(ExchangeEvent::kClose);
+      trace_.events.Add(ExchangeEvent::kAnswer);
       FinishIfComplete();
       return;
     }
   }
-  if (response_started_) {
+  if (responses_.has_started()) {
     Fail(absl::DataLossError(
              fmt::format("truncated response from {}: {}", endpoint_.Text(), error.message())),
-         ConnectionEndOf(error));
+         error);
     return;
   }
   Fail(absl::UnavailableError(fmt::format("{} closed the connection without a response: {}",
                                           endpoint_.Text(), error.message())),
-       ConnectionEndOf(error));
-}
-
-auto Connection::ParseInput() -> void {
-  response_started_ = true;
-  const auto used = reader_.Read({buffer_.data(), end_});
-  std::copy(buffer_.begin() + static_cast<std::ptrdiff_t>(used),
-            buffer_.begin() + static_cast<std::ptrdiff_t>(end_), buffer_.begin());
-  end_ -= used;
-  if (!SetReadingBytes(reader_.response().body.capacity())) {
-    Fail(absl::ResourceExhaustedError(fmt::format(
-        "the response from {} is one of the largest, and all that are being read take more than "
-        "{} bytes",
-        endpoint_.Text(), client_->limits().max_reading_bytes)));
-    return;
-  }
-  switch (reader_.error()) {
-    case HttpReadError::kNone:
-      break;
-    case HttpReadError::kHeaderTooLarge:
-    case HttpReadError::kBodyTooLarge:
-      Fail(absl::ResourceExhaustedError(fmt::format("the response from {} is larger than {} bytes",
-                                                    endpoint_.Text(),
-                                                    client_->limits().max_response_bytes)));
-      return;
-    case HttpReadError::kNoLength:
-      Fail(absl::DataLossError(fmt::format(
-          "the response from {} has neither Content-Length nor chunked encoding, so that a "
-          "truncation would go unnoticed",
-          endpoint_.Text())));
-      return;
-    case HttpReadError::kMalformed:
-      Fail(absl::DataLossError(fmt::format("malformed response from {}", endpoint_.Text())));
-      return;
-  }
-  if (!reader_.done()) {
-    ReadMore();
-  } else if (DropForeignResponse()) {
-    if (++foreign_responses_ > kMaxForeignResponses) {
-      Fail(absl::DataLossError(
-          fmt::format("{} sends responses to other requests without end", endpoint_.Text())));
-      return;
-    }
-    end_ > 0 ? ParseInput() : ReadMore();
-  } else {
-    FinishIfComplete();
-  }
-}
-
-auto Connection::SetReadingBytes(std::size_t bytes) -> bool {
-  if (bytes <= kSmallBodyBytes) bytes = 0;
-  return client_->response_memory().Change(std::exchange(reading_bytes_, bytes), bytes);
-}
-
-/// A late second response to an earlier request stands where the response to this one is due.
-auto Connection::DropForeignResponse() -> bool {
-  if (!NamesOtherRequest()) return false;
-  out_of_step_ = true;
-  reader_.Start(request_.method == "HEAD");
-  return true;
-}
-
-auto Connection::NamesOtherRequest() const -> bool {
-  const auto& name = client_->limits().correlation_header;
-  if (name.empty()) return false;
-  const auto expected = request_.Header(name);
-  const auto found = reader_.response().Header(name);
-  return !expected.empty() && !found.empty() && expected != found;
-}
-
-auto Connection::MayBeRepeated() const -> bool {
-  const auto& name = client_->limits().correlation_header;
-  return is_reused_ && !name.empty() && !request_.Header(name).empty() &&
-         reader_.response().Header(name).empty();
+       error);
 }
 
 auto Connection::IdleTimeout(const HttpResponse& response) const -> Duration {
@@ -427,24 +376,26 @@
 }
 
 auto Connection::FinishIfComplete() -> void {
-  if (!reader_.done()) return;
-  const auto idle_timeout = IdleTimeout(reader_.response());
-  const bool may_be_repeated = MayBeRepeated();
-  const bool reusable = !may_be_repeated && write_done_ && !write_failed_ && reader_.keep_alive() &&
-                        end_ == 0 && !out_of_step_ && idle_timeout > Duration::zero();
+  if (!responses_.done()) return;
+  const auto idle_timeout = IdleTimeout(responses_.response());
+  const bool may_be_repeated = responses_.may_be_repeated();
+  const bool reusable = !may_be_repeated && write_done_ && !write_failed_ &&
+                        responses_.keep_alive() && responses_.is_in_step() &&
+                        idle_timeout > Duration::zero();
   // A complete response that overtakes the notice of the write waits for it; one that came before
   // the whole request was sent costs the connection.
   if (!write_done_ && output_.size() + request_.body.size() <= kMaxCopiedBodyBytes) return;
   HttpResult result;
   result.progress = SendProgress::kCompleted;
   result.may_be_repeated = may_be_repeated;
-  result.response = reader_.Take();
-  SetReadingBytes(0);
+  result.trace = FinalTrace();
+  result.response = responses_.Take();
+  ++earlier_exchanges_;
   const auto callback = std::exchange(callback_, nullptr);
   request_ = HttpRequest();
   if (reusable) {
     state_ = State::kIdle;
-    if (buffer_.size() > kInitialBufferBytes) buffer_ = std::vector<char>(kInitialBufferBytes);
+    responses_.Shrink();
     SetDeadline(SteadyClock::now() + idle_timeout);
     WaitForInput();
     if (!client_->GiveBack(endpoint_, shared_from_this())) CloseSocket();
@@ -455,31 +406,44 @@
   callback(std::move(result));
 }
 
-/// The status and the fields of a response that is known to answer the request.
-auto Connection::HeadOfResponse() const -> HttpResponse {
-  HttpResponse head;
-  if (!response_started_ || !reader_.head_done() || MayBeRepeated() || NamesOtherRequest()) {
-    return head;
-  }
-  head.status = reader_.response().status;
-  head.headers = reader_.response().headers;
-  return head;
+auto Connection::TraceForeignResponses(int count_before) -> void {
+  const auto dropped = responses_.foreign_responses() - count_before;
+  if (dropped == 0) return;
+  trace_.foreign_answers += dropped;
+  trace_.events.Add(ExchangeEvent::kOtherAnswer);
+}
+
+auto Connection::FinalTrace() const -> ExchangeTrace {
+  auto trace = trace_;
+  trace.connection = connection_number_;
+  trace.earlier_exchanges = earlier_exchanges_;
+  trace.identity = responses_.identity();
+  return trace;
 }
 
-auto Connection::Fail(absl::Status status, ConnectionEnd end) -> void {
-  auto head = HeadOfResponse();
+auto Connection::Fail(absl::Status status) -> void {
+  const auto event = EventOf(status);
+  Fail(std::move(status), event, ConnectionEnd::kOther);
+}
+
+auto Connection::Fail(absl::Status status, const ErrorCode& error) -> void {
+  Fail(std::move(status), EventOf(error), ConnectionEndOf(error));
+}
+
+auto Connection::Fail(absl::Status status, ExchangeEvent event, ConnectionEnd end) -> void {
+  trace_.events.Add(event);
+  HttpResult result;
+  result.status = std::move(status);
+  result.progress = progress_;
+  result.response = responses_.HeadOfResponse();
+  result.connection_end = end;
+  result.trace = FinalTrace();
   CloseSocket();
   // The connection may live on in handlers that are pending.
-  reader_.Start(false);
-  SetReadingBytes(0);
+  responses_.Abandon();
   client_->Forget(endpoint_, shared_from_this());
   const auto callback = std::exchange(callback_, nullptr);
   request_ = HttpRequest();
-  HttpResult result;
-  result.status = std::move(status);
-  result.progress = progress_;
-  result.response = std::move(head);
-  result.connection_end = end;
   callback(std::move(result));
 }
 
--- a/src/net/http_result.h
+++ b/src/net/http_result.h
@@ -2,6 +2,7 @@
 
 #include "absl/status/status.h"
 #include "net/connection_end.h"
+#include "net/exchange_trace.h"
 #include "net/http_response.h"
 
 namespace heatherspan {
@@ -22,6 +23,7 @@
   /// The response names no request and came on a connection that was used before: it may be a late
   /// copy of an earlier one.
   bool may_be_repeated = false;
+  ExchangeTrace trace = {};
 };
 
 }  // namespace heatherspan
