--- a/src/observe/event_log.cc
+++ b/src/observe/event_log.cc
@@ -140,6 +140,11 @@
 
 auto EventLog::Write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
     -> void {
+  Write(level, event, std::span(fields.begin(), fields.size()));
+}
+
+auto EventLog::Write(LogLevel level, std::string_view event, std::span<const LogField> fields)
+    -> void {
   if (!IsEnabled(level)) return;
   std::string line = "event=";
   AppendValue(line, event);
--- a/src/observe/event_log.h
+++ b/src/observe/event_log.h
@@ -5,6 +5,7 @@
 #include <initializer_list>
 #include <iosfwd>
 #include <memory>
+#include <span>
 #include <string_view>
 
 #include "observe/log_field.h"
@@ -31,6 +32,7 @@
 
   auto Write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
       -> void;
+  auto Write(LogLevel level, std::string_view event, std::span<const LogField> fields) -> void;
   auto IsEnabled(LogLevel level) const -> bool { return level >= threshold_.load(); }
   auto SetLevel(LogLevel threshold) -> void { threshold_.store(threshold); }
   /// Waits up to about 200 ms until the queued lines are written.
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -35,6 +35,9 @@
   kRequestStandings,
   kStranded,
   kRelayed,
+  kUnattributedAnswers,
+  kNotRunVerdicts,
+  kReconnectedRequests,
   kAdminCalls,
   kCount,
 };
@@ -105,6 +108,15 @@
          "1 while this entry VM reaches no target."},
         {Metric::kRelayed, "heatherspan_relayed_requests_total", MetricKind::kCounter,
          "Requests passed on to another entry VM, by result."},
+        {Metric::kUnattributedAnswers, "heatherspan_unattributed_answers_total",
+         MetricKind::kCounter,
+         "Answers that name another request, or none on a used connection, by service."},
+        {Metric::kNotRunVerdicts, "heatherspan_not_run_verdicts_total", MetricKind::kCounter,
+         "Attempts that count as not run, by what that rests on."},
+        {Metric::kReconnectedRequests, "heatherspan_reconnected_requests_total",
+         MetricKind::kCounter,
+         "Requests sent over a new connection as the write on a used one took nothing, by "
+         "service."},
         {Metric::kAdminCalls, "heatherspan_admin_calls_total", MetricKind::kCounter,
          "Calls to the administration interface by path and status."},
     }};
