edge: attempts and requests tell what their verdicts rest on

Cause: an attempt line had verdict, status and error text. It could not tell a target's false promise from the answer to another request, from a write that counted as empty, from another VM's verdict, or from a route that an older configuration holds for repeatable. Attempts through other VMs had no lines.

Change: AttemptLog writes the lines of attempts with the trace of the exchange, the route's retry rule, the configuration that the route was taken from (kept in the request's attributes at admission) and whether the answer is signed. Attempts through another VM have a line of their own, with the verdict as received. A successful attempt has a line if its request must run once and the attempt was not the first, met answers to other requests, or was sent again. Request lines name the retry rule and that configuration beside the one at the end. No decision reads any of it.

--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -84,6 +84,8 @@
   { T::ForRelay(request, time) } -> std::same_as<HttpRequest>;
   { T::RelayedRequest(request) } -> std::same_as<std::optional<HttpRequest>>;
   { T::ReadReply(result) } -> std::same_as<typename T::Reply>;
+  { T::IsSigned(response) } -> std::same_as<bool>;
+  { T::RelayVerdict(response) } -> std::same_as<std::string_view>;
   { T::PromisesNotRun(response) } -> std::same_as<bool>;
   { T::ForCaller(response) } -> std::same_as<HttpResponse>;
   { T::Refused(time) } -> std::same_as<HttpResponse>;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "base/endpoint.h"
 #include "base/reason.h"
 #include "base/verdict.h"
+#include "edge/attempt_log.h"
 #include "edge/harm_monitor.h"
 #include "edge/platform_ports.h"
 #include "edge/request_log.h"
@@ -54,6 +56,7 @@
         harm_(harm),
         relay_(relay),
         request_log_(core, log, metrics),
+        attempt_log_(log, metrics),
         notices_(core, log, metrics) {}
 
   auto Forward(HttpRequest request, HttpServer::Responder respond) -> void {
@@ -112,10 +115,6 @@
 
   static auto Now() -> MonotonicTime { return SystemClock().Now(); }
 
-  static auto Milliseconds(Duration duration) -> std::int64_t {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-  }
-
   auto Admit(HttpRequest request, HttpServer::Responder respond, bool for_peer) -> void {
     const auto now = Now();
     auto fields = Format::ReadCaller(request);
@@ -223,28 +222,37 @@
     if (!vm.has_value()) return false;
     forwarded.OnSent(TargetName(vm->name.value()));
     active->through = vm->name.value();
-    active->exchange =
-        relay_.Send(*vm, service, active->request, forwarded.deadline() - now, OptionsFor(*active),
-                    [this, active](AttemptOutcome outcome, HttpResponse response) {
-                      OnPassedOn(active, outcome, std::move(response));
-                    });
+    active->exchange = relay_.Send(
+        *vm, service, active->request, forwarded.deadline() - now, OptionsFor(*active),
+        [this, active](AttemptOutcome outcome, std::string_view verdict, HttpResult result) {
+          OnPassedOn(active, outcome, verdict, std::move(result));
+        });
     return true;
   }
 
-  auto OnPassedOn(const ActivePtr& active, AttemptOutcome outcome, HttpResponse response) -> void {
+  auto OnPassedOn(const ActivePtr& active, AttemptOutcome outcome, std::string_view verdict,
+                  HttpResult result) -> void {
     if (active->finished) return;
     active->exchange.reset();
     metrics_.Increment(Metric::kRelayed, {{"result", VerdictText(VerdictOf(outcome))}});
     // The other VM has repeated the request as far as it may be.
     const auto step = active->forwarded.OnEnd(outcome, Now(), [] { return false; });
+    attempt_log_.Count(active->forwarded, outcome, result, true);
+    if (AttemptLog::IsWritten(active->forwarded, outcome, result)) {
+      attempt_log_.Write(active->forwarded,
+                         AttemptLog::RelayedAttempt{active->through, outcome, verdict,
+                                                    Format::IsSigned(result.response),
+                                                    step == RequestStep::kPlace},
+                         result);
+    }
     if (step == RequestStep::kPlace) {
       Place(active);
     } else if (step == RequestStep::kRefuse && outcome == AttemptOutcome::kRefused) {
       // The refusal says when to come back.
       Conclude(active, RequestStep::kDeliver, ReasonOf(outcome), Duration::zero(),
-               std::move(response));
+               std::move(result.response));
     } else {
-      Conclude(active, step, ReasonOf(outcome), kRetryAfterOtherVm, std::move(response));
+      Conclude(active, step, ReasonOf(outcome), kRetryAfterOtherVm, std::move(result.response));
     }
   }
 
@@ -304,17 +312,14 @@
     RecordReach(attempt.target, result, now);
     harm_.OnResult(active->request, active->digest, active->forwarded.attributes().service, attempt,
                    reply.end, result, step == RequestStep::kPlace, now);
-    if (reply.end != AttemptOutcome::kSucceeded) {
-      log_.Write(LogLevel::kInfo, "attempt",
-                 {{"id", active->forwarded.attributes().id.value()},
-                  {"target", attempt.target.value()},
-                  {"end", ReasonText(ReasonOf(reply.end))},
-                  {"request", harm_.DigestOf(active->request).Text()},
-                  {"at_target_ms", Milliseconds(now - attempt.began)},
-                  {"verdict", VerdictText(VerdictOf(reply.end))},
-                  {"status", result.status.ok() ? result.response.status : 0},
-                  {"error", std::string(result.status.message())},
-                  {"next", step == RequestStep::kPlace ? "retry" : "answer"}});
+    attempt_log_.Count(active->forwarded, reply.end, result, false);
+    if (AttemptLog::IsWritten(active->forwarded, reply.end, result)) {
+      attempt_log_.Write(
+          active->forwarded,
+          AttemptLog::Attempt{attempt.target, reply.end, harm_.DigestOf(active->request),
+                              now - attempt.began, Format::IsSigned(result.response),
+                              step == RequestStep::kPlace},
+          result);
     }
     if (step == RequestStep::kPlace) {
       metrics_.Increment(Metric::kRetries, {{"reason", ReasonText(ReasonOf(reply.end))}});
@@ -445,6 +450,7 @@
   HarmMonitor<Format>& harm_;
   RequestRelay<Format>& relay_;
   RequestLog request_log_;
+  AttemptLog attempt_log_;
   TargetNoticeHandler notices_;
   absl::flat_hash_set<ActivePtr> active_;
   MonotonicTime serve_until_ = MonotonicTime::max();
--- a/src/edge/request_log.h
+++ b/src/edge/request_log.h
@@ -7,6 +7,7 @@
 #include "base/reason.h"
 #include "base/time.h"
 #include "base/verdict.h"
+#include "edge/retry_rule_text.h"
 #include "gateway/gateway_core.h"
 #include "observe/event_log.h"
 #include "observe/metrics_registry.h"
@@ -69,6 +70,8 @@
                 {"expected_work_ms", Milliseconds(end.expected_processing_time)},
                 {"patience_ms", Milliseconds(attributes.caller_timeout)},
                 {"returning", attributes.resubmitted ? 1 : 0},
+                {"retry_rule", RetryRuleText(attributes.route.retry_rule)},
+                {"route_config", attributes.config.value()},
                 {"config", ConfigVersionNumber()},
                 {"store_revision", core_.store_revision()},
                 {"store_age_ms", Milliseconds(core_.StoreAge(now))}});
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "edge/platform_ports.h"
@@ -24,7 +25,9 @@
 template <MessageFormat Format>
 class RequestRelay {
  public:
-  using OnAnswer = std::function<void(AttemptOutcome outcome, HttpResponse response)>;
+  /// The verdict is that of the other VM as it has written it.
+  using OnAnswer =
+      std::function<void(AttemptOutcome outcome, std::string_view verdict, HttpResult result)>;
 
   /// The VM seems to have lost its links to all targets.
   using OnStranded = std::function<void()>;
@@ -66,11 +69,12 @@
     return client_.Send(
         vm.peer_endpoint, Format::ForRelay(request, time_left), time_left, options,
         [this, name = vm.name, service, on_answer = std::move(on_answer)](HttpResult result) {
+          const std::string verdict(Format::RelayVerdict(result.response));
           const auto outcome = Format::ReadRelayed(result);
           if (outcome == AttemptOutcome::kNotSent) {
             peers_.OnFailure(name, service, SystemClock().Now());
           }
-          on_answer(outcome, std::move(result.response));
+          on_answer(outcome, verdict, std::move(result));
         });
   }
 
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -47,7 +47,8 @@
  public:
   struct Attributes {
     RequestId id;
-    Route route;  ///< A copy from the time when the request arrived.
+    Route route;           ///< A copy from the time when the request arrived.
+    ConfigVersion config;  ///< That the route was taken from.
     ServiceName service;
     ObjectHash object = 0;
     MonotonicTime arrived;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -94,6 +94,7 @@
   ForwardedRequest::Attributes attributes;
   attributes.id = id;
   attributes.route = route;
+  if (policy_ != nullptr) attributes.config = policy_->version;
   attributes.service = service_selector_.Select(route);
   attributes.object = ObjectOf(route, object);
   attributes.arrived = now;
--- a/tests/edge/stranded_vm_test.cc
+++ b/tests/edge/stranded_vm_test.cc
@@ -76,6 +76,16 @@
   EXPECT_GE(served, 36);
 }
 
+// Guards against a request that ran at two VMs without a line about the second one.
+TEST_F(StrandedVmTest, APeersAnswerToARepeatedRequestHasALine) {
+  StartBoth();
+  EXPECT_EQ(Send("/book/x", "POST").response.status, 200);
+  EXPECT_TRUE(Eventually([&] {
+    return log_capture_.Contains(
+        "event=relayed-attempt id=id-7 vm=n-2 end=none received=ran verdict=ran status=200 ");
+  })) << log_capture_.Text();
+}
+
 // Guards against links that take connections and requests, and answer none, being taken for slow
 // targets.
 TEST_F(StrandedVmTest, ServesThroughAPeerWhileItsLinksAreSilent) {
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <set>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "edge_node_fixture.h"
@@ -219,6 +220,69 @@
   node_.reset();
 }
 
+// Guards against a request that ran twice, or although it was refused, and whose lines don't tell
+// what its verdicts rested on.
+TEST_F(TargetTroubleTest, LinesTellWhatAVerdictRestsOn) {
+  RawTarget target(2, [&, first = true](const RawSocket& socket) mutable {
+    socket.ReadUntil("\r\n\r\n");
+    if (!std::exchange(first, false)) {
+      socket.Send("HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      return;
+    }
+    socket.Send(AnswerTo("id-a", ""));
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(AnswerTo("id-a", "") + AnswerTo("id-b", ""));
+  });
+  StartWith(target);
+  SendWithId("id-a");
+  SendWithId("id-b");
+  EXPECT_EQ(SendWithId("id-c").status, 503);
+  ASSERT_TRUE(Eventually([&] { return log_capture_.Contains("event=request id=id-c"); }));
+  const auto text = log_capture_.Text();
+  const auto line = [&](const std::string& start) {
+    const auto from = text.find(start);
+    return from == std::string::npos ? "" : text.substr(from, text.find('\n', from) - from);
+  };
+  EXPECT_EQ(line("event=attempt id=id-a"), "");
+  const auto dropped = line("event=attempt id=id-b target=i-1 end=none");
+  EXPECT_NE(dropped.find(" verdict=ran status=200 "), std::string::npos) << dropped;
+  EXPECT_NE(
+      dropped.find(" next=answer attempt=1 retry_rule=at-most-once route_config=1 connection="),
+      std::string::npos);
+  EXPECT_NE(dropped.find(" earlier_exchanges=1 written_bytes="), std::string::npos);
+  EXPECT_NE(dropped.find(" dropped_answers=1 answer_names=this signed=1 events="),
+            std::string::npos);
+  const auto refused = line("event=attempt id=id-c target=i-1 end=target-refused");
+  EXPECT_NE(refused.find(" verdict=not-run status=503 "), std::string::npos);
+  EXPECT_NE(refused.find(" earlier_exchanges=0 "), std::string::npos) << refused;
+  EXPECT_NE(refused.find(" dropped_answers=0 answer_names=none signed=0 events="),
+            std::string::npos);
+  const auto metrics = Get(settings_.metrics, "/metrics").body;
+  EXPECT_NE(metrics.find("unattributed_answers_total{service=\"s\",names=\"other\"} 1"),
+            std::string::npos);
+  EXPECT_NE(metrics.find("not_run_verdicts_total{source=\"target-status\"} 1"), std::string::npos);
+  node_.reset();
+}
+
+// Guards against a request whose line names only the configuration at its end, although an earlier
+// one has decided whether it may be repeated.
+TEST_F(TargetTroubleTest, ARequestsLineNamesTheConfigurationOfItsRoute) {
+  TargetStub target("i-1");
+  target.SetBehaviour([this](const HttpRequest&, const HttpServer::Responder& respond) {
+    store_.Put("op/config", Policy(2));
+    EXPECT_TRUE(
+        Eventually([&] { return log_capture_.Contains("configuration-applied version=2"); }));
+    respond({});
+  });
+  store_.Put("op/config", Policy(1));
+  Register(target);
+  Start();
+  Send("/book/x", "POST");
+  EXPECT_TRUE(Eventually([&] {
+    return log_capture_.Contains("retry_rule=at-most-once route_config=1 config=2");
+  })) << log_capture_.Text();
+}
+
 // Guards against a caller who is told that its request has not run, or whose request runs at a
 // second target, because the target wrote an earlier refusal once more on a connection in use.
 TEST_P(RepeatedRefusalTest, DoesNotRefuseAnotherRequest) {
