net: a reset that the write learns of completes no response

Cause: a socket reports a reset once. While a long request is still being written, the write takes the report, and the pending read sees an orderly end, which completes a response without a length. Found while the events of an exchange were logged: 'close' where a reset was sent.

Change: an end of input is judged when the write has ended; after a failed write it completes nothing.

--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -140,6 +140,7 @@
   SendProgress progress_ = SendProgress::kNothingWritten;
   bool write_done_ = false;
   bool write_failed_ = false;
+  bool input_ended_ = false;  ///< The peer has ended the connection while the write was pending.
   ExchangeTrace trace_;
   SteadyClock::time_point exchange_deadline_;
 
@@ -230,6 +231,7 @@
   SetDeadline(exchange_deadline_);
   write_done_ = false;
   write_failed_ = false;
+  input_ended_ = false;
   responses_.Start(request_, reused);
   output_.clear();
   const auto own_host = request_.Header("Host");
@@ -262,14 +264,10 @@
   write_done_ = true;
   trace_.written_bytes = size;
   trace_.events.Add(error ? ExchangeEvent::kWriteFailed : ExchangeEvent::kWrite);
-  if (!error) {
-    FinishIfComplete();
-    return;
-  }
-  write_failed_ = true;
-  if (size > 0) {
+  write_failed_ = error.failed();
+  if (!error || size > 0) {
     // The peer may have answered before it stopped to read; if not, the pending read fails.
-    FinishIfComplete();
+    input_ended_ ? OnReadError(asio::error::eof) : FinishIfComplete();
     return;
   }
   progress_ = SendProgress::kNothingWritten;
@@ -340,7 +338,12 @@
 }
 
 auto Connection::OnReadError(const ErrorCode& error) -> void {
-  if (error == asio::error::eof) {
+  if (error == asio::error::eof && !write_done_ && responses_.has_started()) {
+    // A socket reports a reset only once, here perhaps to the write: its end tells.
+    input_ended_ = true;
+    return;
+  }
+  if (error == asio::error::eof && !write_failed_) {
     const auto foreign_before = responses_.foreign_responses();
     const bool complete = responses_.OnEndOfInput();
     TraceForeignResponses(foreign_before);
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -292,6 +292,25 @@
   EXPECT_FALSE(ResultOf("HTTP/1.1 200 OK\r\nContent-Le").status.ok());
 }
 
+// Guards against a response that was cut by a reset and passes for complete, because the write of
+// the request has taken the notice of the reset and the read sees an orderly end.
+TEST_F(GatewayHttpClientTest, AResetThatAWriteLearnsOfCompletesNoUnframedResponse) {
+  constexpr int kRounds = 5;
+  for (int i = 0; i < kRounds; ++i) {
+    auto request = WithId("1");
+    request.body.assign(std::size_t{64} * 1024 * 1024, 'x');
+    Send(request);
+    auto socket = listener_.Accept();
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send("HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart");
+    // What it has not read makes the close a reset.
+    socket.Close();
+    const auto result = results_.Pop();
+    ASSERT_TRUE(result.has_value());
+    EXPECT_FALSE(result->status.ok()) << "round " << i << ": " << result->response.body;
+  }
+}
+
 // Guards against a head that breaks off at any byte and passes for an answer without a body.
 TEST_F(GatewayHttpClientTest, AHeadThatBreaksOffIsNoAnswer) {
   const std::string head =
