--- a/tests/net/raw_socket.cc
+++ b/tests/net/raw_socket.cc
@@ -59,6 +59,14 @@
   descriptor_ = -1;
 }
 
+auto RawSocket::Shutdown() const -> void { ::shutdown(descriptor_, SHUT_WR); }
+
+auto RawSocket::Reset() -> void {
+  const linger abort{.l_onoff = 1, .l_linger = 0};
+  ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  Close();
+}
+
 auto RawSocket::Send(std::string_view bytes) const -> bool {
   return SendAll(descriptor_, bytes, kTimeoutMs);
 }
@@ -68,7 +76,7 @@
 }
 
 auto RawSocket::ReadSome(std::string& out, std::size_t limit) const -> bool {
-  std::array<char, 4096> buffer{};
+  std::array<char, 65536> buffer;
   if (!WaitFor(descriptor_, POLLIN)) return false;
   const auto size = ::recv(descriptor_, buffer.data(), std::min(limit, buffer.size()), 0);
   if (size <= 0) return false;
--- a/tests/net/raw_socket.h
+++ b/tests/net/raw_socket.h
@@ -31,6 +31,11 @@
   auto ReadSize(std::size_t size) const -> std::string;
   auto ReadUntilClosed() const -> std::string;
   auto Close() -> void;
+  /// Ends the sending direction only.
+  auto Shutdown() const -> void;
+  /// Closes with a reset.
+  auto Reset() -> void;
+  auto descriptor() const -> int { return descriptor_; }
 
  private:
   auto ReadSome(std::string& out, std::size_t limit) const -> bool;
@@ -45,6 +50,7 @@
 
   auto endpoint() const -> const Endpoint& { return endpoint_; }
   auto Accept() const -> RawSocket;
+  auto descriptor() const -> int { return descriptor_; }
 
  private:
   RawSocket socket_;
