--- a/tests/fleet_platform/exchange_order_test.cc
+++ b/tests/fleet_platform/exchange_order_test.cc
@@ -268,6 +268,24 @@
   Report();
 }
 
+// Guards against the head of an answer that goes on where an extra answer has broken off.
+TEST_P(ExchangeOrderTest, AnswersBehindEachPartOfAnExtraAnswer) {
+  if (!previous().answer.has_value()) return;
+  const auto size = AnswerText(*previous().answer, "previous").size();
+  for (const auto& script : AllScripts()) {
+    if (script.form != Form::kWhole || script.read != Read::kAll) continue;
+    for (std::size_t cut = 1; cut < size; ++cut) {
+      Run({.previous = previous(),
+           .script = script,
+           .extra = Extra::kHalfCopy,
+           .when = When::kRequest,
+           .end = End::kFin,
+           .cut = cut});
+    }
+  }
+  Report();
+}
+
 auto AllParameters() -> std::vector<Parameters> {
   std::vector<Parameters> all;
   for (std::size_t previous = 0; previous < AllPrevious().size(); ++previous) {
