--- a/tests/net/raw_socket.cc
+++ b/tests/net/raw_socket.cc
@@ -62,6 +62,7 @@
 auto RawSocket::Shutdown() const -> void { ::shutdown(descriptor_, SHUT_WR); }
 
 auto RawSocket::Reset() -> void {
+  if (descriptor_ < 0) return;
   const linger abort{.l_onoff = 1, .l_linger = 0};
   ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
   Close();
