net: a response whose head holds another status line is malformed

What callers may see: a request that ran is refused or is sent on again (REFUSED, TWICE), or a failure is delivered with the status 200 (MIXED). Cause: a peer breaks off an extra response inside a line and goes on with the response to the present request. The reader takes both for one head: the status and fields of the first, the id of the second. The id check passes, as the id is the request's own. Class: two messages of an unsound stream read as one. Change: a status line ("HTTP/1.d ddd") inside the reason phrase or a field value of a response is an error, so that the exchange counts as "may have run". The later head always begins with one, so nothing else of the first decides. Breaks in other places were errors before. Not shown: that a target of the users' machines did this.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -28,6 +28,22 @@
   return {text.data(), text.size()};
 }
 
+auto IsDigit(char c) -> bool { return c >= '0' && c <= '9'; }
+
+/// Whether the start of a status line is in the text. A peer that breaks off one response inside a
+/// line and goes on with the next would have both taken for one.
+auto HoldsStatusLine(std::string_view text) -> bool {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  for (auto at = text.find(kVersion); at != std::string_view::npos; at = text.find(kVersion)) {
+    text.remove_prefix(at + kVersion.size());
+    if (text.size() >= 5 && IsDigit(text[0]) && text[1] == ' ' && IsDigit(text[2]) &&
+        IsDigit(text[3]) && IsDigit(text[4])) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /// Feeds the fields and the body of one message into the project's own structs, without the
 /// intermediate containers of Beast.
 template <bool is_request, class Message>
@@ -50,9 +66,9 @@
     }
   }
 
-  auto on_response_impl(int code, Text /*phrase*/, int version, ErrorCode& /*error*/)
-      -> void override {
+  auto on_response_impl(int code, Text phrase, int version, ErrorCode& error) -> void override {
     if constexpr (!is_request) {
+      if (HoldsStatusLine(ToView(phrase))) error = http::error::bad_reason;
       message.status = code;
       http_1_0 = version == 10;
     }
@@ -66,6 +82,10 @@
       error = http::error::bad_transfer_encoding;
       return;
     }
+    if (!is_request && HoldsStatusLine(ToView(value))) {
+      error = http::error::bad_value;
+      return;
+    }
     if (field == http::field::expect) {
       expects_continue = EqualHeaderNames(ToView(value), "100-continue");
     }
