edge: a 404 of a peer is "not run" only if it can't be another answer

What callers would see: 503 for a request that must run once and that a peer is running (REFUSED), or a second run at another VM (TWICE). Cause: RequestFormat::ReadRelayed took each 404 without a verdict for the answer of a build that knows no relayed requests, before it asked whether the answer may be a late copy on a connection in use, and also if a target had signed it or it named the request. So that requests are not lost at earlier builds, whose answers name no request, a VM gets relayed requests on new connections until it has answered one with a verdict.

Tests: edge.Answers/UncertainAnswerTest, before: "SendWithId("a", "1500").status Which is: 503", wanted 502, for a bare 404 on a used connection, a signed 404, and one that names the request; the other answers held. RelayedRequestTest.AnEarlierBuildRunsNothing held before; without the new connections: "Which is: 502", wanted 503. The landings that the users ran have no relayed requests before, and a gateway writes no answer twice: that it is what they saw is not shown.

--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -61,16 +61,20 @@
   }
 
   auto Send(const EntryVm& vm, const ServiceName& service, const HttpRequest& request,
-            Duration time_left, const HttpClient::SendOptions& options, OnAnswer on_answer)
+            Duration time_left, HttpClient::SendOptions options, OnAnswer on_answer)
       -> std::shared_ptr<HttpClient::Exchange> {
+    // An answer without a verdict names no request: on a connection that has been used, it may be
+    // the answer to an earlier one.
+    if (!peers_.KnowsRelays(vm.name)) options.max_idle = HttpClient::SendOptions::kNewConnection;
     return client_.Send(
         vm.peer_endpoint, Format::ForRelay(request, time_left), time_left, options,
         [this, name = vm.name, service, on_answer = std::move(on_answer)](HttpResult result) {
-          const auto outcome = Format::ReadRelayed(result);
-          if (outcome == AttemptOutcome::kNotSent) {
+          const auto reply = Format::ReadRelayed(result);
+          if (result.status.ok()) peers_.OnAnswer(name, reply.has_verdict);
+          if (reply.end == AttemptOutcome::kNotSent) {
             peers_.OnFailure(name, service, SystemClock().Now());
           }
-          on_answer(outcome, std::move(result.response));
+          on_answer(reply.end, std::move(result.response));
         });
   }
 
--- a/src/gateway/relay_peers.h
+++ b/src/gateway/relay_peers.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "base/ids.h"
 #include "base/random.h"
 #include "base/time.h"
@@ -25,11 +26,23 @@
   auto OnFailure(const NodeName& vm, const ServiceName& service, MonotonicTime now) -> void {
     blocked_until_[{vm, service}] = now + kBlock;
   }
+  /// The VM has answered a request that was passed on, with a verdict or as one that knows no such
+  /// requests.
+  auto OnAnswer(const NodeName& vm, bool has_verdict) -> void {
+    if (has_verdict) {
+      knowing_.insert(vm);
+    } else {
+      knowing_.erase(vm);
+    }
+  }
+  /// Whether the VM's latest answer had a verdict.
+  auto KnowsRelays(const NodeName& vm) const -> bool { return knowing_.contains(vm); }
   auto Choose(const std::vector<EntryVm>& vms, const NodeName& self, const NodeLocation& location,
               const Route& route, const ServiceName& service, MonotonicTime now, Random& random)
       -> std::optional<EntryVm>;
 
  private:
+  absl::flat_hash_set<NodeName> knowing_;
   absl::flat_hash_map<std::pair<NodeName, ServiceName>, MonotonicTime> blocked_until_;
 };
 
--- /dev/null
+++ b/tests/edge/relayed_request_test.cc
@@ -0,0 +1,95 @@
+#include <string>
+#include <vector>
+
+#include "edge_node_fixture.h"
+#include "scripted_peer.h"
+
+namespace heatherspan {
+namespace {
+
+/// An entry VM that reaches no target, beside a peer that answers as a test asks for.
+class RelayedRequestTest : public EdgeNodeFixture {
+ protected:
+  auto StartStranded(const ScriptedPeer& peer) -> void {
+    constexpr int kUnreachable = 6;
+    store_.Put("op/config", Policy(1));
+    for (int i = 0; i < kUnreachable; ++i) {
+      TargetStub target("i-" + std::to_string(i));
+      Register(target);
+      target.Close();
+    }
+    store_.Put("entry/n-3", peer.Announcement());
+    Start();
+    ASSERT_TRUE(Eventually([&] {
+      Send("/book/x", "POST");
+      return log_capture_.Contains("event=stranded ");
+    }));
+  }
+
+  /// Returns with a connection to the peer that has been used.
+  auto StartBeside(const ScriptedPeer& peer) -> void {
+    StartStranded(peer);
+    ASSERT_EQ(Send("/book/x", "POST").response.status, 200);
+  }
+
+  auto SendWithId(const std::string& id, const std::string& deadline_ms = "4000") -> HttpResponse {
+    auto request = Request("/book/x", "POST");
+    for (auto& header : request.headers) {
+      if (header.name == "Heatherspan-Request-Id") header.value = id;
+      if (header.name == "Heatherspan-Deadline-Ms") header.value = deadline_ms;
+    }
+    return caller_.SendAndWait(settings_.callers, request, kTimeout).response;
+  }
+};
+
+/// An answer to the request "a" that does not prove that the request has not run.
+class UncertainAnswerTest : public RelayedRequestTest,
+                            public testing::WithParamInterface<const char*> {};
+
+// Guards against a caller who is told "not run", or whose request runs once more, because of an
+// answer at a peer's port that may belong to another request, comes from a target, or contradicts
+// itself.
+TEST_P(UncertainAnswerTest, MeansThatTheRequestMayHaveRun) {
+  ScriptedPeer peer([](const std::string& id) {
+    return id == "a" ? std::string(GetParam()) : ScriptedPeer::Served(id);
+  });
+  StartBeside(peer);
+  EXPECT_EQ(SendWithId("a", "1500").status, 502);
+  EXPECT_EQ(peer.Requests("a").size(), 1U);
+  node_.reset();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, UncertainAnswerTest,
+    testing::Values(
+        // A copy of an earlier answer, on a connection in use.
+        "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nHeatherspan-Relay-Verdict: not-run\r\nContent-Length: 0\r\n\r\n",
+        // A target has run the request.
+        "HTTP/1.1 404 Not Found\r\nHeatherspan-Response-Signature: sig\r\n"
+        "Heatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
+        // No verdict, an unknown one, half an answer, none.
+        "HTTP/1.1 503 Full\r\nHeatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 404 Not Found\r\nHeatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nHeatherspan-Relay-Verdict: maybe\r\n"
+        "Heatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 404 Not Found\r\nContent-Le",
+        "HTTP/1.1 503 Full\r\nHeatherspan-Relay-Verdict: not-run\r\nContent-Length: 9\r\n\r\nhalf",
+        ""));
+
+// Guards against requests that are lost at a VM of an earlier build, because its later answers come
+// on connections that have been used.
+TEST_F(RelayedRequestTest, AnEarlierBuildRunsNothing) {
+  ScriptedPeer peer([](const std::string& /*id*/) {
+    return std::string("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+  });
+  StartStranded(peer);
+  EXPECT_TRUE(Eventually([&] {
+    EXPECT_EQ(SendWithId("a").status, 503);
+    return peer.Requests("a").size() >= 3 || HasFailure();
+  }));
+  node_.reset();
+}
+
+}  // namespace
+}  // namespace heatherspan
--- a/tests/fleet_platform/earlier_builds_test.cc
+++ b/tests/fleet_platform/earlier_builds_test.cc
@@ -118,7 +118,7 @@
   HttpResult result;
   result.progress = SendProgress::kCompleted;
   result.response = Recorded("relayed");
-  EXPECT_EQ(RequestFormat::ReadRelayed(result), AttemptOutcome::kNotSent);
+  EXPECT_EQ(RequestFormat::ReadRelayed(result).end, AttemptOutcome::kNotSent);
 }
 
 INSTANTIATE_TEST_SUITE_P(Builds, EarlierBuildTest, testing::Values("9a2f113", "64a7a0a", "2d5f177"),
