platform: a signed answer of a peer can't be of a request that has not run

What callers would see: 503 for a request that has run, or another VM runs it once more; or a success with the verdict "not run" that is delivered as served. Cause: ReadRelayed took the verdict of a relayed request as it stood, also beside a target's signature or a status below 400.

RequestFormat.ReadsTheOutcomeOfARelayedRequest has the table.

--- a/tests/edge/relayed_request_test.cc
+++ b/tests/edge/relayed_request_test.cc
@@ -68,6 +68,21 @@
         // A target has run the request.
         "HTTP/1.1 404 Not Found\r\nHeatherspan-Response-Signature: sig\r\n"
         "Heatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nHeatherspan-Response-Signature: sig\r\n"
+        "Heatherspan-Relay-Verdict: not-run\r\nHeatherspan-Request-Id: a\r\n"
+        "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nHeatherspan-Response-Signature: sig\r\n"
+        "Heatherspan-Relay-Verdict: out-of-reach\r\nHeatherspan-Request-Id: a\r\n"
+        "Content-Length: 0\r\n\r\n",
+        // A status that contradicts the verdict.
+        "HTTP/1.1 200 OK\r\nHeatherspan-Relay-Verdict: not-run\r\nHeatherspan-Request-Id: a\r\n"
+        "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nHeatherspan-Relay-Verdict: ran\r\nHeatherspan-Request-Id: a\r\n"
+        "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 429 Full\r\nHeatherspan-Relay-Verdict: ran\r\nHeatherspan-Request-Id: a\r\n"
+        "Content-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nHeatherspan-Relay-Verdict: may-have-run\r\n"
+        "Heatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
         // No verdict, an unknown one, half an answer, none.
         "HTTP/1.1 503 Full\r\nHeatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 404 Not Found\r\nHeatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n",
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -89,6 +89,31 @@
   EXPECT_EQ(outcome(failed), AttemptOutcome::kLost);
 }
 
+// Guards against a wrong verdict of another entry VM: a signed answer, or one that reports success,
+// is of a request that has run.
+TEST(RequestFormat, ReadsTheOutcomeOfARelayedRequest) {
+  const HeaderField signature{"Heatherspan-Response-Signature", "s"};
+  const auto outcome = [](int status, const std::string& verdict,
+                          std::vector<HeaderField> headers = {}) {
+    headers.push_back({"Heatherspan-Relay-Verdict", verdict});
+    auto result = Answered(status, std::move(headers));
+    return RequestFormat::ReadRelayed(result).end;
+  };
+  for (const int status : {400, 404, 502, 503}) {
+    EXPECT_EQ(outcome(status, "not-run"), AttemptOutcome::kRefused) << status;
+    EXPECT_EQ(outcome(status, "out-of-reach"), AttemptOutcome::kNotSent) << status;
+    for (const auto* text : {"not-run", "out-of-reach", "may-have-run", "unknown"}) {
+      EXPECT_EQ(outcome(status, text, {signature}), AttemptOutcome::kLost) << status << text;
+      EXPECT_EQ(outcome(200, text), AttemptOutcome::kLost) << text;
+    }
+  }
+  EXPECT_EQ(outcome(200, "ran", {signature}), AttemptOutcome::kSucceeded);
+  EXPECT_EQ(outcome(404, "ran", {signature}), AttemptOutcome::kSucceeded);
+  for (const int status : {408, 421, 429, 500, 503}) {
+    EXPECT_EQ(outcome(status, "ran", {signature}), AttemptOutcome::kFailed) << status;
+  }
+}
+
 TEST(RequestFormat, ReadsLoad) {
   const auto load = [](const std::string& text) {
     return RequestFormat::ReadReply(Answered(200, {{"Heatherspan-Backend-Load", text}})).load;
