tests: requests without an answer don't outlive their target

Cause: the fixture kept the responders of silent targets in a member that is destroyed after the targets; a responder that is dropped answers, on a connection whose workers are gone. Change: TargetStub::Hold keeps them in the target, which drops them before its server and workers. The same for the targets of HarmfulRequestTest and of TargetTroubleTest.AStopAnswersEachRequestThatItTakes.

--- a/tests/edge/harmful_request_test.cc
+++ b/tests/edge/harmful_request_test.cc
@@ -49,7 +49,7 @@
 
   auto End(TargetStub& target, const HttpServer::Responder& respond) -> void {
     const std::lock_guard lock(mutex_);
-    held_.push_back(respond);
+    target.Hold(respond);
     ++ended_;
     ends_.emplace_back([&target] { target.Close(); });
   }
@@ -62,7 +62,6 @@
   std::mutex mutex_;
   int ended_ = 0;
   std::vector<std::thread> ends_;
-  std::vector<HttpServer::Responder> held_;  ///< Requests without an answer.
   std::vector<std::unique_ptr<TargetStub>> targets_;
 };
 
--- a/tests/edge/stranded_vm_test.cc
+++ b/tests/edge/stranded_vm_test.cc
@@ -43,21 +43,19 @@
     for (int i = 0; i < kUnreachable; ++i) {
       silent_.push_back(std::make_unique<TargetStub>("i-s" + std::to_string(i)));
       silent_.back()->SetBehaviour(
-          [this, answered](const HttpRequest& request, const HttpServer::Responder& respond) {
+          [answered, target = silent_.back().get()](const HttpRequest& request,
+                                                    const HttpServer::Responder& respond) {
             if (request.target == answered) {
               respond({});
-              return;
+            } else {
+              target->Hold(respond);
             }
-            const std::lock_guard lock(mutex_);
-            held_.push_back(respond);
           });
       Register(*silent_.back());
     }
     StartBoth(0);
   }
 
-  std::mutex mutex_;
-  std::vector<HttpServer::Responder> held_;
   std::vector<std::unique_ptr<TargetStub>> silent_;
   KvStandin second_store_;
   TargetStub target_{"i-live"};
--- a/tests/edge/target_stub.cc
+++ b/tests/edge/target_stub.cc
@@ -34,6 +34,11 @@
   behaviour_ = std::move(behaviour);
 }
 
+auto TargetStub::Hold(const HttpServer::Responder& respond) -> void {
+  const std::lock_guard lock(mutex_);
+  held_.push_back(respond);
+}
+
 auto TargetStub::Requests() const -> std::vector<HttpRequest> {
   const std::lock_guard lock(mutex_);
   return requests_;
--- a/tests/edge/target_stub.h
+++ b/tests/edge/target_stub.h
@@ -22,6 +22,8 @@
   auto Registration(const std::string& state = "ready") const -> std::string;
   auto name() const -> const std::string& { return name_; }
   auto SetBehaviour(Behaviour behaviour) -> void;
+  /// Keeps a request without an answer.
+  auto Hold(const HttpServer::Responder& respond) -> void;
   auto Requests() const -> std::vector<HttpRequest>;
   /// The number of requests whose connection was closed before their response.
   auto Disconnects() const -> int;
@@ -38,6 +40,7 @@
   WorkerPool workers_{1};
   HttpServer server_;
   Endpoint endpoint_;
+  std::vector<HttpServer::Responder> held_;  ///< Must not outlive the server.
 };
 
 }  // namespace heatherspan
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -65,7 +65,6 @@
     store_.Put("servers/i-1", target.Registration());
     Start();
   }
-  std::vector<HttpServer::Responder> held_;  ///< Requests without an answer.
 
   auto SendWithId(const std::string& id, const std::string& deadline_ms = "4000") -> HttpResponse {
     auto request = Request("/book/x", "POST");
@@ -403,10 +402,10 @@
 TEST_F(TargetTroubleTest, AStopAnswersEachRequestThatItTakes) {
   settings_.bounds.stop_grace = std::chrono::milliseconds(1500);
   TargetStub target("i-1");
-  target.SetBehaviour([this](const HttpRequest& request, const HttpServer::Responder& respond) {
+  target.SetBehaviour([&target](const HttpRequest& request, const HttpServer::Responder& respond) {
     // Some answers never come.
     if (request.Header("Heatherspan-Request-Id").ends_with("7")) {
-      held_.push_back(respond);
+      target.Hold(respond);
       return;
     }
     HttpResponse response;
