edge: answers to relayed requests name the request

What callers saw: 502 in place of 503 for a request that nothing had run, when its VM reaches no target and another VM refused it; a caller of a request that must run once may not come back after that. Cause: a VM's own answers (refused, failed, expired, no configuration, no route) carry no request id. An answer without one counts as "may have run" on a connection that has been used, since it may be a copy of an earlier answer. Change: with the verdict, the answer names the request, unless a target's answer already does. The caller's VM then attributes it.

Tests: StrandedVmTest.ARefusalOfThePeerIsARefusal (before: "response.status Which is: 502", wanted 503, for every second request) and APathThatOnlyThePeerDoesNotKnowIsRefused (before: the same, once). The latter also shows that a peer without the route never makes the caller's answer a 404: its answer is out of reach, so the request goes elsewhere or is refused.

--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -151,7 +151,7 @@
                         const HttpServer::Responder& respond, bool for_peer) -> void {
     request_log_.OnUnadmitted(id, response.status, reason);
     // Another VM may have a newer configuration.
-    if (for_peer) Format::AddRelayVerdict(Verdict::kNotRun, false, response);
+    if (for_peer) Format::AddRelayVerdict(id, Verdict::kNotRun, false, response);
     respond(std::move(response));
   }
 
@@ -405,7 +405,7 @@
     if (active->for_peer) {
       const auto verdict = active->forwarded.verdict();
       const bool out_of_reach = reason == Reason::kNoTarget && verdict == Verdict::kNotRun;
-      Format::AddRelayVerdict(verdict, !out_of_reach, answer);
+      Format::AddRelayVerdict(active->forwarded.attributes().id, verdict, !out_of_reach, answer);
     }
     active->respond(std::move(answer));
     Finish(active, outcome, status, reason);
--- a/tests/edge/stranded_vm_test.cc
+++ b/tests/edge/stranded_vm_test.cc
@@ -56,6 +56,13 @@
     StartBoth(0);
   }
 
+  /// A newer configuration, without the route of "/book/".
+  static auto PolicyWithoutUnsafeRoute(int version) -> std::string {
+    auto policy = Policy(version);
+    const std::string prefix = "/book/";
+    return policy.replace(policy.find(prefix), prefix.size(), "/other/");
+  }
+
   std::vector<std::unique_ptr<TargetStub>> silent_;
   KvStandin second_store_;
   TargetStub target_{"i-live"};
@@ -155,6 +162,42 @@
   workers.Stop();
 }
 
+// Guards against a caller who may not come back although nothing has run its request: the refusal
+// of the peer does not name the request, and comes on a connection that has been used.
+TEST_F(StrandedVmTest, ARefusalOfThePeerIsARefusal) {
+  StartBoth();
+  while (!log_capture_.Contains("event=stranded ")) Send("/book/x", "POST");
+  ASSERT_EQ(Send("/book/x", "POST").response.status, 200);
+  target_.SetBehaviour([](const HttpRequest& request, const HttpServer::Responder& respond) {
+    HttpResponse response;
+    response.status = 503;
+    response.headers = {
+        {"Heatherspan-Not-Executed", "1"},
+        {"Heatherspan-Request-Id", std::string(request.Header("Heatherspan-Request-Id"))}};
+    respond(std::move(response));
+  });
+  for (int i = 0; i < 5; ++i) {
+    const auto response = Send("/book/x", "POST").response;
+    EXPECT_EQ(response.status, 503) << i;
+    EXPECT_NE(response.Header("Retry-After"), "");
+  }
+}
+
+// Guards against a caller who is told that its path is unknown, although only the peer does not
+// know it yet.
+TEST_F(StrandedVmTest, APathThatOnlyThePeerDoesNotKnowIsRefused) {
+  StartBoth();
+  while (!log_capture_.Contains("event=stranded ")) Send("/book/x", "POST");
+  second_store_.Put("op/config", PolicyWithoutUnsafeRoute(2));
+  ASSERT_TRUE(Eventually([&] { return log_capture_.Contains("configuration-applied version=2"); }));
+  for (int i = 0; i < 5; ++i) {
+    const auto response = Send("/book/x", "POST").response;
+    EXPECT_EQ(response.status, 503) << i;
+    EXPECT_NE(response.Header("Retry-After"), "");
+  }
+  EXPECT_TRUE(log_capture_.Contains("reason=unknown-route"));
+}
+
 // Guards against requests that go round between VMs of which none reaches a target.
 TEST_F(StrandedVmTest, NobodyPassesOnWhatWasPassedOn) {
   StartBoth();
