edge: a configuration that comes into force restricts requests in flight

What callers would see: a request that must run once runs twice (TWICE), and a target's 429, 503, 408 or 421 for a request that has run (REFUSED), at the same change of the configuration. Cause: a request keeps a copy of its route from its arrival, also the rule that says whether it may be repeated. Change: a request in flight is held to the strictest of the rule at its arrival and those of the configurations that come into force until its answer, for repeats, connections and the answer's status. The rest of the route (service, timeout, objective) stays that of its arrival.

ForwardedRequestTest.TheStrictestRetryRuleHolds. A VM that is cut off and has not seen the new version can't know it.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -71,10 +71,7 @@
             [this] { OnBatchApplied(); }, [this] { OnStoreRestored(); }),
         items_(
             core_, follower_.sync_state(), log_, metrics_, settings_.node,
-            [this](const CallerLimits& limits) {
-              callers_server_.SetLimits(EdgeLimits::CallerServer(settings_.descriptors, limits));
-              peers_server_.SetLimits(EdgeLimits::PeerServer(limits));
-            },
+            [this](const TrafficPolicy& policy) { OnPolicyApplied(policy); },
             [this] { announcer_.OnRemoved(); },
             [this](const RegisteredTarget& target) { harm_.OnRegistered(target, Now()); }),
         peer_reader_(
@@ -215,6 +212,12 @@
     return response;
   }
 
+  auto OnPolicyApplied(const TrafficPolicy& policy) -> void {
+    callers_server_.SetLimits(EdgeLimits::CallerServer(settings_.descriptors, policy.limits));
+    peers_server_.SetLimits(EdgeLimits::PeerServer(policy.limits));
+    forwarder_.OnPolicyApplied();
+  }
+
   auto OnPeerRequest(const HttpRequest& request, const HttpServer::Responder& respond) -> void {
     if (auto relayed = Messages::RelayedRequest(request)) {
       forwarder_.ForwardForPeer(*std::move(relayed), respond);
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -65,6 +65,16 @@
     Admit(std::move(request), std::move(respond), true);
   }
 
+  /// Requests in flight keep their routes, but may not be repeated if the configuration that is now
+  /// in force forbids it.
+  auto OnPolicyApplied() -> void {
+    for (const auto& active : active_) {
+      const auto& request = active->request;
+      const auto* route = core_.routes().Find(Format::ReadCaller(request).host, request.target);
+      if (route != nullptr) active->forwarded.Restrict(route->retry_rule);
+    }
+  }
+
   /// Begins a stop. The process will be killed at the end of the grace.
   auto BeginStop(Duration grace) -> void {
     const auto now = Now();
--- a/src/edge/store_items.h
+++ b/src/edge/store_items.h
@@ -21,20 +21,21 @@
 template <StoreFormat Formats>
 class StoreItems {
  public:
-  using OnCallerLimits = std::function<void(const CallerLimits& limits)>;
+  /// A newer configuration is in force.
+  using OnPolicyApplied = std::function<void(const TrafficPolicy& policy)>;
   /// This node's own announcement has been removed.
   using OnOwnRemoval = std::function<void()>;
   using OnRegistered = std::function<void(const RegisteredTarget& target)>;
 
   StoreItems(GatewayCore& core, const StoreSyncState& sync_state, EventLog& log,
-             MetricsRegistry& metrics, NodeName self, OnCallerLimits on_caller_limits,
+             MetricsRegistry& metrics, NodeName self, OnPolicyApplied on_policy_applied,
              OnOwnRemoval on_own_removal, OnRegistered on_registered)
       : core_(core),
         sync_state_(sync_state),
         log_(log),
         metrics_(metrics),
         self_(std::move(self)),
-        on_caller_limits_(std::move(on_caller_limits)),
+        on_policy_applied_(std::move(on_policy_applied)),
         on_own_removal_(std::move(on_own_removal)),
         on_registered_(std::move(on_registered)) {}
 
@@ -163,9 +164,8 @@
     const auto restricted_routes =
         std::count_if(policy->routes.begin(), policy->routes.end(),
                       [](const Route& route) { return !route.allowed_regions.empty(); });
-    const auto limits = policy->limits;
     const bool applied = core_.ApplyPolicy(*std::move(policy));
-    if (applied) on_caller_limits_(limits);
+    if (applied) on_policy_applied_(*core_.policy());
     metrics_.Set(Metric::kConfigVersion, {}, static_cast<double>(core_.policy()->version.value()));
     log_.Write(LogLevel::kInfo, applied ? "configuration-applied" : "configuration-ignored",
                {{"version", version},
@@ -256,7 +256,7 @@
   EventLog& log_;
   MetricsRegistry& metrics_;
   const NodeName self_;
-  const OnCallerLimits on_caller_limits_;
+  const OnPolicyApplied on_policy_applied_;
   const OnOwnRemoval on_own_removal_;
   const OnRegistered on_registered_;
   StoreSnapshot snapshot_;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -67,6 +67,11 @@
   /// Returns the time that is left of the objective, counted from the arrival of this request.
   auto ObjectiveLeft(MonotonicTime now) const -> Duration;
 
+  /// Applies a further retry rule for the request. The strictest of all rules holds.
+  auto Restrict(RetryRule rule) -> void {
+    if (rule == RetryRule::kAtMostOnce) attributes_.route.retry_rule = rule;
+  }
+
   /// Whether the next attempt may share its target.
   auto SetApartness(Apartness apartness) -> void { apartness_ = apartness; }
   auto apartness() const -> Apartness { return apartness_; }
--- a/tests/gateway/forwarded_request_test.cc
+++ b/tests/gateway/forwarded_request_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <tuple>
+
 #include "gateway/stop_plan.h"
 
 namespace heatherspan {
@@ -48,6 +50,19 @@
   EXPECT_EQ(lost.verdict(), Verdict::kMayHaveRun);
 }
 
+// Guards against a retry that one of several configurations forbids, whichever comes first.
+TEST_F(ForwardedRequestTest, TheStrictestRetryRuleHolds) {
+  for (const auto& [admitted, later, step] :
+       {std::tuple{RetryRule::kIdempotent, RetryRule::kAtMostOnce, RequestStep::kFail},
+        std::tuple{RetryRule::kAtMostOnce, RetryRule::kIdempotent, RequestStep::kFail},
+        std::tuple{RetryRule::kIdempotent, RetryRule::kIdempotent, RequestStep::kPlace}}) {
+    auto request = Make(admitted);
+    request.Restrict(later);
+    request.Restrict(RetryRule::kIdempotent);
+    EXPECT_EQ(End(request, AttemptOutcome::kLost), step);
+  }
+}
+
 // Guards against a refusal that reports "not run" after an earlier attempt that may have run.
 TEST_F(ForwardedRequestTest, LaterRefusalDoesNotResetVerdict) {
   auto request = Make(RetryRule::kIdempotent);
