edge: a relayed request follows the stricter rule of both VMs

What callers would see: a request that must run once runs twice (TWICE), when a VM that reaches no target passes it on and the two VMs hold different configurations. Cause: the VM that serves it took the rule for repeats from its own configuration alone, so that it repeated what the caller's VM had admitted as "at most once"; and it did not know that the caller's VM, for which the path was safe, had made an attempt that may have run. Change: the caller's VM sends its rule and its verdict along. The other VM applies the stricter rule, and sends nothing if that forbids a repeat and an earlier attempt may have run. Fields of callers with these names are dropped. A missing rule (an earlier build) is "at most once", so such requests are not repeated after an attempt that may have run; a missing verdict is "not run".

Tests: edge.Rules/PassedOnRequestTest, before: SafeHereOnly "runs Which is: 2", wanted 1; SafeThereOnlyAndMayHaveRun "1", wanted 0; SafeHereOnlyAndMayHaveRun "2", wanted 0; both directions with a safe path on both sides ran as now. fleet_platform.RequestFormat.PassesOnWhatIsKnownOfARequest. Remains: a VM of an earlier build that serves such a request follows its own configuration alone.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -220,7 +220,7 @@
 
   auto OnPeerRequest(const HttpRequest& request, const HttpServer::Responder& respond) -> void {
     if (auto relayed = Messages::RelayedRequest(request)) {
-      forwarder_.ForwardForPeer(*std::move(relayed), respond);
+      forwarder_.ForwardForPeer(std::move(relayed->request), relayed->terms, respond);
     } else {
       respond(PeerQuestion(request));
     }
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "gateway/entry_vm_directory.h"
 #include "gateway/registered_target.h"
+#include "gateway/relay_terms.h"
 #include "gateway/request_digest.h"
 #include "gateway/store_changes.h"
 #include "gateway/traffic_policy.h"
@@ -75,14 +76,14 @@
 template <class T>
 concept MessageFormat = requires(const HttpRequest& request, const HttpResponse& response,
                                  const HttpResult& result, const RegisteredTarget& target,
-                                 Duration time, std::string path) {
+                                 const RelayTerms& terms, Duration time, std::string path) {
   { T::CorrelationHeader() } -> std::same_as<std::string>;
   typename T::CallerFields;
   { T::ReadCaller(request) } -> std::same_as<typename T::CallerFields>;
   { T::DigestOf(request, path) } -> std::same_as<RequestDigest>;
   { T::ForTarget(request, target, time) } -> std::same_as<HttpRequest>;
-  { T::ForRelay(request, time) } -> std::same_as<HttpRequest>;
-  { T::RelayedRequest(request) } -> std::same_as<std::optional<HttpRequest>>;
+  { T::ForRelay(request, terms, time) } -> std::same_as<HttpRequest>;
+  { T::RelayedRequest(request) } -> std::same_as<std::optional<typename T::Relayed>>;
   { T::ReadReply(result) } -> std::same_as<typename T::Reply>;
   { T::PromisesNotRun(response) } -> std::same_as<bool>;
   { T::ForCaller(response) } -> std::same_as<HttpResponse>;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -18,6 +19,7 @@
 #include "edge/target_notice_handler.h"
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
+#include "gateway/relay_terms.h"
 #include "gateway/stop_plan.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -57,12 +59,13 @@
         notices_(core, log, metrics) {}
 
   auto Forward(HttpRequest request, HttpServer::Responder respond) -> void {
-    Admit(std::move(request), std::move(respond), false);
+    Admit(std::move(request), std::move(respond), std::nullopt);
   }
 
   /// Serves a request that another entry VM passes on, and tells it what became of it.
-  auto ForwardForPeer(HttpRequest request, HttpServer::Responder respond) -> void {
-    Admit(std::move(request), std::move(respond), true);
+  auto ForwardForPeer(HttpRequest request, const RelayTerms& terms, HttpServer::Responder respond)
+      -> void {
+    Admit(std::move(request), std::move(respond), terms);
   }
 
   /// Requests in flight keep their routes, but may not be repeated if the configuration that is now
@@ -126,8 +129,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
   }
 
-  auto Admit(HttpRequest request, HttpServer::Responder respond, bool for_peer) -> void {
+  /// `terms`: of the entry VM that passes the request on, if one does.
+  auto Admit(HttpRequest request, HttpServer::Responder respond,
+             const std::optional<RelayTerms>& terms) -> void {
     const auto now = Now();
+    const bool for_peer = terms.has_value();
     auto fields = Format::ReadCaller(request);
     const RequestId id = fields.id;
     if (core_.policy() == nullptr) {
@@ -144,6 +150,10 @@
         std::make_shared<Active>(core_.Admit(id, *route, fields.object, fields.caller_timeout, now),
                                  std::move(request), std::move(respond));
     active->for_peer = for_peer;
+    if (for_peer) {
+      active->forwarded.Restrict(terms->retry_rule);
+      active->forwarded.OnEarlierAttempts(terms->verdict);
+    }
     if (active->request.disconnect != nullptr) {
       active->request.disconnect->on_disconnect = [this, weak = std::weak_ptr(active)] {
         if (const auto locked = weak.lock()) OnCallerDisconnected(locked);
@@ -168,6 +178,12 @@
   auto Place(const ActivePtr& active) -> void {
     const auto now = Now();
     auto& forwarded = active->forwarded;
+    if (!forwarded.MayRun()) {
+      // The other VM's attempt may have run, and this VM's configuration has another retry rule.
+      Conclude(active, RequestStep::kFail, Reason::kTargetConnectionLost, Duration::zero(),
+               HttpResponse());
+      return;
+    }
     if (!MaySend(active, now)) return;
     const auto reach = relay_.reach().state(now);
     if (reach == TargetReach::State::kStranded) {
@@ -226,18 +242,17 @@
     auto& forwarded = active->forwarded;
     const auto& route = forwarded.attributes().route;
     const auto& service = forwarded.attributes().service;
-    const bool may_run_elsewhere =
-        forwarded.verdict() == Verdict::kNotRun || route.retry_rule == RetryRule::kIdempotent;
-    if (active->for_peer || !may_run_elsewhere) return false;
+    if (active->for_peer) return false;
     const auto vm = relay_.Choose(route, service, now);
     if (!vm.has_value()) return false;
+    const RelayTerms terms{route.retry_rule, forwarded.verdict()};
     forwarded.OnSent(TargetName(vm->name.value()));
     active->through = vm->name.value();
-    active->exchange =
-        relay_.Send(*vm, service, active->request, forwarded.deadline() - now, OptionsFor(*active),
-                    [this, active](AttemptOutcome outcome, HttpResponse response) {
-                      OnPassedOn(active, outcome, std::move(response));
-                    });
+    active->exchange = relay_.Send(*vm, service, active->request, terms, forwarded.deadline() - now,
+                                   OptionsFor(*active),
+                                   [this, active](AttemptOutcome outcome, HttpResponse response) {
+                                     OnPassedOn(active, outcome, std::move(response));
+                                   });
     return true;
   }
 
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -10,6 +10,7 @@
 #include "edge/platform_ports.h"
 #include "gateway/gateway_core.h"
 #include "gateway/relay_peers.h"
+#include "gateway/relay_terms.h"
 #include "gateway/target_reach.h"
 #include "net/http_client.h"
 #include "net/http_request.h"
@@ -61,13 +62,13 @@
   }
 
   auto Send(const EntryVm& vm, const ServiceName& service, const HttpRequest& request,
-            Duration time_left, HttpClient::SendOptions options, OnAnswer on_answer)
-      -> std::shared_ptr<HttpClient::Exchange> {
+            const RelayTerms& terms, Duration time_left, HttpClient::SendOptions options,
+            OnAnswer on_answer) -> std::shared_ptr<HttpClient::Exchange> {
     // An answer without a verdict names no request: on a connection that has been used, it may be
     // the answer to an earlier one.
     if (!peers_.KnowsRelays(vm.name)) options.max_idle = HttpClient::SendOptions::kNewConnection;
     return client_.Send(
-        vm.peer_endpoint, Format::ForRelay(request, time_left), time_left, options,
+        vm.peer_endpoint, Format::ForRelay(request, terms, time_left), time_left, options,
         [this, name = vm.name, service, on_answer = std::move(on_answer)](HttpResult result) {
           const auto reply = Format::ReadRelayed(result);
           if (result.status.ok()) peers_.OnAnswer(name, reply.has_verdict);
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -92,9 +92,13 @@
   verdict_ = std::max(verdict_, verdict);
 }
 
+auto ForwardedRequest::MayRun() const -> bool {
+  return attributes_.route.retry_rule == RetryRule::kIdempotent ||
+         std::max(verdict_, earlier_verdict_) == Verdict::kNotRun;
+}
+
 auto ForwardedRequest::MayRetry(MonotonicTime now) const -> bool {
-  const bool at_most_once = attributes_.route.retry_rule == RetryRule::kAtMostOnce;
-  if (at_most_once && verdict_ != Verdict::kNotRun) return false;
+  if (!MayRun()) return false;
   if (possible_runs_ >= attributes_.route.max_attempts ||
       attempted_targets_.size() >= kMaxAttempts) {
     return false;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -72,6 +72,11 @@
     if (rule == RetryRule::kAtMostOnce) attributes_.route.retry_rule = rule;
   }
 
+  /// Another entry VM has made attempts with this verdict before it passed the request on.
+  auto OnEarlierAttempts(Verdict verdict) -> void { earlier_verdict_ = verdict; }
+  /// Whether the request may run, also if earlier attempts have run it.
+  auto MayRun() const -> bool;
+
   /// Whether the next attempt may share its target.
   auto SetApartness(Apartness apartness) -> void { apartness_ = apartness; }
   auto apartness() const -> Apartness { return apartness_; }
@@ -102,6 +107,7 @@
   MonotonicTime deadline_;
   std::vector<TargetName> attempted_targets_;
   Verdict verdict_ = Verdict::kNotRun;
+  Verdict earlier_verdict_ = Verdict::kNotRun;  ///< Of another entry VM's attempts.
   Apartness apartness_ = Apartness::kNone;
   Reason last_reason_ = Reason::kNone;
   int possible_runs_ = 0;  ///< Attempts that may have run the request.
--- a/tests/edge/relayed_request_test.cc
+++ b/tests/edge/relayed_request_test.cc
@@ -42,6 +42,66 @@
   }
 };
 
+/// A request at a peers' port, by what the VM that passes it on says of it.
+struct RuleOfOtherVm {
+  std::string name;
+  std::string path;
+  std::string method;
+  std::vector<HeaderField> fields;
+  std::size_t runs = 0;  ///< If the first target may have run it.
+};
+
+class PassedOnRequestTest : public EdgeNodeFixture,
+                            public testing::WithParamInterface<RuleOfOtherVm> {};
+
+// Guards against a request that runs twice, although the configuration of one of the two VMs that
+// it passes through, which may have different versions, lets it run once only.
+TEST_P(PassedOnRequestTest, RunsOnceIfEitherVmSaysSo) {
+  TargetStub one("i-1");
+  TargetStub two("i-2");
+  for (auto* target : {&one, &two}) {
+    // Not signed: the request may have run.
+    target->SetBehaviour(
+        [](const HttpRequest& /*request*/, const HttpServer::Responder& respond) { respond({}); });
+    Register(*target);
+  }
+  settings_.bounds.retry_ratio = 2;
+  store_.Put("op/config", Policy(1));
+  Start();
+  auto request = Request("/heatherspan/relay" + GetParam().path, GetParam().method);
+  for (const auto& field : GetParam().fields) request.headers.push_back(field);
+  const auto response = caller_.SendAndWait(settings_.peers, request, kTimeout).response;
+  EXPECT_EQ(response.status, 502);
+  EXPECT_EQ(response.Header("Heatherspan-Relay-Verdict"),
+            GetParam().runs == 0 ? "not-run" : "may-have-run");
+  std::size_t runs = 0;
+  for (const auto* target : {&one, &two}) {
+    for (const auto& seen : target->Requests()) {
+      if (seen.target != GetParam().path) continue;
+      ++runs;
+      EXPECT_EQ(seen.Header("Heatherspan-Relay-Verdict"), "");
+      EXPECT_EQ(seen.Header("Heatherspan-Relay-Retry-Rule"), "");
+    }
+  }
+  EXPECT_EQ(runs, GetParam().runs);
+}
+
+const HeaderField kIdempotent{"Heatherspan-Relay-Retry-Rule", "idempotent"};
+const HeaderField kMayHaveRun{"Heatherspan-Relay-Verdict", "may-have-run"};
+
+INSTANTIATE_TEST_SUITE_P(
+    Rules, PassedOnRequestTest,
+    testing::Values(
+        RuleOfOtherVm{"BothSafe", "/read/x", "GET", {kIdempotent}, 2},
+        RuleOfOtherVm{"SafeHereOnly", "/read/x", "GET", {}, 1},
+        RuleOfOtherVm{"SafeThereOnly", "/book/x", "POST", {kIdempotent}, 1},
+        RuleOfOtherVm{"NeitherSafe", "/book/x", "POST", {}, 1},
+        RuleOfOtherVm{"SafeAndMayHaveRun", "/read/x", "GET", {kIdempotent, kMayHaveRun}, 2},
+        RuleOfOtherVm{
+            "SafeThereOnlyAndMayHaveRun", "/book/x", "POST", {kIdempotent, kMayHaveRun}, 0},
+        RuleOfOtherVm{"SafeHereOnlyAndMayHaveRun", "/read/x", "GET", {kMayHaveRun}, 0}),
+    [](const auto& test) { return test.param.name; });
+
 /// An answer to the request "a" that does not prove that the request has not run.
 class UncertainAnswerTest : public RelayedRequestTest,
                             public testing::WithParamInterface<const char*> {};
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -114,6 +114,32 @@
   }
 }
 
+// Guards against a request that runs twice because its VM does not tell the next one that it must
+// run once or may have run, or because a caller claims the contrary.
+TEST(RequestFormat, PassesOnWhatIsKnownOfARequest) {
+  auto request = CallerRequest();
+  request.headers.push_back({"Heatherspan-Relay-Retry-Rule", "idempotent"});
+  request.headers.push_back({"heatherspan-relay-verdict", "not-run"});
+  for (const auto rule : {RetryRule::kIdempotent, RetryRule::kAtMostOnce}) {
+    for (const auto verdict : {Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kRan}) {
+      const auto relayed = RequestFormat::RelayedRequest(
+          RequestFormat::ForRelay(request, {rule, verdict}, milliseconds(1200)));
+      ASSERT_TRUE(relayed.has_value());
+      EXPECT_EQ(relayed->terms.retry_rule, rule);
+      EXPECT_EQ(relayed->terms.verdict, verdict);
+      EXPECT_EQ(relayed->request.target, request.target);
+      EXPECT_EQ(relayed->request.Header("Heatherspan-Deadline-Ms"), "1200");
+      EXPECT_EQ(relayed->request.Header("Heatherspan-Relay-Retry-Rule"), "");
+      EXPECT_EQ(relayed->request.Header("Heatherspan-Relay-Verdict"), "");
+    }
+  }
+  // An earlier build.
+  request = CallerRequest();
+  request.target = "/heatherspan/relay/a";
+  EXPECT_EQ(RequestFormat::RelayedRequest(request)->terms.retry_rule, RetryRule::kAtMostOnce);
+  EXPECT_EQ(RequestFormat::RelayedRequest(request)->terms.verdict, Verdict::kNotRun);
+}
+
 TEST(RequestFormat, ReadsLoad) {
   const auto load = [](const std::string& text) {
     return RequestFormat::ReadReply(Answered(200, {{"Heatherspan-Backend-Load", text}})).load;
