--- a/tests/edge/relayed_request_test.cc
+++ b/tests/edge/relayed_request_test.cc
@@ -86,20 +86,20 @@
   EXPECT_EQ(runs, GetParam().runs);
 }
 
-const HeaderField kIdempotent{"Heatherspan-Relay-Retry-Rule", "idempotent"};
-const HeaderField kMayHaveRun{"Heatherspan-Relay-Verdict", "may-have-run"};
+const HeaderField idempotent_rule{"Heatherspan-Relay-Retry-Rule", "idempotent"};
+const HeaderField may_have_run{"Heatherspan-Relay-Verdict", "may-have-run"};
 
 INSTANTIATE_TEST_SUITE_P(
     Rules, PassedOnRequestTest,
     testing::Values(
-        RuleOfOtherVm{"BothSafe", "/read/x", "GET", {kIdempotent}, 2},
+        RuleOfOtherVm{"BothSafe", "/read/x", "GET", {idempotent_rule}, 2},
         RuleOfOtherVm{"SafeHereOnly", "/read/x", "GET", {}, 1},
-        RuleOfOtherVm{"SafeThereOnly", "/book/x", "POST", {kIdempotent}, 1},
+        RuleOfOtherVm{"SafeThereOnly", "/book/x", "POST", {idempotent_rule}, 1},
         RuleOfOtherVm{"NeitherSafe", "/book/x", "POST", {}, 1},
-        RuleOfOtherVm{"SafeAndMayHaveRun", "/read/x", "GET", {kIdempotent, kMayHaveRun}, 2},
+        RuleOfOtherVm{"SafeAndMayHaveRun", "/read/x", "GET", {idempotent_rule, may_have_run}, 2},
         RuleOfOtherVm{
-            "SafeThereOnlyAndMayHaveRun", "/book/x", "POST", {kIdempotent, kMayHaveRun}, 0},
-        RuleOfOtherVm{"SafeHereOnlyAndMayHaveRun", "/read/x", "GET", {kMayHaveRun}, 0}),
+            "SafeThereOnlyAndMayHaveRun", "/book/x", "POST", {idempotent_rule, may_have_run}, 0},
+        RuleOfOtherVm{"SafeHereOnlyAndMayHaveRun", "/read/x", "GET", {may_have_run}, 0}),
     [](const auto& test) { return test.param.name; });
 
 /// An answer to the request "a" that does not prove that the request has not run.
