--- a/tests/edge/relayed_request_test.cc
+++ b/tests/edge/relayed_request_test.cc
@@ -1,4 +1,7 @@
+#include <atomic>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "edge_node_fixture.h"
@@ -152,6 +155,31 @@
         "HTTP/1.1 503 Full\r\nHeatherspan-Relay-Verdict: not-run\r\nContent-Length: 9\r\n\r\nhalf",
         ""));
 
+// Guards against a request that is said not to have run because its peer did not answer in time.
+TEST_F(RelayedRequestTest, MayHaveRunAtAPeerThatDoesNotAnswer) {
+  std::atomic<bool> ended = false;
+  ScriptedPeer peer([&](const std::string& id) {
+    if (id == "a") ended.wait(false);
+    return ScriptedPeer::Served(id);
+  });
+  StartBeside(peer);
+  const auto status = SendWithId("a", "500").status;
+  EXPECT_TRUE(status == 502 || status == 504) << status;
+  EXPECT_EQ(peer.Requests("a").size(), 1U);
+  ended = true;
+  ended.notify_all();
+  node_.reset();
+}
+
+// Guards against a caller who may not come back although no peer could be reached.
+TEST_F(RelayedRequestTest, HasNotRunIfNoPeerCanBeReached) {
+  std::optional<ScriptedPeer> peer(std::in_place, &ScriptedPeer::Served);
+  StartStranded(*peer);
+  peer.reset();
+  EXPECT_TRUE(Eventually([&] { return SendWithId("a").status == 503; }));
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(SendWithId("a").status, 503) << i;
+}
+
 // Guards against requests that are lost at a VM of an earlier build, because its later answers come
 // on connections that have been used.
 TEST_F(RelayedRequestTest, AnEarlierBuildRunsNothing) {
