platform: a peer's 404 for an unknown path is never the caller's answer

What callers would see: 404 for a path whose route their VM knows (DENIED), if a peer refuses the request as unknown with the verdict "not run"; a caller does not come back after 404. Cause: a refusal of a peer is delivered with its status. Our builds answer an unknown path "out of reach", which is not delivered; that protected the caller, not the reader of the answer.

--- a/tests/edge/relayed_request_test.cc
+++ b/tests/edge/relayed_request_test.cc
@@ -171,6 +171,19 @@
   node_.reset();
 }
 
+// Guards against a caller who is told that its path is unknown, although its VM knows the route.
+TEST_F(RelayedRequestTest, AnUnknownPathAtThePeerIsNoFinalAnswer) {
+  ScriptedPeer peer([](const std::string& id) {
+    return id != "a" ? ScriptedPeer::Served(id)
+                     : std::string(
+                           "HTTP/1.1 404 Not Found\r\nHeatherspan-Relay-Verdict: not-run\r\n"
+                           "Heatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n");
+  });
+  StartBeside(peer);
+  EXPECT_EQ(SendWithId("a").status, 503);
+  node_.reset();
+}
+
 // Guards against a caller who may not come back although no peer could be reached.
 TEST_F(RelayedRequestTest, HasNotRunIfNoPeerCanBeReached) {
   std::optional<ScriptedPeer> peer(std::in_place, &ScriptedPeer::Served);
