--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -20,6 +21,7 @@
 #include "edge/target_notice_handler.h"
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
+#include "gateway/relay_terms.h"
 #include "gateway/stop_plan.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -60,12 +62,23 @@
         notices_(core, log, metrics) {}
 
   auto Forward(HttpRequest request, HttpServer::Responder respond) -> void {
-    Admit(std::move(request), std::move(respond), false);
+    Admit(std::move(request), std::move(respond), std::nullopt);
   }
 
   /// Serves a request that another entry VM passes on, and tells it what became of it.
-  auto ForwardForPeer(HttpRequest request, HttpServer::Responder respond) -> void {
-    Admit(std::move(request), std::move(respond), true);
+  auto ForwardForPeer(HttpRequest request, const RelayTerms& terms, HttpServer::Responder respond)
+      -> void {
+    Admit(std::move(request), std::move(respond), terms);
+  }
+
+  /// Requests in flight keep their routes, but may not be repeated if the configuration that is now
+  /// in force forbids it.
+  auto OnPolicyApplied() -> void {
+    for (const auto& active : active_) {
+      const auto& request = active->request;
+      const auto* route = core_.routes().Find(Format::ReadCaller(request).host, request.target);
+      if (route != nullptr) active->forwarded.Restrict(route->retry_rule);
+    }
   }
 
   /// Begins a stop. The process will be killed at the end of the grace.
@@ -115,8 +128,11 @@
 
   static auto Now() -> MonotonicTime { return SystemClock().Now(); }
 
-  auto Admit(HttpRequest request, HttpServer::Responder respond, bool for_peer) -> void {
+  /// `terms`: of the entry VM that passes the request on, if one does.
+  auto Admit(HttpRequest request, HttpServer::Responder respond,
+             const std::optional<RelayTerms>& terms) -> void {
     const auto now = Now();
+    const bool for_peer = terms.has_value();
     auto fields = Format::ReadCaller(request);
     const RequestId id = fields.id;
     if (core_.policy() == nullptr) {
@@ -133,6 +149,10 @@
         std::make_shared<Active>(core_.Admit(id, *route, fields.object, fields.caller_timeout, now),
                                  std::move(request), std::move(respond));
     active->for_peer = for_peer;
+    if (for_peer) {
+      active->forwarded.Restrict(terms->retry_rule);
+      active->forwarded.OnEarlierAttempts(terms->verdict);
+    }
     if (active->request.disconnect != nullptr) {
       active->request.disconnect->on_disconnect = [this, weak = std::weak_ptr(active)] {
         if (const auto locked = weak.lock()) OnCallerDisconnected(locked);
@@ -150,13 +170,19 @@
                         const HttpServer::Responder& respond, bool for_peer) -> void {
     request_log_.OnUnadmitted(id, response.status, reason);
     // Another VM may have a newer configuration.
-    if (for_peer) Format::AddRelayVerdict(Verdict::kNotRun, false, response);
+    if (for_peer) Format::AddRelayVerdict(id, Verdict::kNotRun, false, response);
     respond(std::move(response));
   }
 
   auto Place(const ActivePtr& active) -> void {
     const auto now = Now();
     auto& forwarded = active->forwarded;
+    if (!forwarded.MayRun()) {
+      // The other VM's attempt may have run, and this VM's configuration has another retry rule.
+      Conclude(active, RequestStep::kFail, Reason::kTargetConnectionLost, Duration::zero(),
+               HttpResponse());
+      return;
+    }
     if (!MaySend(active, now)) return;
     const auto reach = relay_.reach().state(now);
     if (reach == TargetReach::State::kStranded) {
@@ -215,15 +241,14 @@
     auto& forwarded = active->forwarded;
     const auto& route = forwarded.attributes().route;
     const auto& service = forwarded.attributes().service;
-    const bool may_run_elsewhere =
-        forwarded.verdict() == Verdict::kNotRun || route.retry_rule == RetryRule::kIdempotent;
-    if (active->for_peer || !may_run_elsewhere) return false;
+    if (active->for_peer) return false;
     const auto vm = relay_.Choose(route, service, now);
     if (!vm.has_value()) return false;
+    const RelayTerms terms{route.retry_rule, forwarded.verdict()};
     forwarded.OnSent(TargetName(vm->name.value()));
     active->through = vm->name.value();
     active->exchange = relay_.Send(
-        *vm, service, active->request, forwarded.deadline() - now, OptionsFor(*active),
+        *vm, service, active->request, terms, forwarded.deadline() - now, OptionsFor(*active),
         [this, active](AttemptOutcome outcome, std::string_view verdict, HttpResult result) {
           OnPassedOn(active, outcome, verdict, std::move(result));
         });
@@ -410,7 +435,7 @@
     if (active->for_peer) {
       const auto verdict = active->forwarded.verdict();
       const bool out_of_reach = reason == Reason::kNoTarget && verdict == Verdict::kNotRun;
-      Format::AddRelayVerdict(verdict, !out_of_reach, answer);
+      Format::AddRelayVerdict(active->forwarded.attributes().id, verdict, !out_of_reach, answer);
     }
     active->respond(std::move(answer));
     Finish(active, outcome, status, reason);
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -89,6 +89,58 @@
   EXPECT_EQ(outcome(failed), AttemptOutcome::kLost);
 }
 
+// Guards against a wrong verdict of another entry VM: a signed answer, or one that reports success,
+// is of a request that has run.
+TEST(RequestFormat, ReadsTheOutcomeOfARelayedRequest) {
+  const HeaderField signature{"Heatherspan-Response-Signature", "s"};
+  const auto outcome = [](int status, const std::string& verdict,
+                          std::vector<HeaderField> headers = {}) {
+    headers.push_back({"Heatherspan-Relay-Verdict", verdict});
+    auto result = Answered(status, std::move(headers));
+    return RequestFormat::ReadRelayed(result).end;
+  };
+  for (const int status : {400, 404, 502, 503}) {
+    EXPECT_EQ(outcome(status, "not-run"),
+              status == 404 ? AttemptOutcome::kNotSent : AttemptOutcome::kRefused);
+    EXPECT_EQ(outcome(status, "out-of-reach"), AttemptOutcome::kNotSent) << status;
+    for (const auto* text : {"not-run", "out-of-reach", "may-have-run", "unknown"}) {
+      EXPECT_EQ(outcome(status, text, {signature}), AttemptOutcome::kLost) << status << text;
+      EXPECT_EQ(outcome(200, text), AttemptOutcome::kLost) << text;
+    }
+  }
+  EXPECT_EQ(outcome(200, "ran", {signature}), AttemptOutcome::kSucceeded);
+  EXPECT_EQ(outcome(404, "ran", {signature}), AttemptOutcome::kSucceeded);
+  for (const int status : {408, 421, 429, 500, 503}) {
+    EXPECT_EQ(outcome(status, "ran", {signature}), AttemptOutcome::kFailed) << status;
+  }
+}
+
+// Guards against a request that runs twice because its VM does not tell the next one that it must
+// run once or may have run, or because a caller claims the contrary.
+TEST(RequestFormat, PassesOnWhatIsKnownOfARequest) {
+  auto request = CallerRequest();
+  request.headers.push_back({"Heatherspan-Relay-Retry-Rule", "idempotent"});
+  request.headers.push_back({"heatherspan-relay-verdict", "not-run"});
+  for (const auto rule : {RetryRule::kIdempotent, RetryRule::kAtMostOnce}) {
+    for (const auto verdict : {Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kRan}) {
+      const auto relayed = RequestFormat::RelayedRequest(
+          RequestFormat::ForRelay(request, {rule, verdict}, milliseconds(1200)));
+      ASSERT_TRUE(relayed.has_value());
+      EXPECT_EQ(relayed->terms.retry_rule, rule);
+      EXPECT_EQ(relayed->terms.verdict, verdict);
+      EXPECT_EQ(relayed->request.target, request.target);
+      EXPECT_EQ(relayed->request.Header("Heatherspan-Deadline-Ms"), "1200");
+      EXPECT_EQ(relayed->request.Header("Heatherspan-Relay-Retry-Rule"), "");
+      EXPECT_EQ(relayed->request.Header("Heatherspan-Relay-Verdict"), "");
+    }
+  }
+  // An earlier build.
+  request = CallerRequest();
+  request.target = "/heatherspan/relay/a";
+  EXPECT_EQ(RequestFormat::RelayedRequest(request)->terms.retry_rule, RetryRule::kAtMostOnce);
+  EXPECT_EQ(RequestFormat::RelayedRequest(request)->terms.verdict, Verdict::kNotRun);
+}
+
 TEST(RequestFormat, ReadsLoad) {
   const auto load = [](const std::string& text) {
     return RequestFormat::ReadReply(Answered(200, {{"Heatherspan-Backend-Load", text}})).load;
