--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -97,6 +97,22 @@
   EXPECT_TRUE(absl::IsUnavailable(List().status()));
 }
 
+// Guards against an answer that is too large and is taken for a store that doesn't answer, and the
+// other way round.
+TEST_F(StoreClientTest, TellsAnAnswerThatIsTooLarge) {
+  const auto watch = [&](HttpClient::Limits limits) {
+    HttpClient client(workers_, std::move(limits));
+    StoreClient store(client, server_endpoint_);
+    return ResultOf<absl::StatusOr<StoreChanges>>(
+               [&](auto done) { store.Watch(1, Duration::zero(), done); })
+        .status();
+  };
+  Answer(200, R"({"events":[],"current_rev":41})");
+  EXPECT_TRUE(watch({.max_response_bytes = body_.size()}).ok());
+  EXPECT_TRUE(absl::IsResourceExhausted(watch({.max_response_bytes = body_.size() - 1})));
+  EXPECT_TRUE(absl::IsUnavailable(watch({.max_connections_per_endpoint = 0})));
+}
+
 /// A crash and an answer.
 auto CrashReports() -> std::vector<CrashReport> {
   const RequestDigest digest(0xfedcba9876543210U, 0x123456789abcdefU);
