edge: changes that are too large together lead to a listing

Cause: a watch brings each version of an item since the revision. A large configuration that changes 25 times within 1.5 s makes 11 MB, above the client's bound of 8 MiB. The follower took that for a store that is lost and made the same watch again, with the same result, until the store's history was gone. By the log: store-lost "larger than 8388608 bytes" at 16.360, store-history-gone at 35.744, the last version 20 ms later.

Why it works: a listing has the last version alone. The store has answered, so it isn't taken for lost; a listing that is too large itself is made again after a pause, as before. A watch may bring 1.5 MiB now, room for an item of the largest size; the length in the head decides, before the body is read. The calls other than watches keep their bound. The simulation knows sizes of items and rates of links.

--- a/src/edge/edge_limits.cc
+++ b/src/edge/edge_limits.cc
@@ -51,6 +51,12 @@
   return limits;
 }
 
+auto EdgeLimits::StoreWatchClient() -> HttpClient::Limits {
+  auto limits = StoreClient();
+  limits.max_response_bytes = kMaxChangesBytes;
+  return limits;
+}
+
 auto EdgeLimits::CallerServer(int descriptors, const CallerLimits& callers) -> HttpServer::Limits {
   HttpServer::Limits limits;
   limits.max_connections = static_cast<std::size_t>(
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -60,8 +60,9 @@
         workers_(1),
         target_client_(workers_, EdgeLimits::TargetClient(Messages::CorrelationHeader())),
         store_client_(workers_, EdgeLimits::StoreClient()),
+        store_watch_client_(workers_, EdgeLimits::StoreWatchClient()),
         relay_client_(workers_, EdgeLimits::RelayClient(Messages::CorrelationHeader())),
-        store_(store_client_, settings_.store,
+        store_(store_client_, store_watch_client_, settings_.store,
                [this](StoreEra era, MonotonicTime called_at) { OnStoreEra(era, called_at); }),
         follower_(
             store_, workers_, log_,
@@ -441,6 +442,7 @@
   WorkerPool workers_;
   HttpClient target_client_;
   HttpClient store_client_;
+  HttpClient store_watch_client_;
   HttpClient relay_client_;
   Store store_;
   StoreFollower<Store> follower_;
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -17,9 +17,9 @@
 namespace heatherspan {
 
 /// Follows the store: lists it once, then watches for changes, and lists it again when the store no
-/// longer has the history of changes since the last one seen. A second call is outstanding only
-/// while the answer to a watch is overdue. After the first listing, a node reads the store only as
-/// long as that is its role.
+/// longer has the history of changes since the last one seen, or when that is too large. A second
+/// call is outstanding only while the answer to a watch is overdue. After the first listing, a node
+/// reads the store only as long as that is its role.
 template <ReadableStore Store, TaskRunner Workers = WorkerPool>
 class StoreFollower {
  public:
@@ -210,13 +210,13 @@
       OnOverdueFailure(call, status);
       return;
     }
-    const bool history_truncated = absl::IsOutOfRange(status);
-    if (history_truncated || !lost_) {
-      log_.Write(LogLevel::kWarning, history_truncated ? "store-history-gone" : "store-lost",
+    const bool needs_listing = sync_state_.NeedsListing(status);
+    if (needs_listing || !lost_) {
+      log_.Write(LogLevel::kWarning, EventOf(status, needs_listing),
                  {{"revision", sync_state_.revision()}, {"error", std::string(status.message())}});
     }
     sync_state_.OnFailure(status);
-    if (history_truncated) {
+    if (needs_listing) {
       CallNext();
       return;
     }
@@ -225,10 +225,16 @@
     backoff_ = std::min(backoff_ * 2, kMaxBackoff);
   }
 
+  static auto EventOf(const absl::Status& status, bool needs_listing) -> const char* {
+    if (!needs_listing) return "store-lost";
+    return absl::IsOutOfRange(status) ? "store-history-gone" : "store-changes-too-large";
+  }
+
   /// A watch has failed beside which another call has been made. The store is lost if it has
   /// answered neither. A listing that has begun meanwhile goes on.
   auto OnOverdueFailure(std::uint64_t call, const absl::Status& status) -> void {
-    if (lost_ || call < last_answered_ || sync_state_.Next().list || absl::IsOutOfRange(status)) {
+    if (lost_ || call < last_answered_ || sync_state_.Next().list ||
+        sync_state_.NeedsListing(status)) {
       return;
     }
     log_.Write(LogLevel::kWarning, "store-lost",
--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/number_text.h"
+#include "edge/edge_limits.h"
 #include "experiment/simulated_follower.h"
 #include "gateway/entry_vm_directory.h"
 #include "gateway/peer_state_need.h"
@@ -57,22 +58,22 @@
   return std::string(kNamePrefix) + std::to_string(vm);
 }
 
-auto StoreSpreadSimulation::Put(const std::string& key) -> void {
-  Write({key, std::to_string(++last_write_), 0});
+auto StoreSpreadSimulation::Put(const std::string& key, std::size_t bytes) -> void {
+  Write({key, std::to_string(++last_write_), 0}, bytes);
 }
 
 auto StoreSpreadSimulation::Remove(const std::string& key) -> void {
-  if (store_items_.contains(key)) Write({key, std::nullopt, 0});
+  if (store_items_.contains(key)) Write({key, std::nullopt, 0}, 0);
 }
 
-auto StoreSpreadSimulation::Write(StoreChange change) -> void {
+auto StoreSpreadSimulation::Write(StoreChange change, std::size_t bytes) -> void {
   change.revision = ++revision_;
   if (change.value.has_value()) {
     store_items_[change.key] = change;
   } else {
     store_items_.erase(change.key);
   }
-  history_[revision_] = {std::move(change), now()};
+  history_[revision_] = {std::move(change), now(), bytes};
   OnStoreChanged();
 }
 
@@ -138,11 +139,10 @@
                       });
 }
 
-auto StoreSpreadSimulation::FailCall(const Call& call, Duration time, std::function<void()> fail)
-    -> bool {
+auto StoreSpreadSimulation::FailCall(const Call& call, std::function<void()> fail) -> bool {
   const auto& reach = vms_[call.vm].reach;
   if (!reach.store) {
-    RunAt(call.vm, call.process, time, std::move(fail));
+    RunAt(call.vm, call.process, call.deadline - now(), std::move(fail));
   } else if (reach.refusal == Refusal::kBusy) {
     Answer(call, std::move(fail));
   } else if (reach.refusal == Refusal::kReset) {
@@ -156,35 +156,43 @@
 auto StoreSpreadSimulation::List(std::size_t vm, const std::string& after_key, OnPage on_page)
     -> void {
   ++store_calls_;
-  scheduler_.RunAfter(
-      Delay(Region(vm), kStoreRegion),
-      [this, call = Call{vm, vms_[vm].process, now()}, after_key, on_page = std::move(on_page)] {
-        const auto fail = [on_page] { on_page(absl::UnavailableError("no answer")); };
-        if (FailCall(call, kCallTimeout, fail)) return;
-        Answer(call, [on_page, page = PageAfter(after_key)] { on_page(page); });
-      });
+  scheduler_.RunAfter(Delay(Region(vm), kStoreRegion),
+                      [this, call = Call{vm, vms_[vm].process, now(), now() + kCallTimeout},
+                       after_key, on_page = std::move(on_page)] {
+                        const auto fail = [on_page] {
+                          on_page(absl::UnavailableError("no answer"));
+                        };
+                        if (FailCall(call, fail)) return;
+                        auto page = PageAfter(after_key);
+                        const auto bytes = SizeOf(page.items);
+                        Transfer(call, bytes, on_page, std::move(page));
+                      });
 }
 
 auto StoreSpreadSimulation::WatchStore(std::size_t vm, std::uint64_t after, Duration wait,
                                        OnChanges on_changes) -> void {
   ++store_calls_;
-  scheduler_.RunAfter(
-      Delay(Region(vm), kStoreRegion),
-      [this, watch = Watch{{vm, vms_[vm].process, now()}, after, std::move(on_changes)}, wait] {
-        const auto fail = [on_changes = watch.on_changes] {
-          on_changes(absl::UnavailableError("no answer"));
-        };
-        if (FailCall(watch.call, kCallTimeout + wait, fail)) return;
-        if (watch.after_revision != revision_) {
-          AnswerWatch(watch);
-          return;
-        }
-        const auto number = ++last_watch_;
-        watches_[number] = watch;
-        scheduler_.RunAfter(wait, [this, number] {
-          if (const auto waiting = watches_.extract(number)) AnswerWatch(waiting.mapped());
-        });
-      });
+  scheduler_.RunAfter(Delay(Region(vm), kStoreRegion),
+                      [this,
+                       watch = Watch{{vm, vms_[vm].process, now(), now() + wait + kCallTimeout},
+                                     after,
+                                     std::move(on_changes)},
+                       wait] {
+                        const auto fail = [on_changes = watch.on_changes] {
+                          on_changes(absl::UnavailableError("no answer"));
+                        };
+                        if (FailCall(watch.call, fail)) return;
+                        if (watch.after_revision != revision_) {
+                          AnswerWatch(watch);
+                          return;
+                        }
+                        const auto number = ++last_watch_;
+                        watches_[number] = watch;
+                        scheduler_.RunAfter(wait, [this, number] {
+                          if (const auto waiting = watches_.extract(number))
+                            AnswerWatch(waiting.mapped());
+                        });
+                      });
 }
 
 auto StoreSpreadSimulation::OnStoreChanged() -> void {
@@ -217,11 +225,51 @@
   for (auto event = history_.upper_bound(watch.after_revision); event != history_.end(); ++event) {
     changes.changes.push_back(event->second.change);
   }
-  Answer(watch.call, [on_changes = watch.on_changes, changes] { on_changes(changes); });
+  const auto bytes = SizeOf(changes.changes);
+  if (bytes > EdgeLimits::kMaxChangesBytes) {
+    Answer(watch.call, [on_changes = watch.on_changes] {
+      on_changes(absl::ResourceExhaustedError("the answer is too large"));
+    });
+    return;
+  }
+  Transfer(watch.call, bytes, watch.on_changes, std::move(changes));
+}
+
+template <class Changes>
+auto StoreSpreadSimulation::SizeOf(const Changes& changes) const -> std::size_t {
+  std::size_t bytes = 0;
+  for (const auto& change : changes) bytes += history_.at(change.revision).bytes;
+  return bytes;
+}
+
+template <class Callback, class Result>
+auto StoreSpreadSimulation::Transfer(const Call& call, std::size_t bytes, Callback callback,
+                                     Result result) -> void {
+  auto transfer_time = Duration::zero();
+  if (bytes > 0 && options_.link_bytes_per_second > 0) {
+    auto& busy_until = vms_[call.vm].link_busy_until;
+    const auto begin = std::max(busy_until, now());
+    const auto end =
+        begin +
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            static_cast<double>(bytes) / static_cast<double>(options_.link_bytes_per_second)));
+    busy_until = std::min(end, std::max(begin, call.deadline));
+    if (end > call.deadline) {
+      RunAt(call.vm, call.process, call.deadline - now(), [callback, began = busy_until > begin] {
+        callback(began ? absl::DeadlineExceededError("the answer takes too long")
+                       : absl::UnavailableError("no answer"));
+      });
+      return;
+    }
+    transfer_time = end - now();
+  }
+  Answer(
+      call, [callback, result = std::move(result)] { callback(result); }, transfer_time);
 }
 
-auto StoreSpreadSimulation::Answer(const Call& call, std::function<void()> apply) -> void {
-  RunAt(call.vm, call.process, Delay(kStoreRegion, Region(call.vm)),
+auto StoreSpreadSimulation::Answer(const Call& call, std::function<void()> apply,
+                                   Duration transfer_time) -> void {
+  RunAt(call.vm, call.process, transfer_time + Delay(kStoreRegion, Region(call.vm)),
         [this, call, era = era_, apply = std::move(apply)] {
           vms_[call.vm].process->follower().OnStoreEra(era, call.made_at);
           apply();
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -49,6 +49,8 @@
     bool peers_ask = true;  ///< Otherwise each VM knows only what it reads from the store.
     /// The time within which a change has to be known everywhere.
     Duration change_bound = std::chrono::milliseconds(2500);
+    /// What each VM's link carries of the store's answers. Zero: without a limit.
+    std::size_t link_bytes_per_second = 0;
     std::uint64_t seed = 1;
   };
 
@@ -57,7 +59,8 @@
   StoreSpreadSimulation(const StoreSpreadSimulation&) = delete;
   auto operator=(const StoreSpreadSimulation&) -> StoreSpreadSimulation& = delete;
 
-  auto Put(const std::string& key) -> void;
+  /// `bytes`: what the item adds to an answer, unless that is too little to matter.
+  auto Put(const std::string& key, std::size_t bytes = 0) -> void;
   auto Remove(const std::string& key) -> void;
   /// Drops the history: a watch after an older revision fails.
   auto DropHistory() -> void { history_start_ = revision_; }
@@ -92,11 +95,13 @@
   struct Vm {
     Reach reach;
     std::shared_ptr<SimulatedFollower> process;
+    MonotonicTime link_busy_until{};  ///< By answers of the store, one after the other.
   };
 
   struct Event {
     StoreChange change;
     MonotonicTime made_at;
+    std::size_t bytes = 0;
   };
 
   /// A call of a VM's process to the store.
@@ -104,6 +109,7 @@
     std::size_t vm = 0;
     std::weak_ptr<SimulatedFollower> process;
     MonotonicTime made_at;
+    MonotonicTime deadline;
   };
   using OnPage = std::function<void(absl::StatusOr<StorePage>)>;
   using OnChanges = std::function<void(absl::StatusOr<StoreChanges>)>;
@@ -114,7 +120,7 @@
     OnChanges on_changes;
   };
 
-  auto Write(StoreChange change) -> void;
+  auto Write(StoreChange change, std::size_t bytes) -> void;
   auto Name(std::size_t vm) const -> std::string;
   auto Region(std::size_t vm) const -> std::size_t { return vm % options_.region_count; }
   auto Zone(std::size_t vm) const -> std::size_t {
@@ -125,13 +131,17 @@
 
   auto List(std::size_t vm, const std::string& after_key, OnPage on_page) -> void;
   auto WatchStore(std::size_t vm, std::uint64_t after, Duration wait, OnChanges on_changes) -> void;
-  /// Fails the call as the VM's reach says. Returns false if the store serves it. `time`: that a
-  /// call without an answer takes.
-  auto FailCall(const Call& call, Duration time, std::function<void()> fail) -> bool;
+  /// Fails the call as the VM's reach says. Returns false if the store serves it.
+  auto FailCall(const Call& call, std::function<void()> fail) -> bool;
   auto PageAfter(const std::string& key) const -> StorePage;
   auto AnswerWatch(const Watch& watch) -> void;
   /// Delivers an answer of the store, which tells the store's era.
-  auto Answer(const Call& call, std::function<void()> apply) -> void;
+  auto Answer(const Call& call, std::function<void()> apply, Duration transfer_time = {}) -> void;
+  /// Delivers an answer of that size over the VM's link, or the failure of a call that ends before.
+  template <class Callback, class Result>
+  auto Transfer(const Call& call, std::size_t bytes, Callback callback, Result result) -> void;
+  template <class Changes>
+  auto SizeOf(const Changes& changes) const -> std::size_t;
   auto OnStoreChanged() -> void;
   /// Reads a peer's whole state if the VM needs one, and looks again later.
   auto ReadPeerState(std::size_t vm) -> void;
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -202,8 +202,14 @@
   return AcceptAll(std::move(changes));
 }
 
+auto StoreSyncState::NeedsListing(const absl::Status& status) const -> bool {
+  // A listing that is too large itself is made again only after a pause.
+  const bool is_watch_too_large = absl::IsResourceExhausted(status) && listing_ == Listing::kNone;
+  return absl::IsOutOfRange(status) || is_watch_too_large;
+}
+
 auto StoreSyncState::OnFailure(const absl::Status& status) -> void {
-  if (absl::IsOutOfRange(status)) {
+  if (NeedsListing(status)) {
     in_contact_ = true;
     if (listing_ == Listing::kNone) listing_ = Listing::kSameEra;
     after_key_.clear();
--- a/tests/edge/edge_node_test.cc
+++ b/tests/edge/edge_node_test.cc
@@ -203,6 +203,25 @@
   EXPECT_EQ(Send("/read/x").response.status, 200);
 }
 
+// Guards against a configuration that is not in force because all versions since the one before are
+// more than the node reads at once.
+TEST_F(EdgeNodeTest, AppliesTheLastOfManyLargeConfigurations) {
+  constexpr int kLastVersion = 14;
+  store_.Put("op/config", Policy(1));
+  Start();
+  const std::string padding(std::size_t{700} * 1000, ' ');
+  for (int version = 2; version <= kLastVersion; ++version) {
+    store_.Put("op/config", Policy(version) + padding);
+  }
+  EXPECT_TRUE(Eventually([&] {
+    return Get(settings_.metrics, "/metrics")
+               .body.find("heatherspan_config_version " + std::to_string(kLastVersion)) !=
+           std::string::npos;
+  }));
+  EXPECT_TRUE(log_capture_.Contains("event=store-changes-too-large"));
+  EXPECT_FALSE(log_capture_.Contains("event=store-lost"));
+}
+
 // Guards against a target that continues to process a request whose caller has disconnected.
 TEST_F(EdgeNodeTest, CancelsTheAttemptWhenTheCallerDisconnects) {
   TargetStub target("i-1");
--- /dev/null
+++ b/tests/experiment/large_item_test.cc
@@ -0,0 +1,58 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "experiment/store_spread_simulation.h"
+
+namespace heatherspan {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The shortest time within which a configuration has to be in force, of all deployments.
+constexpr Duration kApplyBound = milliseconds(2500);
+constexpr const char* kConfiguration = "configuration";
+/// A configuration of the largest size, with the item's other fields.
+constexpr std::size_t kLargeBytes = std::size_t{1400} * 1000;
+
+/// Writes a large configuration several times, and returns how long the last version takes to be
+/// known at all VMs, at most 10 s.
+auto TimeToSettle(StoreSpreadSimulation& simulation, std::size_t bytes, int versions, Duration gap)
+    -> Duration {
+  for (int i = 0; i < versions; ++i) {
+    if (i > 0) simulation.RunFor(gap);
+    simulation.Put(kConfiguration, bytes);
+  }
+  const auto start = simulation.now();
+  const auto is_known = [&] {
+    for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
+      if (simulation.ItemsAt(vm) != simulation.StoreItems()) return false;
+    }
+    return true;
+  };
+  while (!is_known() && simulation.now() - start < seconds(10)) simulation.RunFor(milliseconds(20));
+  return simulation.now() - start;
+}
+
+// Guards against a watch that is made again, with the same result, because all versions together
+// are more than a VM reads at once.
+TEST(LargeItem, ALargeConfigurationThatChangesFastIsKnownInTime) {
+  for (const std::size_t vm_count : {7, 34}) {
+    auto slowest = Duration::zero();
+    int calls = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+      StoreSpreadSimulation simulation({.vm_count = vm_count, .seed = seed});
+      simulation.Put(kConfiguration, kLargeBytes);
+      simulation.RunFor(seconds(6) + milliseconds(seed * 25));
+      const auto calls_before = simulation.store_calls();
+      slowest = std::max(slowest, TimeToSettle(simulation, kLargeBytes, 25, milliseconds(60)));
+      calls = std::max(calls, simulation.store_calls() - calls_before);
+    }
+    EXPECT_LE(slowest, kApplyBound) << vm_count << " VMs";
+    EXPECT_LE(calls, 10 * static_cast<int>(vm_count));
+  }
+}
+
+}  // namespace
+}  // namespace heatherspan
--- a/tests/gateway/store_sync_state_test.cc
+++ b/tests/gateway/store_sync_state_test.cc
@@ -62,6 +62,20 @@
   EXPECT_EQ(sync_state_.Next().after_revision, 9U);
 }
 
+// Guards against an answer that is too large and counts as an outage, and against a listing without
+// pause when that is too large itself.
+TEST_F(StoreSyncStateTest, ListsWhenTheChangesAreTooLarge) {
+  const auto too_large = absl::ResourceExhaustedError("too large");
+  ListAll({Put("a", 1), Put("b", 2)}, 5);
+  EXPECT_TRUE(sync_state_.NeedsListing(too_large));
+  sync_state_.OnFailure(too_large);
+  EXPECT_FALSE(sync_state_.lost());
+  EXPECT_TRUE(sync_state_.Next().list);
+  EXPECT_FALSE(sync_state_.NeedsListing(too_large));
+  EXPECT_EQ(ListAll({Put("b", 2), Put("c", 8)}, 9), "+c-a");
+  EXPECT_FALSE(sync_state_.RemovalsUnconfirmed());
+}
+
 // Guards against removals after an outage that take effect at once, and against removals that stay
 // unconfirmed forever.
 TEST_F(StoreSyncStateTest, RemovalsAreUnconfirmedAfterOutage) {
