edge: a watch whose answer is arriving isn't made again beside it

A watch without a whole answer 0.5 s after its wait was made again beside the first one, as if the answer were lost; both answers then share the link, and both take longer. Its own timeout remains. A call of which nothing has arrived is made again as before.

--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -21,13 +21,15 @@
 
 namespace heatherspan {
 
-/// A key-value service that can be listed and watched. Every call invokes its callback once.
+/// A key-value service that can be listed and watched, and that tells whether the answer to a watch
+/// is arriving. Every call invokes its callback once.
 template <class T>
 concept ReadableStore = requires(T& store, std::string key, std::uint64_t number, Duration wait,
                                  typename T::PageCallback on_page,
                                  typename T::ChangesCallback on_changes) {
   store.List(key, on_page);
   store.Watch(number, wait, on_changes);
+  { store.IsReceiving() } -> std::same_as<bool>;
 };
 
 /// A key-value service whose items may end with a lease. Every call invokes its callback once.
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -29,8 +29,8 @@
   /// The changes that follow are the whole state of a store that is back from an older copy.
   using OnRestored = std::function<void()>;
 
-  /// A watch that has no answer so long after its wait is made again beside the first one: the
-  /// answer may be lost, or the connection silent.
+  /// A watch of whose answer nothing has arrived so long after its wait is made again beside the
+  /// first one: the answer may be lost, or the connection silent.
   static constexpr Duration kOverdueTime = std::chrono::milliseconds(500);
   /// The delay before the next watch, so that one call reads several changes that come close
   /// together. It is a tenth of the time within which a configuration has to be in force in a
@@ -164,6 +164,11 @@
 
   auto OnOverdue(std::uint64_t call) -> void {
     if (call != last_call_ || lost_) return;
+    // A second answer would only take its part of the link. The call has its own timeout.
+    if (store_.IsReceiving()) {
+      timer_ = workers_.RunAfter(kOverdueTime, [this, call] { OnOverdue(call); });
+      return;
+    }
     log_.Write(LogLevel::kWarning, "store-answer-overdue", {{"revision", sync_state_.revision()}});
     sync_state_.OnOverdue();
     CallNext();
--- a/src/experiment/simulated_follower.cc
+++ b/src/experiment/simulated_follower.cc
@@ -17,6 +17,8 @@
   simulation_.WatchStore(vm_, after, wait, std::move(callback));
 }
 
+auto SimulatedFollower::Store::IsReceiving() const -> bool { return simulation_.IsReceiving(vm_); }
+
 SimulatedFollower::SimulatedFollower(StoreSpreadSimulation& simulation, std::size_t vm,
                                      EventLog& log, std::function<MonotonicTime()> now,
                                      StoreReadTiming timing)
--- a/src/experiment/simulated_follower.h
+++ b/src/experiment/simulated_follower.h
@@ -34,6 +34,7 @@
 
     auto List(const std::string& after_key, PageCallback callback) -> void;
     auto Watch(std::uint64_t after, Duration wait, ChangesCallback callback) -> void;
+    auto IsReceiving() const -> bool;
 
    private:
     StoreSpreadSimulation& simulation_;
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -129,6 +129,7 @@
   auto SelectPeersOf(std::size_t vm) const -> PeerSelection;
   static auto Delay(std::size_t from_region, std::size_t to_region) -> Duration;
 
+  auto IsReceiving(std::size_t vm) const -> bool { return vms_[vm].link_busy_until > now(); }
   auto List(std::size_t vm, const std::string& after_key, OnPage on_page) -> void;
   auto WatchStore(std::size_t vm, std::uint64_t after, Duration wait, OnChanges on_changes) -> void;
   /// Fails the call as the VM's reach says. Returns false if the store serves it.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -68,6 +68,8 @@
     return std::make_shared<ConnectionExchange>(std::move(connection), number);
   }
 
+  auto reading_bytes() const -> std::size_t { return state_->response_memory().total(); }
+
  private:
   auto FailLater(absl::Status status, Callback callback) -> std::shared_ptr<Exchange> {
     workers_.Post([status = std::move(status), callback = std::move(callback)] {
@@ -96,6 +98,8 @@
   return impl_->Send(endpoint, std::move(request), timeout, options, std::move(callback));
 }
 
+auto HttpClient::reading_bytes() const -> std::size_t { return impl_->reading_bytes(); }
+
 auto HttpClient::SendAndWait(const Endpoint& endpoint, HttpRequest request, Duration timeout)
     -> HttpResult {
   auto promise = std::make_shared<std::promise<HttpResult>>();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -78,6 +78,9 @@
   auto Send(const Endpoint& endpoint, HttpRequest request, Duration timeout,
             const SendOptions& options, Callback callback) -> std::shared_ptr<Exchange>;
 
+  /// Memory of the response bodies that are being read, small ones apart.
+  auto reading_bytes() const -> std::size_t;
+
   /// Sends and waits, for programs with no other work. Must not be called on a worker.
   auto SendAndWait(const Endpoint& endpoint, HttpRequest request, Duration timeout) -> HttpResult;
 
--- a/src/net/response_memory.h
+++ b/src/net/response_memory.h
@@ -14,6 +14,7 @@
   explicit ResponseMemory(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
   auto max_bytes() const -> std::size_t { return max_bytes_; }
+  auto total() const -> std::size_t { return total_.load(); }
   /// The memory of one response has changed. Returns false if the response has to be given up.
   auto Change(std::size_t before, std::size_t after) -> bool {
     if (before == 0 && after > 0) responses_.fetch_add(1);
--- a/tests/experiment/large_item_test.cc
+++ b/tests/experiment/large_item_test.cc
@@ -54,5 +54,20 @@
   }
 }
 
+// Guards against a watch that is made again beside one whose answer is arriving: both share a link
+// of 10 Mbit/s.
+TEST(LargeItem, ACallWhoseAnswerArrivesIsNotDoubled) {
+  constexpr int kVersions = 6;
+  const auto calls = [](std::size_t bytes) {
+    StoreSpreadSimulation simulation({.peers_ask = false, .link_bytes_per_second = 1'250'000});
+    simulation.Put(kConfiguration, bytes);
+    simulation.RunFor(seconds(6));
+    const auto calls_before = simulation.store_calls();
+    EXPECT_LE(TimeToSettle(simulation, bytes, kVersions, seconds(4)), kApplyBound);
+    return simulation.store_calls() - calls_before;
+  };
+  EXPECT_LE(calls(kLargeBytes), calls(0));
+}
+
 }  // namespace
 }  // namespace heatherspan
