soak: stray bytes at drawn moments

Cause: the proxies repeated or added bytes in one way each (Spoil::kExtra in the same write, Spoil::kRepeat up to 60 ms later), so that a copy met few of the states that a gateway's connection can have.

Change: Spoil::kStray draws, from a seed of its own, whether a response is lost (reset or silence) or stray bytes are added, what they are (a copy of the response or of an earlier refusal on the connection, half of a copy, a response to nobody, bytes that are no response), and when: in the same write, 1 to 500 ms later, after the next request, or in the head of the next response, which then comes in parts. Never behind the request's id: a body with foreign bytes can't be told from a whole one, and the ledger would report what no gateway can see.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -7,9 +7,11 @@
 #include <boost/asio/write.hpp>
 #include <list>
 #include <map>
+#include <random>
 #include <string_view>
 #include <utility>
 
+#include "base/random.h"
 #include "net/worker_pool.h"
 
 namespace heatherspan {
@@ -25,6 +27,12 @@
 /// The longest time after which a response is repeated: while its connection is idle, or after it
 /// has taken the next request.
 constexpr int kMaxRepeatDelayMs = 60;
+/// With Spoil::kStray, the part of the responses that are lost, repeated or added to, and the
+/// longest time after which stray bytes follow.
+constexpr double kStrayPart = 0.2;
+constexpr int kMaxStrayDelayMs = 500;
+constexpr std::string_view kIdField = "Heatherspan-Request-Id";
+constexpr std::string_view kNoResponse = "\x7f stray";
 /// A response that belongs to no request.
 constexpr std::string_view kExtraResponse =
     "HTTP/1.1 200 OK\r\nHeatherspan-Request-Id: nobodys\r\n"
@@ -48,6 +56,10 @@
   tcp::socket server;
   bool silent = false;
   int party = 0;
+  bool is_answering = false;  ///< Bytes are being written to the client.
+  std::string last_refusal;
+  std::string stray_after_request;  ///< Follows the next request.
+  std::string stray_in_response;    ///< Stands in the head of the next response.
 };
 
 /// One direction of a link.
@@ -63,8 +75,8 @@
   asio::steady_timer timer;
   std::array<char, kBufferBytes> buffer{};
   std::string pending;
-  bool writing = false;
   bool break_after = false;
+  std::string rest;  ///< Of a response that comes in parts.
 };
 
 }  // namespace
@@ -124,12 +136,15 @@
     links_.remove_if([&](const auto& link) { return link->party == party; });
   }
 
+  auto SetBehaviour(const Behaviour& behaviour) -> void {
+    if (behaviour.seed != behaviour_.seed) random_.seed(behaviour.seed);
+    behaviour_ = behaviour;
+  }
+
   auto SilenceAll() -> void {
     for (const auto& link : links_) link->silent = true;
   }
 
-  Behaviour behaviour_;
-
   auto SetServer(const Endpoint& server) -> void { server_ = server; }
   auto context() -> asio::io_context& { return context_; }
 
@@ -191,6 +206,7 @@
           }
           pipe->pending.assign(pipe->buffer.data(), count);
           if (!pipe->to_server) self->SpoilBytes(*pipe);
+          if (!pipe->to_server && self->behaviour_.spoil == Spoil::kStray) self->Stray(pipe);
           self->Deliver(pipe, false);
         });
   }
@@ -203,6 +219,77 @@
     }
   }
 
+  auto Draw(int most) -> int { return std::uniform_int_distribution(0, most)(random_); }
+
+  auto DrawStrayBytes(const Pipe& pipe) -> std::string {
+    switch (Draw(4)) {
+      case 0:
+        return std::string(kExtraResponse);
+      case 1:
+        return std::string(kNoResponse);
+      case 2:
+        return pipe.pending.substr(0, pipe.pending.size() / 2);
+      case 3:
+        if (!pipe.link->last_refusal.empty()) return pipe.link->last_refusal;
+        [[fallthrough]];
+      default:
+        return pipe.pending;
+    }
+  }
+
+  /// Draws what becomes of a response.
+  auto Stray(const std::shared_ptr<Pipe>& pipe) -> void {
+    auto& link = *pipe->link;
+    auto& response = pipe->pending;
+    if (response.starts_with("HTTP/1.1 503") || response.starts_with("HTTP/1.1 421")) {
+      link.last_refusal = response;
+    }
+    if (!link.stray_in_response.empty()) {
+      // Not behind the request's id: a body with stray bytes can't be told from a whole one.
+      const auto end = std::min(response.find(kIdField), response.find("\r\n\r\n"));
+      const auto at = static_cast<std::size_t>(Draw(static_cast<int>(end)));
+      pipe->rest = std::exchange(link.stray_in_response, {}) + response.substr(at);
+      response.resize(at);
+      return;
+    }
+    if (!std::bernoulli_distribution(kStrayPart)(random_)) return;
+    const auto bytes = DrawStrayBytes(*pipe);
+    switch (Draw(5)) {
+      case 0:
+        response += bytes;
+        break;
+      case 1:
+        link.stray_after_request = bytes;
+        break;
+      case 2:
+        link.stray_in_response = bytes;
+        break;
+      case 3:  // The answer is lost.
+        response.clear();
+        if (Draw(1) == 0) {
+          link.silent = true;
+        } else {
+          Reset(link.client);
+          Reset(link.server);
+        }
+        break;
+      default:
+        // Short delays as often as long ones.
+        SendLater(pipe->link, bytes, std::chrono::milliseconds(1 + Draw(Draw(kMaxStrayDelayMs))));
+    }
+  }
+
+  /// Sends bytes to the client outside of what the server answers.
+  auto SendLater(const std::shared_ptr<Link>& link, std::string bytes, Duration delay) -> void {
+    auto timer = std::make_shared<asio::steady_timer>(context_);
+    timer->expires_after(delay);
+    timer->async_wait([timer, link, bytes = std::move(bytes)](error_code /*never cancelled*/) {
+      if (link->is_answering || !link->client.is_open()) return;
+      error_code ignored;  // The client may have closed the connection.
+      asio::write(link->client, asio::buffer(bytes), ignored);
+    });
+  }
+
   /// After the delay, and as soon as the direction is open.
   auto Deliver(const std::shared_ptr<Pipe>& pipe, bool end) -> void {
     const auto wait = behaviour_.delay;
@@ -212,14 +299,18 @@
     });
   }
 
+  auto Hold(const std::shared_ptr<Pipe>& pipe, bool end) -> void {
+    pipe->timer.expires_after(kHoldCheck);
+    pipe->timer.async_wait([self = shared_from_this(), pipe, end](error_code error) {
+      if (!error) self->WriteWhenOpen(pipe, end);
+    });
+  }
+
   auto WriteWhenOpen(const std::shared_ptr<Pipe>& pipe, bool end) -> void {
     if (!pipe->link->client.is_open()) return;
     const bool open = pipe->to_server ? behaviour_.forward_to_server : behaviour_.forward_to_client;
     if (!open || pipe->link->silent || CutOf(*pipe->link) == Cut::kHang) {
-      pipe->timer.expires_after(kHoldCheck);
-      pipe->timer.async_wait([self = shared_from_this(), pipe, end](error_code error) {
-        if (!error) self->WriteWhenOpen(pipe, end);
-      });
+      Hold(pipe, end);
       return;
     }
     if (end) {
@@ -228,28 +319,35 @@
       if (pipe->to_server) Break(*pipe->link);
       return;
     }
-    pipe->writing = true;
+    if (!pipe->to_server) pipe->link->is_answering = true;
     asio::async_write(pipe->To(), asio::buffer(pipe->pending),
                       [self = shared_from_this(), pipe](error_code error, std::size_t /*count*/) {
-                        pipe->writing = false;
-                        if (!pipe->to_server) self->RepeatLater(pipe);
+                        self->AfterWrite(*pipe);
                         if (error || pipe->break_after) {
                           self->Break(*pipe->link);
                           return;
                         }
+                        if (!pipe->rest.empty()) {
+                          pipe->pending = std::exchange(pipe->rest, {});
+                          self->Hold(pipe, false);
+                          return;
+                        }
                         self->Read(pipe);
                       });
   }
 
-  auto RepeatLater(const std::shared_ptr<Pipe>& pipe) -> void {
+  auto AfterWrite(const Pipe& pipe) -> void {
+    auto& link = *pipe.link;
+    if (pipe.to_server) {
+      if (link.stray_after_request.empty()) return;
+      SendLater(pipe.link, std::exchange(link.stray_after_request, {}),
+                std::chrono::milliseconds(Draw(kMaxRepeatDelayMs)));
+      return;
+    }
+    link.is_answering = false;
     if (behaviour_.spoil != Spoil::kRepeat) return;
-    auto timer = std::make_shared<asio::steady_timer>(context_);
-    timer->expires_after(std::chrono::milliseconds(1 + repeats_++ * 7 % kMaxRepeatDelayMs));
-    timer->async_wait([timer, pipe, bytes = pipe->pending](error_code /*never cancelled*/) {
-      if (pipe->writing || !pipe->link->client.is_open()) return;
-      error_code ignored;  // The client may have closed the connection.
-      asio::write(pipe->link->client, asio::buffer(bytes), ignored);
-    });
+    SendLater(pipe.link, pipe.pending,
+              std::chrono::milliseconds(1 + repeats_++ * 7 % kMaxRepeatDelayMs));
   }
 
   auto CutOf(const Link& link) const -> Cut {
@@ -270,7 +368,9 @@
   PartyOf party_of_;
   std::map<int, Cut> cuts_;
   std::list<std::shared_ptr<Link>> links_;
+  Behaviour behaviour_;
   int repeats_ = 0;
+  Random random_;
 };
 
 FaultProxy::FaultProxy(WorkerPool& workers, const Endpoint& listen, Endpoint server,
@@ -285,7 +385,7 @@
 }
 
 auto FaultProxy::SetBehaviour(const Behaviour& behaviour) -> void {
-  asio::post(impl_->context(), [impl = impl_, behaviour] { impl->behaviour_ = behaviour; });
+  asio::post(impl_->context(), [impl = impl_, behaviour] { impl->SetBehaviour(behaviour); });
 }
 
 auto FaultProxy::SetServer(const Endpoint& server) -> void {
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -20,6 +21,7 @@
     kTruncate,  ///< Ends the connection in the middle of a response.
     kExtra,     ///< Adds a whole response that nobody asked for.
     kRepeat,    ///< Sends the bytes of its last response again, a little later.
+    kStray,     ///< Draws what it loses, repeats or adds, and when.
   };
 
   struct Behaviour {
@@ -28,6 +30,7 @@
     bool refuse = false;  ///< Resets new connections.
     Duration delay = Duration::zero();
     Spoil spoil = Spoil::kNone;
+    std::uint64_t seed = 0;  ///< Of what is drawn.
   };
 
   /// What becomes of the connections of one party.
--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -57,6 +57,15 @@
   }
 }
 
+// Guards against a drawn harm that leaves responses as they are.
+TEST_F(FaultProxyTest, StrayBytesHarmSomeResponses) {
+  proxy_.SetBehaviour({.spoil = FaultProxy::Spoil::kStray, .seed = 1});
+  int harmed = 0;
+  for (int i = 0; i < 100; ++i) harmed += Ask(milliseconds(300)).ok() ? 0 : 1;
+  EXPECT_GT(harmed, 0);
+  EXPECT_LT(harmed, 100);
+}
+
 class CutProxyTest : public FaultProxyTest {
  protected:
   static constexpr int kParty = 1;
