--- a/tests/soak/promise_ledger.h
+++ b/tests/soak/promise_ledger.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/ids.h"
@@ -152,9 +153,11 @@
   auto served() const -> std::size_t { return served_; }
   auto refused() const -> std::size_t { return refused_; }
 
-  /// The path of the request that ends each target that begins to run it.
-  static constexpr const char* kHarmfulTarget = "/read/harmful/20";
-  static auto IsHarmful(const std::string& target) -> bool { return target == kHarmfulTarget; }
+  /// The end of the path of the request that ends each target that begins to run it.
+  static constexpr std::string_view kHarmfulPath = "/harmful/20";
+  static auto IsHarmful(const std::string& target) -> bool {
+    return target.ends_with(kHarmfulPath);
+  }
   /// The body of a target's response, which the caller can check by itself.
   static auto ExpectedBody(const std::string& target, const std::string& id) -> std::string;
 
--- a/tests/soak/promise_ledger_test.cc
+++ b/tests/soak/promise_ledger_test.cc
@@ -6,6 +6,8 @@
 namespace heatherspan {
 namespace {
 
+constexpr const char* kHarmfulTarget = "/read/harmful/20";
+
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::ElementsAre;
@@ -383,9 +385,8 @@
 TEST_F(PromiseLedgerTest, SeesARequestThatEndsTargetsWithoutEnd) {
   const auto send = [&](int number, Duration at) {
     const auto id = std::to_string(number);
-    Send(id, "read", at,
-         [](SentRequest& request) { request.target = PromiseLedger::kHarmfulTarget; });
-    change_ = [](SeenArrival& arrival) { arrival.target = PromiseLedger::kHarmfulTarget; };
+    Send(id, "read", at, [](SentRequest& request) { request.target = kHarmfulTarget; });
+    change_ = [](SeenArrival& arrival) { arrival.target = kHarmfulTarget; };
     Arrive(id, "read", at, "i-" + id);
   };
   for (int i = 0; i < 6; ++i) send(i, milliseconds(i));
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -18,32 +18,44 @@
 constexpr milliseconds kLongestPause(3000);
 /// While there is nobody to ask.
 constexpr milliseconds kNoEntryPause(100);
-constexpr Duration kPatience = milliseconds(2500);
 constexpr double kLeavingPart = 0.06;
-constexpr double kLongPart = 0.12;
-constexpr int kLongWork = 1100;
-constexpr int kShortestWork = 20;
-constexpr int kLongestWork = 120;
 constexpr int kObjects = 12;
 constexpr std::size_t kBookingBytes = 700;
 
-struct RouteInfo {
-  const char* name;
-  const char* method;
-  bool at_most_once;
-  double weight;
-};
-
-constexpr RouteInfo kRoutes[] = {{"read", "GET", false, 9},
-                                 {"book", "POST", true, 6},
-                                 {"moving", "GET", false, 3},
-                                 {"home", "GET", false, 2},
-                                 {"extra", "PUT", true, 1}};
-
 auto Now() -> MonotonicTime { return SystemClock().Now(); }
 
 }  // namespace
 
+auto ToHttpRequest(const SentRequest& request, const std::string& host) -> HttpRequest {
+  HttpRequest sent;
+  sent.method = request.method;
+  sent.target = request.target;
+  sent.body = request.body;
+  sent.headers = {
+      {"Host", host},
+      {std::string(names::kRequestId), request.id},
+      {std::string(names::kDeadline),
+       std::to_string(std::chrono::duration_cast<milliseconds>(request.patience).count())},
+      {"Cookie", fmt::format("{}={}", names::kAffinityCookie, request.target)}};
+  return sent;
+}
+
+auto RecordResult(const std::string& id, const HttpResult& result, MonotonicTime now,
+                  PromiseLedger& ledger) -> void {
+  const auto& response = result.response;
+  if (result.status.ok()) {
+    ledger.OnAnswer(id,
+                    {response.status, std::string(response.Header(names::kRequestId)),
+                     std::string(response.Header(names::kSignature)), response.body},
+                    now);
+  } else if (absl::IsDeadlineExceeded(result.status)) {
+    ledger.OnSilence(id, now);
+  } else if (!absl::IsCancelled(result.status) &&
+             result.progress != SendProgress::kNothingWritten) {
+    ledger.OnConnectionEnd(id, now);
+  }
+}
+
 SoakCaller::SoakCaller(int number, Manner manner, std::uint64_t seed, WorkerPool& workers,
                        const SoakCallerWorld& world, Guarded<PromiseLedger>& ledger)
     : number_(number),
@@ -69,26 +81,31 @@
 }
 
 auto SoakCaller::DrawRequest() -> SentRequest {
+  const auto& routes = world_.shape->routes;
   std::vector<double> weights;
-  for (const auto& route : kRoutes) weights.push_back(route.weight);
+  weights.reserve(routes.size());
+  for (const auto& route : routes) weights.push_back(route.weight);
   const bool harms = manner_ == Manner::kHarms;
-  const auto& route = harms ? kRoutes[0]
-                            : kRoutes[std::discrete_distribution<std::size_t>(
+  const auto& route = harms ? routes.front()
+                            : routes[std::discrete_distribution<std::size_t>(
                                   weights.begin(), weights.end())(random_)];
   const int object = std::uniform_int_distribution(0, kObjects - 1)(random_);
-  const int work = Chance(kLongPart)
-                       ? kLongWork
-                       : std::uniform_int_distribution(kShortestWork, kLongestWork)(random_);
+  const auto work =
+      Chance(route.long_part)
+          ? static_cast<int>(route.long_work.count())
+          : std::uniform_int_distribution(static_cast<int>(route.shortest_work.count()),
+                                          static_cast<int>(route.longest_work.count()))(random_);
   SentRequest request;
   request.id = fmt::format("c{}-{}", number_, ++sent_);
   request.gateway = entry_.gateway;
   request.route = route.name;
   request.method = route.method;
-  request.target =
-      harms ? PromiseLedger::kHarmfulTarget : fmt::format("/{}/{}/{}", route.name, object, work);
-  request.at_most_once = route.at_most_once;
-  request.patience = kPatience;
-  request.route_timeout = world_.route_timeout;
+  request.target = harms
+                       ? fmt::format("/{}{}", route.name, std::string(PromiseLedger::kHarmfulPath))
+                       : fmt::format("/{}/{}/{}", route.name, object, work);
+  request.at_most_once = route.at_most_once();
+  request.patience = route.patience;
+  request.route_timeout = route.timeout;
   if (request.method != "GET") request.body = std::string(kBookingBytes, 'b') + request.id;
   return request;
 }
@@ -105,19 +122,9 @@
 }
 
 auto SoakCaller::Send(const SentRequest& request) -> void {
-  HttpRequest sent;
-  sent.method = request.method;
-  sent.target = request.target;
-  sent.body = request.body;
-  sent.headers = {
-      {"Host", world_.host},
-      {std::string(names::kRequestId), request.id},
-      {std::string(names::kDeadline),
-       std::to_string(std::chrono::duration_cast<milliseconds>(request.patience).count())},
-      {"Cookie", fmt::format("{}={}", names::kAffinityCookie, request.target)}};
   ledger_.With([&](PromiseLedger& ledger) { ledger.OnSent(request, Now()); });
   exchange_ =
-      client_.Send(entry_.endpoint, std::move(sent), request.patience,
+      client_.Send(entry_.endpoint, ToHttpRequest(request, world_.host), request.patience,
                    [this, id = request.id](const HttpResult& result) { OnResult(id, result); });
   if (!Chance(kLeavingPart)) return;
   const auto stay = milliseconds(std::uniform_int_distribution(50, 400)(random_));
@@ -132,19 +139,7 @@
   exchange_.reset();
   const auto& response = result.response;
   const bool complete = result.status.ok();
-  ledger_.With([&](PromiseLedger& ledger) {
-    if (complete) {
-      ledger.OnAnswer(id,
-                      {response.status, std::string(response.Header(names::kRequestId)),
-                       std::string(response.Header(names::kSignature)), response.body},
-                      Now());
-    } else if (absl::IsDeadlineExceeded(result.status)) {
-      ledger.OnSilence(id, Now());
-    } else if (!absl::IsCancelled(result.status) &&
-               result.progress != SendProgress::kNothingWritten) {
-      ledger.OnConnectionEnd(id, Now());
-    }
-  });
+  ledger_.With([&](PromiseLedger& ledger) { RecordResult(id, result, Now(), ledger); });
   if (!complete) entry_ = {};
   Duration pause = Duration::zero();
   if (const auto seconds = ParseNumber<double>(response.Header("Retry-After"))) {
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -10,6 +10,7 @@
 #include "net/worker_pool.h"
 #include "soak/guarded.h"
 #include "soak/promise_ledger.h"
+#include "soak/soak_shape.h"
 
 namespace heatherspan {
 
@@ -23,12 +24,18 @@
 struct SoakCallerWorld {
   std::vector<SoakEntry> entries;  ///< As the directory named them last.
   std::string host;
-  Duration route_timeout{};
+  const SoakShape* shape = nullptr;
   bool burst = false;
   int harmful = 0;  ///< Harmful requests are sent while it is not 0.
   bool ended = false;
 };
 
+/// A caller's attempt as it is sent.
+auto ToHttpRequest(const SentRequest& request, const std::string& host) -> HttpRequest;
+/// Tells the ledger how a caller's attempt has ended.
+auto RecordResult(const std::string& id, const HttpResult& result, MonotonicTime now,
+                  PromiseLedger& ledger) -> void;
+
 /// A caller that sends one request after the other on a connection that it keeps. Runs on a worker
 /// pool of one thread.
 class SoakCaller {
--- a/tests/soak/soak_figures.h
+++ b/tests/soak/soak_figures.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
 
 #include "base/time.h"
 
@@ -44,8 +43,8 @@
 /// A proxy acknowledges what it swallows, so that only the time limit of a call ends the silence:
 /// that of a watch, StoreFollower::kWatchTime and StoreClient::kCallTimeout, or of a request.
 inline constexpr Duration kSilenceTime = std::chrono::milliseconds(4700);
-/// Of all routes: more than the longest work, less than a caller waits.
-inline constexpr Duration kRouteTimeout = std::chrono::milliseconds(1500);
+/// More than a short exchange takes.
+inline constexpr Duration kTargetSilenceTime = std::chrono::milliseconds(1500);
 /// How long a leaving target serves on, at least (the users' sites state it), and a little longer.
 inline constexpr Duration kDrainTime = std::chrono::milliseconds(2500);
 inline constexpr Duration kAfterDrain = std::chrono::milliseconds(1500);
@@ -61,10 +60,4 @@
 inline constexpr int kHarmfulCallers = 2;
 inline constexpr const char* kHost = "soak.example";
 
-/// The zones of the gateways and targets, in turn. A region is the part before the hyphen.
-inline auto ZoneOf(int number) -> std::string {
-  constexpr const char* kZones[] = {"east-a", "west-a", "east-b", "west-b"};
-  return kZones[number % 4];
-}
-
 }  // namespace heatherspan
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -44,10 +44,18 @@
   app.add_option("--seed", options.seed, "Seed of the faults and of the callers");
   app.add_option("--length", length_s, "Time over which faults begin, in seconds");
   app.add_option("--recovery", recovery_s, "Time from their end to the last check, in seconds");
+  std::string shape = "standard";
+  app.add_option("--shape", shape, "The deployment: standard or rotabio-litoral")
+      ->check(CLI::IsMember({"standard", "rotabio-litoral"}))
+      ->each([&options](const std::string& name) {
+        options.shape = heatherspan::FindSoakShape(name);
+        options.size = options.shape->size;
+        options.callers = options.shape->callers;
+      });
   app.add_option("--gateways", options.size.gateways, "Gateway processes, at most 16")
       ->check(CLI::Range(1, 16));
-  app.add_option("--targets", options.size.targets, "Targets, at most 40")
-      ->check(CLI::Range(4, 40));
+  app.add_option("--targets", options.size.targets, "Targets, at most 48")
+      ->check(CLI::Range(4, 48));
   app.add_option("--callers", options.callers, "Callers")->check(CLI::Range(1, 500));
   app.add_flag("--plan", print_plan, "Only print the steps of the seed");
   CLI11_PARSE(app, argc, argv);
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -83,6 +83,10 @@
      milliseconds(15000)},
     {SoakAction::kTargetRepeatsAnswers, "target-repeats-answers", 0, Party::kTarget,
      milliseconds(500), milliseconds(5000)},
+    {SoakAction::kTargetStrays, "target-strays", 0, Party::kTarget, milliseconds(3000),
+     milliseconds(6000)},
+    {SoakAction::kTargetRestarts, "target-restarts", 0, Party::kTarget, milliseconds(50),
+     milliseconds(2500)},
 };
 
 constexpr milliseconds kMeanGap(700);
@@ -97,6 +101,10 @@
 constexpr milliseconds kMeanHarmfulGap(10000);
 constexpr std::uint64_t kRepeatSequence = 0x4e9ea7;
 constexpr milliseconds kMeanRepeatGap(1500);
+constexpr std::uint64_t kStraySequence = 0x57a45;
+constexpr milliseconds kMeanStrayGap(1500);
+constexpr std::uint64_t kRestartSequence = 0x4e57a;
+constexpr milliseconds kMeanRestartGap(500);
 /// The same again, or on another party, soon after.
 constexpr double kSeriesPart = 0.35;
 constexpr milliseconds kSeriesGap(250);
@@ -172,6 +180,12 @@
                plan);
   DrawSequence(SoakAction::kTargetRepeatsAnswers, seed ^ kRepeatSequence, kMeanRepeatGap, length,
                size, plan);
+  if (size.has_strays) {
+    DrawSequence(SoakAction::kTargetStrays, seed ^ kStraySequence, kMeanStrayGap, length, size,
+                 plan);
+    DrawSequence(SoakAction::kTargetRestarts, seed ^ kRestartSequence, kMeanRestartGap, length,
+                 size, plan);
+  }
   std::stable_sort(plan.begin(), plan.end(),
                    [](const SoakStep& a, const SoakStep& b) { return a.at < b.at; });
   return plan;
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -43,6 +43,8 @@
   kStranded,
   kHarmfulRequests,
   kTargetRepeatsAnswers,
+  kTargetStrays,
+  kTargetRestarts,
 };
 
 /// One step. Its party is a gateway or a target, or a zone, by number.
@@ -57,6 +59,8 @@
   int gateways = 4;
   int targets = 8;
   int zones = 4;
+  /// Targets send stray bytes and start again under their ids.
+  bool has_strays = false;
 };
 
 auto ActionText(SoakAction action) -> std::string_view;
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -25,33 +25,38 @@
 
 auto Now() -> MonotonicTime { return SystemClock().Now(); }
 
+/// The part before the hyphen.
 auto RegionOf(const std::string& zone) -> std::string { return zone.substr(0, zone.find('-')); }
 
-auto RouteText(const std::string& name, const std::string& service, const std::string& kind,
-               const std::string& more) -> std::string {
+auto RouteText(const SoakRoute& route, const std::string& service) -> std::string {
+  const auto regions =
+      route.region.empty() ? "" : fmt::format(R"(,"allowed_regions":["{}"])", route.region);
+  using Seconds = std::chrono::duration<double>;
   return fmt::format(
       R"({{"type":"routes","metadata":{{"name":"{0}"}},"spec":{{"host":"{1}","path_prefix":"/{0}/",)"
-      R"("kind":"{2}","timeout_s":{3},"latency_slo_s":0.5,"priority":1,"service":"{4}",)"
-      R"("max_attempts":2,"session_affinity":true{5}}}}})",
-      name, kHost, kind, std::chrono::duration<double>(kRouteTimeout).count(), service, more);
+      R"("kind":"{2}","timeout_s":{3},"latency_slo_s":{4},"priority":{5},"service":"{6}",)"
+      R"("max_attempts":2,"session_affinity":true{7}}}}})",
+      route.name, kHost, route.at_most_once() ? "unsafe" : "safe", Seconds(route.timeout).count(),
+      Seconds(route.objective).count(), route.priority, service, regions);
 }
 
-auto ServiceText(const std::string& name) -> std::string {
+auto ServiceText(const std::string& name, const SoakShape& shape) -> std::string {
   return fmt::format(
       R"({{"type":"services","metadata":{{"name":"{}"}},"spec":{{"health_path":"/health",)"
-      R"("max_conns":60,"cold_s":3,"cold_per_s":3}}}})",
-      name);
+      R"("max_conns":{},"cold_s":3,"cold_per_s":{}}}}})",
+      name, shape.max_connections, shape.cold_per_second);
 }
 
 }  // namespace
 
 SoakRun::SoakRun(Options options)
     : options_(std::move(options)),
-      ledger_(PromiseBounds{}),
+      ledger_(options_.shape->bounds),
       store_({Address(kStoreAddress), kStorePort}),
-      observer_(caller_workers_, HttpClient::Limits{.connect_timeout = milliseconds(500)}) {
+      observer_(caller_workers_, HttpClient::Limits{.connect_timeout = milliseconds(500)}),
+      backend_calls_(target_workers_, options_.seed, *options_.shape, kHost, Entries(), ledger_) {
   world_.host = kHost;
-  world_.route_timeout = kRouteTimeout;
+  world_.shape = options_.shape;
   for (int i = 0; i < options_.size.targets; ++i) AddTarget(i);
   for (int i = 0; i < options_.size.gateways; ++i) AddGateway(i);
   for (int i = 0; i < options_.callers + kHarmfulCallers; ++i) {
@@ -79,6 +84,15 @@
                      number);
 }
 
+auto SoakRun::Entries() const -> std::vector<SoakEntry> {
+  std::vector<SoakEntry> entries;
+  entries.reserve(options_.size.gateways);
+  for (int i = 0; i < options_.size.gateways; ++i) {
+    entries.push_back({fmt::format("edge-{}", i), {Address(kCallerProxies + i), kCallersPort}});
+  }
+  return entries;
+}
+
 auto SoakRun::Log(const std::string& line) const -> void {
   std::cout << fmt::format("{:7.3f} {}\n", std::chrono::duration<double>(Now() - began_).count(),
                            line);
@@ -87,13 +101,18 @@
 auto SoakRun::AddTarget(int number) -> void {
   auto& target = targets_.emplace_back();
   const Endpoint endpoint{Address(kTargets + number), kTargetPort};
-  target.identity = {"", number / 4 % 2 == 0 ? "alpha" : "beta", ZoneOf(number),
-                     RegionOf(ZoneOf(number))};
-  target.target = std::make_unique<SoakTarget>(target_workers_, endpoint, ledger_, [this, number] {
-    targets_[number].proxy->SetListening(false);
-    targets_[number].proxy->ResetConnections();
-    harmed_.With([number](std::vector<int>& harmed) { harmed.push_back(number); });
-  });
+  const auto& shape = *options_.shape;
+  const auto& place = shape.target_places[number % shape.target_places.size()];
+  target.identity = {"", place.service, place.zone, RegionOf(place.zone)};
+  const auto idle_span = shape.longest_idle - shape.shortest_idle;
+  const SoakTarget::Manner manner = {
+      shape.shortest_idle + idle_span * number / options_.size.targets, shape.follows_pages};
+  target.target = std::make_unique<SoakTarget>(
+      target_workers_, endpoint, ledger_, manner, backend_calls_, [this, number] {
+        targets_[number].proxy->SetListening(false);
+        targets_[number].proxy->ResetConnections();
+        harmed_.With([number](std::vector<int>& harmed) { harmed.push_back(number); });
+      });
   target.proxy = std::make_unique<FaultProxy>(
       proxy_workers_, Endpoint{Address(kTargetProxies + number), kTargetPort}, endpoint,
       [this](const Endpoint& client, const Endpoint& proxy) {
@@ -106,7 +125,7 @@
 
 auto SoakRun::AddGateway(int number) -> void {
   auto& gateway = gateways_.emplace_back();
-  gateway.zone = ZoneOf(number);
+  gateway.zone = options_.shape->gateway_zones[number % options_.shape->gateway_zones.size()];
   gateway.region = RegionOf(gateway.zone);
   gateway.name = fmt::format("edge-{}", number);
   gateway.address = Address(kGateways + number);
@@ -130,12 +149,15 @@
       "metrics = \"{3}:{7}\"\n"
       "[store]\naddress = \"{8}:{9}\"\n"
       "[peers]\nlisten = \"{3}:{11}\"\nseeds = [\"{12}:{11}\", \"{13}:{11}\"]\n"
-      "[bounds]\nretry_ratio = 0.2\nretry_allowance = 20\nstop_grace_s = 6\n"
-      "[log]\nlines_per_second = {10}\n"
-      "[zones]\neast-a = \"east\"\nwest-a = \"west\"\neast-b = \"east\"\nwest-b = \"west\"\n",
+      "[bounds]\nretry_ratio = 0.2\nretry_allowance = {14}\nstop_grace_s = 6\n"
+      "[log]\nlines_per_second = {10}\n[zones]\n",
       gateway.name, gateway.zone, gateway.region, gateway.address, kCallersPort, kReadinessPort,
       kDirectoryPort, kMetricsPort, Address(kStoreProxies + number), kStorePort, gateway.log_lines,
-      kPeersPort, Address(kGateways), Address(kGateways + 1));
+      kPeersPort, Address(kGateways), Address(kGateways + 1),
+      options_.shape->bounds.retry_allowance);
+  for (const auto& zone : options_.shape->zones) {
+    file << fmt::format("{} = \"{}\"\n", zone, RegionOf(zone));
+  }
 }
 
 auto SoakRun::Register(Target& target, const std::string& state) -> void {
@@ -153,8 +175,11 @@
   const auto number = &target - targets_.data();
   ++target.lives;
   target.identity.name = fmt::format("i-{}-{}", number, target.lives);
-  if (other_service)
-    target.identity.service = target.identity.service == "alpha" ? "beta" : "alpha";
+  if (other_service) {
+    const auto& services = options_.shape->services;
+    const auto now = std::find(services.begin(), services.end(), target.identity.service);
+    target.identity.service = now + 1 == services.end() ? services.front() : *(now + 1);
+  }
   StartTarget(target);
 }
 
@@ -199,20 +224,21 @@
 
 auto SoakRun::PutPolicy() -> void {
   version_ += kPolicyStep;
-  const std::string moving = version_ / kPolicyStep % 2 == 0 ? "alpha" : "beta";
-  const bool has_extra = version_ / kPolicyStep % 3 != 0;
+  const int number = version_ / kPolicyStep;
   PolicyFacts facts;
-  facts.services = {{"read", "alpha"}, {"book", "beta"}, {"moving", moving}, {"home", "alpha"}};
-  facts.regions = {{"home", "east"}};
-  auto text =
-      fmt::format(R"({{"version":"r{}","resources":[{},{},{},{},{},{})", version_,
-                  ServiceText("alpha"), ServiceText("beta"), RouteText("read", "alpha", "safe", ""),
-                  RouteText("book", "beta", "unsafe", ""), RouteText("moving", moving, "safe", ""),
-                  RouteText("home", "alpha", "safe", R"(,"allowed_regions":["east"])"));
-  if (has_extra) {
-    facts.services["extra"] = "beta";
-    text += ',' + RouteText("extra", "beta", "unsafe", "");
+  auto text = fmt::format(R"({{"version":"r{}","resources":[)", version_);
+  for (const auto& service : options_.shape->services) {
+    text += ServiceText(service, *options_.shape) + ',';
+  }
+  for (const auto& route : options_.shape->routes) {
+    if (route.comes_and_goes && number % 3 == 0) continue;
+    const bool has_moved = !route.moves_to.empty() && number % 2 == 0;
+    const auto& service = has_moved ? route.moves_to : route.service;
+    facts.services[route.name] = service;
+    if (!route.region.empty()) facts.regions[route.name] = route.region;
+    text += RouteText(route, service) + ',';
   }
+  text.pop_back();
   text += "]}";
   ledger_.With([&](PromiseLedger& ledger) { ledger.OnPolicy(facts, Now()); });
   store_.Put(std::string(names::kConfigKey), text);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -14,8 +14,10 @@
 #include "soak/gateway_process.h"
 #include "soak/guarded.h"
 #include "soak/promise_ledger.h"
+#include "soak/soak_backend_calls.h"
 #include "soak/soak_caller.h"
 #include "soak/soak_plan.h"
+#include "soak/soak_shape.h"
 #include "soak/soak_target.h"
 
 namespace heatherspan {
@@ -31,8 +33,9 @@
     std::uint64_t seed = 1;
     Duration length = std::chrono::seconds(15);  ///< Of the faults.
     Duration recovery = std::chrono::seconds(15);
-    SoakSize size;
-    int callers = 32;
+    const SoakShape* shape = FindSoakShape("standard");
+    SoakSize size = shape->size;
+    int callers = shape->callers;
   };
 
   explicit SoakRun(Options options);
@@ -76,6 +79,8 @@
   using Kind = TroubleLog::Kind;
 
   auto Address(int number) const -> std::string;
+  /// The gateways as callers reach them.
+  auto Entries() const -> std::vector<SoakEntry>;
   auto AddGateway(int number) -> void;
   auto AddTarget(int number) -> void;
   auto WriteSettings(Gateway& gateway) -> void;
@@ -115,6 +120,7 @@
   KvStandin store_;
   HttpClient observer_;
   SoakCallerWorld world_;
+  SoakBackendCalls backend_calls_;
   std::vector<Gateway> gateways_;
   std::vector<Target> targets_;
   Guarded<std::vector<int>> harmed_;  ///< Targets that a request has just ended, by number.
--- a/tests/soak/soak_run_steps.cc
+++ b/tests/soak/soak_run_steps.cc
@@ -14,6 +14,8 @@
 
 /// What a target in need takes, in requests per second. Its usual rate is several times higher.
 constexpr double kLimitPerSecond = 2;
+/// One in so many targets sends stray bytes at a time.
+constexpr int kStrayStride = 3;
 
 }  // namespace
 
@@ -24,7 +26,7 @@
       PutPolicy();
       break;
     case SoakAction::kEvacuate: {
-      const auto zone = ZoneOf(step.party);
+      const auto zone = options_.shape->zones[step.party];
       const auto key = std::string(names::kEvacuationPrefix) + zone;
       if (store_.Has(key)) break;
       ledger_.With([&](PromiseLedger& ledger) { ledger.OnEvacuated(zone, true, Now()); });
@@ -222,12 +224,31 @@
       HarmTarget(step.party, step.length,
                  [](Behaviour& now) { now.spoil = FaultProxy::Spoil::kRepeat; });
       break;
+    case SoakAction::kTargetStrays:
+      for (std::size_t i = step.party % kStrayStride; i < targets_.size(); i += kStrayStride) {
+        auto& other = targets_[i];
+        if (other.away) continue;
+        other.target->SetNearlyFull(true);
+        After(step.length, [&other] { other.target->SetNearlyFull(false); });
+        HarmTarget(static_cast<int>(i), step.length, [&](Behaviour& now) {
+          now.spoil = FaultProxy::Spoil::kStray;
+          now.seed = options_.seed + i;
+        });
+      }
+      break;
+    case SoakAction::kTargetRestarts:
+      Trouble(target.identity.name, Kind::kUnplanned, step.length);
+      target.away = true;
+      target.proxy->SetListening(false);
+      target.proxy->ResetConnections();
+      After(step.length, [this, &target] { StartTarget(target); });
+      break;
     case SoakAction::kTargetReset:
       Trouble(target.identity.name, Kind::kUnplanned, Duration::zero());
       target.proxy->ResetConnections();
       break;
     case SoakAction::kTargetSilence:
-      Trouble(target.identity.name, Kind::kUnplanned, kRouteTimeout);
+      Trouble(target.identity.name, Kind::kUnplanned, kTargetSilenceTime);
       target.proxy->SilenceConnections();
       break;
     case SoakAction::kTargetSheds:
--- a/tests/soak/soak_target.cc
+++ b/tests/soak/soak_target.cc
@@ -5,6 +5,7 @@
 #include "base/number_text.h"
 #include "fmt/format.h"
 #include "platform/names.h"
+#include "soak/soak_backend_calls.h"
 
 namespace heatherspan {
 namespace {
@@ -13,21 +14,14 @@
 using std::chrono::milliseconds;
 
 constexpr int kMisdirected = 421;
+constexpr int kFailed = 500;
 constexpr int kUnavailable = 503;
+constexpr int kTimeout = 504;
 /// One in so many requests.
 constexpr int kRefusedWhenNearlyFull = 3;
 /// What a target that sheds load asks for.
 constexpr Duration kPause = milliseconds(1500);
 
-/// Some targets leave the request's id out of their refusals.
-auto Refusal(int status, const std::string& id) -> HttpResponse {
-  HttpResponse response;
-  response.status = status;
-  response.headers = {{std::string(names::kNotExecuted), "1"}};
-  if ((id.back() - '0') % 2 == 0) response.headers.push_back({std::string(names::kRequestId), id});
-  return response;
-}
-
 /// The path ends in the milliseconds that the work takes.
 auto WorkTime(std::string_view target) -> Duration {
   constexpr int kDefault = 50;
@@ -39,11 +33,14 @@
 }  // namespace
 
 SoakTarget::SoakTarget(WorkerPool& workers, const Endpoint& listen, Guarded<PromiseLedger>& ledger,
-                       std::function<void()> on_harm)
+                       const Manner& manner, SoakBackendCalls& calls, std::function<void()> on_harm)
     : workers_(workers),
       ledger_(ledger),
+      manner_(manner),
+      calls_(calls),
       on_harm_(std::move(on_harm)),
-      server_(workers, HttpServer::Limits{.watch_disconnects = true},
+      server_(workers,
+              HttpServer::Limits{.idle_timeout = manner.idle_timeout, .watch_disconnects = true},
               [this](const HttpRequest& request, const HttpServer::Responder& respond) {
                 Handle(request, respond);
               }) {
@@ -129,7 +126,7 @@
     Work(arrival, request, respond);
     return;
   }
-  auto refusal = Refusal(arrival.misdirected ? kMisdirected : kUnavailable, arrival.id);
+  auto refusal = Refusal(arrival);
   if (!arrival.misdirected) AddNotices(arrival, refusal);
   respond(std::move(refusal));
 }
@@ -150,39 +147,76 @@
   }
 }
 
+auto SoakTarget::Refusal(const SeenArrival& arrival) const -> HttpResponse {
+  HttpResponse response;
+  response.status = arrival.misdirected ? kMisdirected : kUnavailable;
+  if (arrival.misdirected && manner_.follows_pages) {
+    response.headers = {{std::string(names::kInstance), identity_.name}};
+  } else {
+    response.headers = {{std::string(names::kNotExecuted), "1"}};
+  }
+  if (!manner_.follows_pages && (arrival.id.back() - '0') % 2 == 0) {
+    response.headers.push_back({std::string(names::kRequestId), arrival.id});
+  }
+  return response;
+}
+
+auto SoakTarget::Answer(const SeenArrival& arrival, int status) -> HttpResponse {
+  HttpResponse response;
+  response.status = status;
+  response.headers = {
+      {std::string(names::kSignature), arrival.target_name},
+      {std::string(names::kRequestId), arrival.id},
+      {std::string(names::kLoad), fmt::format("{},{},{}", std::min(running_, kSlots),
+                                              std::max(0, running_ - kSlots), kSlots)}};
+  AddNotices(arrival, response);
+  if (limit_.has_value()) {
+    response.headers.push_back({std::string(names::kTargetLimit), fmt::format("{}", *limit_)});
+    ledger_.With(
+        [&](PromiseLedger& ledger) { ledger.OnLimitTold(arrival.target_name, arrival.id, Now()); });
+  }
+  response.body = PromiseLedger::ExpectedBody(arrival.target_name, arrival.id);
+  return response;
+}
+
 auto SoakTarget::Work(const SeenArrival& arrival, const HttpRequest& request,
                       const HttpServer::Responder& respond) -> void {
+  struct Run {
+    int steps = 1;  ///< Its own work, and the call that it makes.
+    int status = 200;
+    bool ended = false;
+    std::function<void()> abandon_call;
+    std::shared_ptr<WorkerPool::Timer> timer;
+  };
   ++running_;
   // What has to wait for a slot ends later by its share.
   const auto time = arrival.work * std::max(1, (running_ + kSlots - 1) / kSlots);
-  auto ended = std::make_shared<bool>(false);
-  const auto end = [this, ended, id = arrival.id] {
-    if (std::exchange(*ended, true)) return false;
+  const auto run = std::make_shared<Run>();
+  const auto end = [this, run, id = arrival.id] {
+    if (std::exchange(run->ended, true)) return false;
     --running_;
     ledger_.With([&](PromiseLedger& ledger) { ledger.OnWorkEnd(id, Now()); });
     return true;
   };
-  request.disconnect->on_disconnect = end;
-  auto timer = std::make_shared<std::shared_ptr<WorkerPool::Timer>>();
-  *timer = workers_.RunAfter(time, [this, timer, end, respond, arrival] {
-    const auto keep = *timer;
-    timer->reset();
+  const auto end_step = [this, run, end, respond, arrival] {
+    if (--run->steps > 0 || !end()) return;
+    run->abandon_call = {};
+    respond(Answer(arrival, run->status));
+  };
+  request.disconnect->on_disconnect = [run, end] {
     if (!end()) return;
-    HttpResponse response;
-    response.headers = {
-        {std::string(names::kSignature), arrival.target_name},
-        {std::string(names::kRequestId), arrival.id},
-        {std::string(names::kLoad), fmt::format("{},{},{}", std::min(running_, kSlots),
-                                                std::max(0, running_ - kSlots), kSlots)}};
-    AddNotices(arrival, response);
-    if (limit_.has_value()) {
-      response.headers.push_back({std::string(names::kTargetLimit), fmt::format("{}", *limit_)});
-      ledger_.With([&](PromiseLedger& ledger) {
-        ledger.OnLimitTold(arrival.target_name, arrival.id, Now());
-      });
-    }
-    response.body = PromiseLedger::ExpectedBody(arrival.target_name, arrival.id);
-    respond(std::move(response));
+    if (const auto abandon = std::exchange(run->abandon_call, {})) abandon();
+  };
+  run->abandon_call = calls_.Begin(arrival, [run, end_step](bool served) {
+    if (!served) run->status = kFailed;
+    end_step();
+  });
+  if (run->abandon_call) ++run->steps;
+  const bool is_late = manner_.follows_pages && time > arrival.time_left;
+  if (is_late) run->status = kTimeout;
+  run->timer = workers_.RunAfter(is_late ? arrival.time_left : time, [run, end_step] {
+    const auto keep = std::exchange(run->timer, nullptr);
+    end_step();
   });
 }
 
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -14,6 +14,8 @@
 
 namespace heatherspan {
 
+class SoakBackendCalls;
+
 /// A target that works for as long as a request's path says and tells the ledger what reaches it.
 class SoakTarget {
  public:
@@ -28,10 +30,15 @@
     std::string region;
   };
 
+  struct Manner {
+    Duration idle_timeout = std::chrono::seconds(60);
+    bool follows_pages = false;  ///< As in SoakShape.
+  };
+
   /// The worker pool has one thread, which runs everything here. A harmful request is left without
   /// an answer after `on_harm`, which ends the target's connections.
   SoakTarget(WorkerPool& workers, const Endpoint& listen, Guarded<PromiseLedger>& ledger,
-             std::function<void()> on_harm);
+             const Manner& manner, SoakBackendCalls& calls, std::function<void()> on_harm);
   SoakTarget(const SoakTarget&) = delete;
   auto operator=(const SoakTarget&) -> SoakTarget& = delete;
 
@@ -48,6 +55,8 @@
   auto Handle(const HttpRequest& request, const HttpServer::Responder& respond) -> void;
   auto Work(const SeenArrival& arrival, const HttpRequest& request,
             const HttpServer::Responder& respond) -> void;
+  auto Answer(const SeenArrival& arrival, int status) -> HttpResponse;
+  auto Refusal(const SeenArrival& arrival) const -> HttpResponse;
   auto StateLimit(std::optional<double> per_second) -> void;
   auto AddNotices(const SeenArrival& arrival, HttpResponse& response) -> void;
   auto Health() const -> HttpResponse;
@@ -55,6 +64,8 @@
 
   WorkerPool& workers_;
   Guarded<PromiseLedger>& ledger_;
+  const Manner manner_;
+  SoakBackendCalls& calls_;
   const std::function<void()> on_harm_;
   Identity identity_;
   MonotonicTime cold_until_{};
