soak: stray bytes follow the response that they were drawn for

Cause: on a link with a delay, bytes drawn to come later overtook the response.

Change: the delay begins when the response has been written.

--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -1,5 +1,6 @@
 #include "soak/fault_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -58,8 +59,9 @@
   int party = 0;
   bool is_answering = false;  ///< Bytes are being written to the client.
   std::string last_refusal;
-  std::string stray_after_request;  ///< Follows the next request.
-  std::string stray_in_response;    ///< Stands in the head of the next response.
+  std::string stray_after_response;  ///< Follows the response that is on its way.
+  std::string stray_after_request;   ///< Follows the next request.
+  std::string stray_in_response;     ///< Stands in the head of the next response.
 };
 
 /// One direction of a link.
@@ -222,19 +224,12 @@
   auto Draw(int most) -> int { return std::uniform_int_distribution(0, most)(random_); }
 
   auto DrawStrayBytes(const Pipe& pipe) -> std::string {
-    switch (Draw(4)) {
-      case 0:
-        return std::string(kExtraResponse);
-      case 1:
-        return std::string(kNoResponse);
-      case 2:
-        return pipe.pending.substr(0, pipe.pending.size() / 2);
-      case 3:
-        if (!pipe.link->last_refusal.empty()) return pipe.link->last_refusal;
-        [[fallthrough]];
-      default:
-        return pipe.pending;
-    }
+    const auto& response = pipe.pending;
+    const auto& refusal = pipe.link->last_refusal;
+    const std::string kinds[] = {std::string(kExtraResponse), std::string(kNoResponse),
+                                 response.substr(0, response.size() / 2),
+                                 refusal.empty() ? response : refusal, response};
+    return kinds[Draw(4)];
   }
 
   /// Draws what becomes of a response.
@@ -246,7 +241,8 @@
     }
     if (!link.stray_in_response.empty()) {
       // Not behind the request's id: a body with stray bytes can't be told from a whole one.
-      const auto end = std::min(response.find(kIdField), response.find("\r\n\r\n"));
+      const auto end =
+          std::min({response.find(kIdField), response.find("\r\n\r\n"), response.size()});
       const auto at = static_cast<std::size_t>(Draw(static_cast<int>(end)));
       pipe->rest = std::exchange(link.stray_in_response, {}) + response.substr(at);
       response.resize(at);
@@ -274,8 +270,7 @@
         }
         break;
       default:
-        // Short delays as often as long ones.
-        SendLater(pipe->link, bytes, std::chrono::milliseconds(1 + Draw(Draw(kMaxStrayDelayMs))));
+        link.stray_after_response = bytes;
     }
   }
 
@@ -345,6 +340,11 @@
       return;
     }
     link.is_answering = false;
+    if (!link.stray_after_response.empty()) {
+      // Short delays as often as long ones.
+      SendLater(pipe.link, std::exchange(link.stray_after_response, {}),
+                std::chrono::milliseconds(1 + Draw(Draw(kMaxStrayDelayMs))));
+    }
     if (behaviour_.spoil != Spoil::kRepeat) return;
     SendLater(pipe.link, pipe.pending,
               std::chrono::milliseconds(1 + repeats_++ * 7 % kMaxRepeatDelayMs));
