--- a/tests/fleet_platform/exchange_play.cc
+++ b/tests/fleet_platform/exchange_play.cc
@@ -38,11 +38,11 @@
       {"sheds named, half a body", Read::kAll, false, Form::kHalfBody, kShedNamed},
       {"misdirected", Read::kAll, false, Form::kWhole, kMisdirected},
       {"misdirected named", Read::kAll, false, Form::kWhole, kMisdirectedNamed},
-      {"runs, no answer", Read::kAll, true, Form::kNone, kNoAnswer},
-      {"runs from the head, no answer", Read::kHead, true, Form::kNone, kNoAnswer},
-      {"reads the head only", Read::kHead, false, Form::kNone, kNoAnswer},
-      {"reads a byte only", Read::kFirstByte, false, Form::kNone, kNoAnswer},
-      {"reads nothing", Read::kNothing, false, Form::kNone, kNoAnswer}};
+      {"runs, no answer", Read::kAll, true, Form::kNone, kSilence},
+      {"runs from the head, no answer", Read::kHead, true, Form::kNone, kSilence},
+      {"reads the head only", Read::kHead, false, Form::kNone, kSilence},
+      {"reads a byte only", Read::kFirstByte, false, Form::kNone, kSilence},
+      {"reads nothing", Read::kNothing, false, Form::kNone, kSilence}};
   return all;
 }
 
--- a/tests/fleet_platform/exchange_play.h
+++ b/tests/fleet_platform/exchange_play.h
@@ -77,7 +77,7 @@
 inline constexpr Answer kShedNamed{503, "IN", AttemptOutcome::kRefused};
 inline constexpr Answer kMisdirected{421, "", AttemptOutcome::kReplaced};
 inline constexpr Answer kMisdirectedNamed{421, "I", AttemptOutcome::kReplaced};
-inline constexpr Answer kNoAnswer{0, "", AttemptOutcome::kLost};
+inline constexpr Answer kSilence{0, "", AttemptOutcome::kLost};
 
 /// What has come before on the connection; the first entry is a new connection.
 auto AllPrevious() -> const std::vector<Previous>&;
