--- a/tests/daemon/node_test.cc
+++ b/tests/daemon/node_test.cc
@@ -227,6 +227,29 @@
   }));
 }
 
+// Guards against a booking that is refused although it runs, because its caller sends it once more
+// under its id and a late copy of the first refusal names it.
+TEST_F(NodeTest, ARepeatedRefusalIsNoAnswerToTheSameRequestSentAgain) {
+  cluster_.StartTwoNodes();
+  auto& target = cluster_.scripted();
+  target.SetAnswer(
+      "HTTP/1.1 503 No\r\nTarget-Refused: shed\r\nHeatherspan-Request-Id: order-1\r\n"
+      "Content-Length: 0\r\n\r\n");
+  target.RepeatAnswers();
+  EXPECT_TRUE(TestCluster::WaitUntil([&] {
+    const auto ticket = Ticket("entry-1");
+    const auto before = target.repeats();
+    const auto response =
+        cluster_.Send("entry-1", "POST", "/v1/services/scripted/orders",
+                      {{"Heatherspan-Ticket", ticket}, {"Heatherspan-Request-Id", "order-1"}});
+    const bool ran = target.repeats() > before;
+    if (ran) {
+      EXPECT_NE(Verdict(response), "503 not-run target-refused");
+    }
+    return HasFailure() || ran || target.requests() >= 4;
+  }));
+}
+
 // Guards against a refusal by one target that reaches the caller although another target has free
 // slots.
 TEST_F(NodeTest, RetriesShedRequestsAtAnotherTarget) {
