--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -346,6 +346,34 @@
                          testing::Values("HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\n",
                                          "HTTP/1.1 421 Other\r\n"));
 
+// Guards against a request that is refused although it runs, because another VM passes it on to this
+// one once more, and a copy of the first refusal names it.
+TEST_F(TargetTroubleTest, ACopyOfTheRefusalIsNotTakenWhenAPeerPassesTheRequestOnAgain) {
+  const std::string refusal =
+      "HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\nHeatherspan-Request-Id: id-a\r\n"
+      "Content-Length: 0\r\n\r\n";
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(refusal);
+    // The request runs if it comes once more.
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(refusal);
+    socket.ReadUntilClosed();
+  });
+  settings_.bounds.retry_ratio = 2;
+  StartWith(target);
+  auto request = Request("/heatherspan/relay/book/x", "POST");
+  for (auto& header : request.headers) {
+    if (header.name == "Heatherspan-Request-Id") header.value = "id-a";
+    if (header.name == "Heatherspan-Deadline-Ms") header.value = "1500";
+  }
+  const auto first = caller_.SendAndWait(settings_.peers, request, kTimeout).response;
+  EXPECT_EQ(first.Header("Heatherspan-Relay-Verdict"), "out-of-reach");
+  const auto second = caller_.SendAndWait(settings_.peers, request, kTimeout).response;
+  EXPECT_EQ(second.Header("Heatherspan-Relay-Verdict"), "may-have-run");
+  node_.reset();
+}
+
 /// A status that tells a caller that its request has not run.
 class PromisingStatusTest : public TargetTroubleTest, public testing::WithParamInterface<int> {};
 
