--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -374,6 +374,27 @@
   node_.reset();
 }
 
+// Guards against a caller that names no request and gets the answer to another one, which names it.
+TEST_F(TargetTroubleTest, ARequestWithoutAnIdGetsNoAnswerThatNamesAnother) {
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(AnswerTo("id-a", "answer to a"));
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(AnswerTo("id-a", "answer to a"));
+    socket.ReadUntilClosed();
+  });
+  StartWith(target);
+  EXPECT_EQ(SendWithId("id-a").body, "answer to a");
+  auto request = Request("/book/x", "POST");
+  std::erase_if(request.headers, [](const HeaderField& field) {
+    return field.name == "Heatherspan-Request-Id" || field.name == "Heatherspan-Deadline-Ms";
+  });
+  request.headers.push_back({"Heatherspan-Deadline-Ms", "1500"});
+  const auto answer = caller_.SendAndWait(settings_.callers, request, kTimeout).response;
+  EXPECT_NE(answer.body, "answer to a") << answer.status;
+  node_.reset();
+}
+
 /// A status that tells a caller that its request has not run.
 class PromisingStatusTest : public TargetTroubleTest, public testing::WithParamInterface<int> {};
 
