--- a/tests/edge/vm_announcer_test.cc
+++ b/tests/edge/vm_announcer_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <ostream>
 #include <string>
+#include <utility>
 
 #include "experiment/event_scheduler.h"
 #include "experiment/virtual_workers.h"
@@ -22,6 +23,8 @@
   using StatusCallback = std::function<void(absl::Status)>;
 
   static constexpr Duration kDelay = milliseconds(70);
+  static constexpr Duration kTimeout = seconds(2);
+  static constexpr Duration kLateDelay = milliseconds(2300);
 
   explicit DelayedStore(EventScheduler& scheduler) : scheduler_(scheduler) {}
 
@@ -38,18 +41,28 @@
   }
   auto Put(const std::string& key, const std::string& value, std::uint64_t /*lease*/,
            StatusCallback callback) -> void {
+    if (std::exchange(is_next_late_, false)) {
+      scheduler_.RunAfter(kTimeout, [callback = std::move(callback)] {
+        callback(absl::UnavailableError("no answer"));
+      });
+      scheduler_.RunAfter(kLateDelay, [this, key, value] { items_[key] = value; });
+      return;
+    }
     scheduler_.RunAfter(kDelay, [this, key, value, callback = std::move(callback)] {
       items_[key] = value;
       callback(absl::OkStatus());
     });
   }
 
+  /// Leaves the next write without an answer, and executes it late.
+  auto DelayNextWrite() -> void { is_next_late_ = true; }
   auto items() -> std::map<std::string, std::string>& { return items_; }
 
  private:
   EventScheduler& scheduler_;
   std::map<std::string, std::string> items_;
   std::uint64_t last_lease_ = 0;
+  bool is_next_late_ = false;
 };
 
 class VmAnnouncerTest : public testing::Test {
@@ -91,5 +104,20 @@
   EXPECT_TRUE(store_.items().contains("entry/n"));
 }
 
+// Guards against a VM that stays announced as one that reaches no target: the store executes a write
+// without an answer after the write that follows it.
+TEST_F(VmAnnouncerTest, AWriteThatIsExecutedLateDoesNotReplaceTheNext) {
+  announcer_.Start();
+  RunFor(3 * DelayedStore::kDelay);
+  store_.DelayNextWrite();
+  announcer_.Change("reaches no target");
+  RunFor(milliseconds(300));
+  announcer_.Change("value");
+  RunFor(2 * DelayedStore::kDelay);
+  ASSERT_EQ(store_.items()["entry/n"], "value");
+  RunFor(seconds(30));
+  EXPECT_EQ(store_.items()["entry/n"], "value");
+}
+
 }  // namespace
 }  // namespace heatherspan
