--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -346,8 +346,8 @@
                          testing::Values("HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\n",
                                          "HTTP/1.1 421 Other\r\n"));
 
-// Guards against a request that is refused although it runs, because another VM passes it on to this
-// one once more, and a copy of the first refusal names it.
+// Guards against a request that is refused although it runs, because another VM passes it on to
+// this one once more, and a copy of the first refusal names it.
 TEST_F(TargetTroubleTest, ACopyOfTheRefusalIsNotTakenWhenAPeerPassesTheRequestOnAgain) {
   const std::string refusal =
       "HTTP/1.1 503 Full\r\nHeatherspan-Not-Executed: 1\r\nHeatherspan-Request-Id: id-a\r\n"
--- a/tests/edge/vm_announcer_test.cc
+++ b/tests/edge/vm_announcer_test.cc
@@ -104,8 +104,8 @@
   EXPECT_TRUE(store_.items().contains("entry/n"));
 }
 
-// Guards against a VM that stays announced as one that reaches no target: the store executes a write
-// without an answer after the write that follows it.
+// Guards against a VM that stays announced as one that reaches no target: the store executes a
+// write without an answer after the write that follows it.
 TEST_F(VmAnnouncerTest, AWriteThatIsExecutedLateDoesNotReplaceTheNext) {
   announcer_.Start();
   RunFor(3 * DelayedStore::kDelay);
