--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -45,6 +45,22 @@
       workers_, HttpClient::Limits{.max_connections_per_endpoint = 2, .max_response_bytes = 64});
 };
 
+// Guards against an exchange that lasts until its deadline although the response has broken off:
+// the peer has ended its side and reads no more of the request.
+TEST_F(HttpClientTest, ATruncatedResponseEndsAnExchangeWhoseRequestIsBeingWritten) {
+  HttpRequest request;
+  request.method = "POST";
+  request.body = std::string(std::size_t{16} * 1024 * 1024, 'x');
+  Send(request, std::chrono::seconds(3));
+  auto socket = listener_.Accept();
+  socket.ReadUntil("\r\n\r\n");
+  socket.Send("HTTP/1.1 500 No\r\nContent-Length: 5\r\n\r\nab");
+  socket.Shutdown();
+  const auto result = results_.Pop();
+  ASSERT_TRUE(result.has_value());
+  EXPECT_TRUE(absl::IsDataLoss(result->status)) << result->status;
+}
+
 TEST_F(HttpClientTest, SendsOneRequestAndReusesItsConnection) {
   HttpRequest request;
   request.method = "POST";
