net: a connection carries each request id once

Cause: an answer is attributed by the request's id. Found by the review.

Change: a connection remembers the ids that it has carried and connects anew for one that it has had; after 512 requests too, so that the memory is bounded.

Evidence: daemon.NodeTest.ARepeatedRefusalIsNoAnswerToTheSameRequestSentAgain and edge.TargetTroubleTest.ACopyOfTheRefusalIsNotTakenWhenAPeerPassesTheRequestOnAgain failed in every run of their final form and pass; 56 of 56 tests of net pass.

--- a/src/net/correlated_response_reader.cc
+++ b/src/net/correlated_response_reader.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "absl/hash/hash.h"
 #include "fmt/format.h"
 #include "net/http_client_state.h"
 #include "net/http_request.h"
@@ -19,6 +20,8 @@
 // More responses to other requests in front of one response come from a peer that sends without
 // end.
 constexpr int kMaxForeignResponses = 16;
+// Requests that one connection carries; bounds the memory of their ids.
+constexpr std::size_t kMaxCarriedIds = 512;
 
 }  // namespace
 
@@ -34,11 +37,24 @@
   buffer_.resize(kInitialBufferBytes);
   end_ = 0;
   in_step_ = true;
+  carried_.clear();
 }
 
-auto CorrelatedResponseReader::Start(const HttpRequest& request, bool reused) -> void {
+auto CorrelatedResponseReader::IdOf(const HttpRequest& request) const -> std::string_view {
   const auto& name = client_->limits().correlation_header;
-  expected_ = name.empty() ? std::string_view() : request.Header(name);
+  return name.empty() ? std::string_view() : request.Header(name);
+}
+
+auto CorrelatedResponseReader::MayCarry(const HttpRequest& request) const -> bool {
+  const auto id = IdOf(request);
+  if (id.empty()) return true;
+  return carried_.size() < kMaxCarriedIds &&
+         std::find(carried_.begin(), carried_.end(), absl::HashOf(id)) == carried_.end();
+}
+
+auto CorrelatedResponseReader::Start(const HttpRequest& request, bool reused) -> void {
+  expected_ = IdOf(request);
+  if (!expected_.empty()) carried_.push_back(absl::HashOf(std::string_view(expected_)));
   is_head_request_ = request.method == "HEAD";
   is_reused_ = reused;
   has_started_ = false;
--- a/src/net/correlated_response_reader.h
+++ b/src/net/correlated_response_reader.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/status/status.h"
@@ -28,6 +30,9 @@
 
   /// Starts with a new connection.
   auto OnConnected() -> void;
+  /// Whether the connection may carry the request. A copy of the answer to an earlier request of
+  /// the same id could not be told from the answer to this one.
+  auto MayCarry(const HttpRequest& request) const -> bool;
   /// Starts with the response to a request. `reused`: the connection has had another exchange.
   auto Start(const HttpRequest& request, bool reused) -> void;
   /// Frees memory that an idle or closed connection does not need.
@@ -62,6 +67,7 @@
   auto Take() -> HttpResponse;
 
  private:
+  auto IdOf(const HttpRequest& request) const -> std::string_view;
   auto Parse() -> absl::Status;
   /// Returns false if the response has to be given up.
   auto SetReadingBytes(std::size_t bytes) -> bool;
@@ -71,9 +77,10 @@
   const std::shared_ptr<HttpClientState> client_;
   HttpResponseReader reader_;
   std::vector<char> buffer_;
-  std::size_t end_ = 0;            ///< Bytes in the buffer that are not read yet.
-  std::size_t reading_bytes_ = 0;  ///< Memory of the present body, unless it is small.
-  std::string expected_;           ///< What the response to the present request has to repeat.
+  std::size_t end_ = 0;                 ///< Bytes in the buffer that are not read yet.
+  std::size_t reading_bytes_ = 0;       ///< Memory of the present body, unless it is small.
+  std::string expected_;                ///< What the response to the present request has to repeat.
+  std::vector<std::uint64_t> carried_;  ///< Hashes of the ids that the connection has carried.
   bool is_head_request_ = false;
   bool is_reused_ = false;
   bool has_started_ = false;
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -158,7 +158,7 @@
   progress_ = SendProgress::kNothingWritten;
   exchange_deadline_ = deadline;
   trace_ = ExchangeTrace();
-  if (state_ == State::kIdle && !ClosedByPeer()) {
+  if (state_ == State::kIdle && responses_.MayCarry(request_) && !ClosedByPeer()) {
     WriteRequest(true);
   } else {
     Connect();
