net: the last chunk of an empty body may come in two pieces

What callers would see: a process that is built with assertions (the default preset, scripts/demo) ends when a request or a response with an empty chunked body arrives with its end in a second piece.

Cause: Beast 1.74 asserts at least five bytes there, and handles fewer. Change: its assertions are off in the one file that uses the parser.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -1,3 +1,7 @@
+// Beast 1.74 asserts that the last chunk of an empty body comes in one piece, and needs no such
+// thing.
+#define BOOST_DISABLE_ASSERTS
+
 #include "net/http_reader.h"
 
 #include <algorithm>
--- a/tests/net/http_reader_fuzz_test.cc
+++ b/tests/net/http_reader_fuzz_test.cc
@@ -155,6 +155,17 @@
   }
 }
 
+// Guards against a process that ends because the last chunk of an empty body arrives in two pieces.
+TEST_F(ReaderFuzz, AnEmptyChunkedBodyIsReadInAnyPieces) {
+  const std::string fields = "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  const auto request = "POST /a HTTP/1.1\r\n" + fields;
+  const auto response = "HTTP/1.1 200 OK\r\n" + fields;
+  for (std::size_t piece = 1; piece <= request.size(); ++piece) {
+    EXPECT_EQ(ReadRequests(request, piece).messages, 1) << piece;
+    EXPECT_EQ(ReadResponses(response, piece).messages, 1) << piece;
+  }
+}
+
 // Guards against a response that is taken for another one when its bytes arrive in other pieces.
 TEST_F(ReaderFuzz, ResponsesDoNotDependOnThePieces) {
   for (int i = 0; i < kRounds; ++i) {
