net: a request without an id gets no used connection

Cause: without an id nothing tells whose answer has come. Change: if answers are attributed by ids, a request without one goes over a connection without earlier exchanges; heatherspand's own questions to targets carry an id, so that they still use kept connections.

--- a/src/daemon/executor.cc
+++ b/src/daemon/executor.cc
@@ -7,8 +7,10 @@
 
 #include "base/number_text.h"
 #include "daemon/forward_results.h"
+#include "daemon/header_names.h"
 #include "daemon/target_exchange.h"
 #include "daemon/target_report_reader.h"
+#include "fmt/format.h"
 #include "net/http_client.h"
 #include "observe/metrics_registry.h"
 
@@ -206,10 +208,16 @@
   for (const auto& target : probes) Probe(target);
 }
 
-auto Executor::Probe(const std::shared_ptr<const Target>& target) -> void {
+auto Executor::OwnRequest(std::string path) -> HttpRequest {
   HttpRequest request;
-  request.target = "/-/health";
-  client_.Send(target->endpoint, std::move(request), kProbeTimeout,
+  request.target = std::move(path);
+  request.headers.push_back(
+      {std::string(kRequestIdHeader), fmt::format("probe-{}", own_requests_.fetch_add(1))});
+  return request;
+}
+
+auto Executor::Probe(const std::shared_ptr<const Target>& target) -> void {
+  client_.Send(target->endpoint, OwnRequest("/-/health"), kProbeTimeout,
                [this, target](const HttpResult& result) {
                  const bool healthy = result.status.ok() && result.response.status == 200;
                  {
@@ -223,9 +231,7 @@
 }
 
 auto Executor::FetchLoadReport(const std::shared_ptr<const Target>& target) -> void {
-  HttpRequest request;
-  request.target = "/-/load";
-  client_.Send(target->endpoint, std::move(request), kProbeTimeout,
+  client_.Send(target->endpoint, OwnRequest("/-/load"), kProbeTimeout,
                [this, target](const HttpResult& result) {
                  if (!result.status.ok()) return;
                  const auto report = ReadTargetReport(target->name, result.response.body);
--- a/src/daemon/executor.h
+++ b/src/daemon/executor.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -26,6 +28,7 @@
 
 class HttpClient;
 class MetricsRegistry;
+struct HttpRequest;
 
 /// Runs requests at the targets that this node owns, as their executing node. It applies the cap
 /// share, acquires a slot or queues the request, and makes one HTTP exchange for each request.
@@ -79,6 +82,8 @@
                      HttpResult result) -> void;
   auto DispatchQueued(MonotonicTime now, DeferredCalls& deferred) -> void;
   auto OnTick() -> void;
+  /// A request of this node's own, with an id so that it can use a kept connection.
+  auto OwnRequest(std::string path) -> HttpRequest;
   auto Probe(const std::shared_ptr<const Target>& target) -> void;
   auto FetchLoadReport(const std::shared_ptr<const Target>& target) -> void;
   auto LoadLocked(MonotonicTime now) const -> NodeLoad;
@@ -97,6 +102,7 @@
   mutable std::mutex mutex_;
   Random random_;
   TargetPool pool_;
+  std::atomic<std::uint64_t> own_requests_{0};
   AdmissionQueue queue_;
   RateLimiter limiter_;
   DemandMeter demand_;
--- a/src/net/correlated_response_reader.cc
+++ b/src/net/correlated_response_reader.cc
@@ -47,7 +47,7 @@
 
 auto CorrelatedResponseReader::MayCarry(const HttpRequest& request) const -> bool {
   const auto id = IdOf(request);
-  if (id.empty()) return true;
+  if (id.empty()) return client_->limits().correlation_header.empty();
   return carried_.size() < kMaxCarriedIds &&
          std::find(carried_.begin(), carried_.end(), absl::HashOf(id)) == carried_.end();
 }
--- a/src/net/correlated_response_reader.h
+++ b/src/net/correlated_response_reader.h
@@ -30,8 +30,8 @@
 
   /// Starts with a new connection.
   auto OnConnected() -> void;
-  /// Whether the connection may carry the request. A copy of the answer to an earlier request of
-  /// the same id could not be told from the answer to this one.
+  /// Whether the connection may carry the request. A copy of the answer to an earlier request could
+  /// not be told from the answer to a request of the same id or without one.
   auto MayCarry(const HttpRequest& request) const -> bool;
   /// Starts with the response to a request. `reused`: the connection has had another exchange.
   auto Start(const HttpRequest& request, bool reused) -> void;
