--- a/src/daemon/target_exchange.cc
+++ b/src/daemon/target_exchange.cc
@@ -29,9 +29,9 @@
   return std::nullopt;
 }
 
-auto InterpretResponse(HttpResponse response, bool may_be_repeated) -> ExchangeResult {
+auto InterpretResponse(HttpResponse response, bool may_be_copy) -> ExchangeResult {
   if (const auto refusal = RefusalOutcome(response); refusal.has_value()) {
-    if (may_be_repeated) {
+    if (may_be_copy) {
       return {RefusalForwardResponse(Verdict::kMayHaveRun, Reason::kTargetRefused), *refusal};
     }
     const auto reason =
@@ -87,7 +87,7 @@
 
 auto InterpretExchange(HttpResult result) -> ExchangeResult {
   if (result.status.ok()) {
-    return InterpretResponse(std::move(result.response), result.may_be_repeated);
+    return InterpretResponse(std::move(result.response), result.may_be_copy);
   }
   return InterpretFailure(result);
 }
--- a/src/edge/attempt_log.cc
+++ b/src/edge/attempt_log.cc
@@ -56,7 +56,7 @@
     metrics_.Increment(Metric::kUnattributedAnswers, {service, {"names", "other"}},
                        result.trace.foreign_answers);
   }
-  if (result.may_be_repeated) {
+  if (result.may_be_copy) {
     metrics_.Increment(Metric::kUnattributedAnswers, {service, {"names", "none"}});
   }
   if (result.trace.events.Contains(ExchangeEvent::kReconnect)) {
--- a/src/edge/edge_limits.h
+++ b/src/edge/edge_limits.h
@@ -25,8 +25,8 @@
   /// Memory of the answers of all targets that are being read: a quarter of the smallest machine.
   static constexpr std::size_t kMaxReadingBytes = std::size_t{64} * 1024 * 1024;
   /// The store's answer to a watch has each version of an item that was written several times, a
-  /// listing only the last one: a longer answer is left for a listing. One of this length has room
-  /// for an item of the largest size, and takes 1.3 s on a link of 10 Mbit/s.
+  /// listing only the last one: a longer answer is left for a listing. There is room for an item of
+  /// the largest size.
   static constexpr std::size_t kMaxChangesBytes = std::size_t{3} * 512 * 1024;
   static constexpr std::size_t kConnectionsPerTarget = 40;
   /// A few peers ask for changes all the time; after a restart of many VMs, others want a listing,
--- a/src/net/correlated_response_reader.cc
+++ b/src/net/correlated_response_reader.cc
@@ -151,7 +151,7 @@
   return found == expected_ ? AnswerIdentity::kThisRequest : AnswerIdentity::kOtherRequest;
 }
 
-auto CorrelatedResponseReader::may_be_repeated() const -> bool {
+auto CorrelatedResponseReader::may_be_copy() const -> bool {
   return is_reused_ && !expected_.empty() && identity() == AnswerIdentity::kUnnamed;
 }
 
@@ -159,7 +159,7 @@
   HttpResponse head;
   const auto known = identity();
   if (known == AnswerIdentity::kNoAnswer || known == AnswerIdentity::kOtherRequest ||
-      may_be_repeated()) {
+      may_be_copy()) {
     return head;
   }
   head.status = reader_.response().status;
--- a/src/net/correlated_response_reader.h
+++ b/src/net/correlated_response_reader.h
@@ -60,7 +60,7 @@
   /// What the present response says of the request that it belongs to.
   auto identity() const -> AnswerIdentity;
   /// The response names no request and came on a connection that was used before.
-  auto may_be_repeated() const -> bool;
+  auto may_be_copy() const -> bool;
   /// The status and the fields of a response that is known to answer the request.
   auto HeadOfResponse() const -> HttpResponse;
 
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -141,8 +141,7 @@
   SendProgress progress_ = SendProgress::kNothingWritten;
   bool write_done_ = false;
   bool write_failed_ = false;
-  bool waits_for_write_ =
-      false;  ///< The end of input completes the response unless it was a reset.
+  bool waits_for_write_ = false;  ///< An end of input has completed the response.
   ExchangeTrace trace_;
   SteadyClock::time_point exchange_deadline_;
 
@@ -269,8 +268,7 @@
   write_failed_ = error.failed();
   if (!error || size > 0) {
     // The peer may have answered before it stopped to read; if not, the pending read fails.
-    const bool truncated = write_failed_ && waits_for_write_;
-    return truncated ? FailTruncated(error) : FinishIfComplete();
+    return write_failed_ && waits_for_write_ ? FailTruncated(error) : FinishIfComplete();
   }
   progress_ = SendProgress::kNothingWritten;
   if (reused) {
@@ -384,16 +382,15 @@
 auto Connection::FinishIfComplete() -> void {
   if (!responses_.done()) return;
   const auto idle_timeout = IdleTimeout(responses_.response());
-  const bool may_be_repeated = responses_.may_be_repeated();
-  const bool reusable = !may_be_repeated && write_done_ && !write_failed_ &&
-                        responses_.keep_alive() && responses_.is_in_step() &&
-                        idle_timeout > Duration::zero();
+  const bool may_be_copy = responses_.may_be_copy();
+  const bool reusable = !may_be_copy && write_done_ && !write_failed_ && responses_.keep_alive() &&
+                        responses_.is_in_step() && idle_timeout > Duration::zero();
   // A complete response that overtakes the notice of the write waits for it; one that came before
   // the whole request was sent costs the connection.
   if (!write_done_ && output_.size() + request_.body.size() <= kMaxCopiedBodyBytes) return;
   HttpResult result;
   result.progress = SendProgress::kCompleted;
-  result.may_be_repeated = may_be_repeated;
+  result.may_be_copy = may_be_copy;
   result.trace = FinalTrace();
   result.response = responses_.Take();
   ++earlier_exchanges_;
@@ -483,10 +480,7 @@
     SetDeadline(deadline_);
     return;
   }
-  if (callback_ == nullptr) {
-    OnClose();
-    return;
-  }
+  if (callback_ == nullptr) return OnClose();
   Fail(absl::DeadlineExceededError(fmt::format(
       "{} {} in time", endpoint_.Text(),
       state_ == State::kConnecting ? "did not accept the connection" : "did not answer")));
--- a/src/net/http_result.h
+++ b/src/net/http_result.h
@@ -22,7 +22,7 @@
   ConnectionEnd connection_end = ConnectionEnd::kOther;  ///< Valid if the exchange failed.
   /// The response names no request and came on a connection that was used before: it may be a late
   /// copy of an earlier one.
-  bool may_be_repeated = false;
+  bool may_be_copy = false;
   ExchangeTrace trace = {};
 };
 
--- a/tests/daemon/target_exchange_test.cc
+++ b/tests/daemon/target_exchange_test.cc
@@ -17,7 +17,7 @@
   const char* target_refused;
   Verdict verdict;
   Reason reason;
-  bool may_be_repeated = false;
+  bool may_be_copy = false;
 };
 
 auto Interpret(const ExchangeCase& test) -> ExchangeResult {
@@ -25,7 +25,7 @@
   result.status = test.status;
   result.progress = test.progress;
   result.response.status = test.http_status;
-  result.may_be_repeated = test.may_be_repeated;
+  result.may_be_copy = test.may_be_copy;
   if (*test.target_refused != '\0') {
     result.response.headers.push_back({"Target-Refused", test.target_refused});
   }
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -229,7 +229,7 @@
 TEST(RequestFormat, ReadsNoticesOfAnAnswerThatMayBeRepeated) {
   auto result = Answered(
       503, {{"Heatherspan-Not-Executed", "1"}, {"Server-Leaving", "1"}, {"Retry-After", "1.5"}});
-  result.may_be_repeated = true;
+  result.may_be_copy = true;
   const auto reply = RequestFormat::ReadReply(result);
   EXPECT_EQ(reply.end, AttemptOutcome::kLost);
   EXPECT_TRUE(reply.notices.leaving);
