tests: targets that can't be reached have addresses that nobody takes

Cause, by reading: the fixtures close a listener and keep its port as that of an unreachable target, while other tests take and connect from the same range of ports at the same time, so that something answers there and the VM no longer counts as stranded. Change: such targets have loopback addresses of the test's own process, where nothing listens. No check is changed.

--- a/tests/edge/edge_node_fixture.h
+++ b/tests/edge/edge_node_fixture.h
@@ -80,6 +80,15 @@
     store_.Put("servers/" + target.name(), target.Registration(state));
   }
 
+  /// Registers targets at addresses where nothing listens and nothing else will.
+  auto RegisterUnreachable(int count) -> void {
+    constexpr int kFirstNumber = 20;
+    for (int i = 0; i < count; ++i) {
+      store_.Put("servers/i-" + std::to_string(i),
+                 TargetStub::RegistrationAt(OwnEndpoint(kFirstNumber + i)));
+    }
+  }
+
   /// Starts the node and waits until it has announced itself.
   auto Start() -> void {
     node_.emplace(settings_, log_, [this] { stopped_ = true; });
--- a/tests/edge/relayed_request_test.cc
+++ b/tests/edge/relayed_request_test.cc
@@ -16,11 +16,7 @@
   auto StartStranded(const ScriptedPeer& peer) -> void {
     constexpr int kUnreachable = 6;
     store_.Put("op/config", Policy(1));
-    for (int i = 0; i < kUnreachable; ++i) {
-      TargetStub target("i-" + std::to_string(i));
-      Register(target);
-      target.Close();
-    }
+    RegisterUnreachable(kUnreachable);
     store_.Put("entry/n-3", peer.Announcement());
     Start();
     ASSERT_TRUE(Eventually([&] {
--- a/tests/edge/stranded_vm_test.cc
+++ b/tests/edge/stranded_vm_test.cc
@@ -21,11 +21,7 @@
 
   auto StartBoth(int unreachable = kUnreachable) -> void {
     store_.Put("op/config", Policy(1));
-    for (int i = 0; i < unreachable; ++i) {
-      TargetStub target("i-" + std::to_string(i));
-      Register(target);
-      target.Close();
-    }
+    RegisterUnreachable(unreachable);
     second_store_.Put("op/config", Policy(1));
     second_store_.Put("servers/" + target_.name(), target_.Registration());
     auto settings = SecondNodeSettings();
--- a/tests/edge/target_stub.cc
+++ b/tests/edge/target_stub.cc
@@ -23,10 +23,14 @@
 }
 
 auto TargetStub::Registration(const std::string& state) const -> std::string {
+  return RegistrationAt(endpoint_, state);
+}
+
+auto TargetStub::RegistrationAt(const Endpoint& endpoint, const std::string& state) -> std::string {
   return fmt::format(
       R"({{"address":"{}","info":{{"service":"s","version":"v1","zone":"a","max_concurrency":3}},)"
       R"("status":{{"state":"{}","sequence":1,"cold_left_s":0}}}})",
-      endpoint_.Text(), state);
+      endpoint.Text(), state);
 }
 
 auto TargetStub::SetBehaviour(Behaviour behaviour) -> void {
--- a/tests/edge/target_stub.h
+++ b/tests/edge/target_stub.h
@@ -18,6 +18,9 @@
   explicit TargetStub(std::string name);
   ~TargetStub() { workers_.Stop(); }
 
+  /// The registration of a target at the address, as stored.
+  static auto RegistrationAt(const Endpoint& endpoint, const std::string& state = "ready")
+      -> std::string;
   /// The registration of the target, as stored.
   auto Registration(const std::string& state = "ready") const -> std::string;
   auto name() const -> const std::string& { return name_; }
