gateway: interfaces for teams, quotas, memory and uneven targets

Targets there state four figures of their load, and a report with four was dropped as malformed, so that no report was used.

Change: types for teams, their access keys (as digests) and quotas in the configuration; a ruling on access and a quota gate on the way of a request, both of which let everything pass as yet; the keys memory_mb, cpu_share, link_mbps, revocation_s and quota_* in the settings; reasons and answers for refusals; the fourth figure is read. The access key and the team's name as the caller sent them no longer reach a target.

The test of the load took a report with four figures for malformed.

--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -5,7 +5,7 @@
 namespace heatherspan {
 namespace {
 
-constexpr std::array<std::string_view, 43> kTexts = {
+constexpr std::array<std::string_view, 46> kTexts = {
     "none",
     "bad-request",
     "unknown-service",
@@ -49,13 +49,16 @@
     "target-pause",
     "harmful-request",
     "suspected-request",
+    "unknown-access-key",
+    "stale-configuration",
+    "memory",
 };
 
 }  // namespace
 
-auto AllReasons() -> const std::array<Reason, 43>& {
-  static constexpr std::array<Reason, 43> kAll = [] {
-    std::array<Reason, 43> all{};
+auto AllReasons() -> const std::array<Reason, 46>& {
+  static constexpr std::array<Reason, 46> kAll = [] {
+    std::array<Reason, 46> all{};
     for (std::size_t i = 0; i < all.size(); ++i) all[i] = static_cast<Reason>(i);
     return all;
   }();
--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -52,10 +52,13 @@
   kTargetPause,
   kHarmfulRequest,
   kSuspectedRequest,
+  kUnknownAccessKey,
+  kStaleConfiguration,
+  kMemory,
 };
 
 /// Every reason, in the order of the enumeration.
-auto AllReasons() -> const std::array<Reason, 43>&;
+auto AllReasons() -> const std::array<Reason, 46>&;
 
 /// The reason as it stands in headers, logs and metric labels, for example "region-cap".
 auto ReasonText(Reason reason) -> std::string_view;
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -94,7 +94,8 @@
             [this](const std::vector<EntryVm>& vms) { Tell(vms); },
             [this](const TargetName& target) { prober_.Check(target); }),
         relay_(core_, relay_client_, log_, metrics_, [this] { prober_.CheckLinks(); }),
-        forwarder_(core_, target_client_, workers_, log_, metrics_, harm_, relay_),
+        forwarder_(core_, target_client_, workers_, log_, metrics_, access_, quotas_, harm_,
+                   relay_),
         prober_(core_, target_client_, log_, metrics_, harm_, relay_),
         callers_server_(workers_, EdgeLimits::CallerServer(settings_.descriptors, CallerLimits()),
                         [this](HttpRequest request, HttpServer::Responder respond) {
@@ -219,6 +220,7 @@
   auto OnPolicyApplied(const TrafficPolicy& policy) -> void {
     callers_server_.SetLimits(EdgeLimits::CallerServer(settings_.descriptors, policy.limits));
     peers_server_.SetLimits(EdgeLimits::PeerServer(policy.limits));
+    access_.Apply(policy);
     forwarder_.OnPolicyApplied();
   }
 
@@ -460,6 +462,8 @@
   MonotonicTime started_at_{};
   VmAnnouncer<Store> announcer_;
   bool announced_reach_ = true;
+  TeamAccess access_;
+  TeamQuotaGate quotas_;
   HarmMonitor<Messages> harm_;
   RequestRelay<Messages> relay_;
   RequestForwarder<Messages> forwarder_;
--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -29,7 +29,13 @@
           "descriptors", &EdgeSettings::descriptors, kOptional,
           WholeNumber<int>(kReservedDescriptors + 3, 10'000'000),
           "Files and sockets that the process may open. Without the 200 for files, callers get two "
-          "thirds; further connections are refused.");
+          "thirds; further connections are refused.")
+      .Add("memory_mb", &EdgeSettings::memory_mb, kOptional, WholeNumber<int>(0, 1'000'000, "MiB"),
+           "Memory that the process may use. 0: the memory of the machine.")
+      .Add("cpu_share", &EdgeSettings::cpu_share, kOptional, Number<double>(0.01, 1024),
+           "Processor time that the process may use, in cores.")
+      .Add("link_mbps", &EdgeSettings::link_mbps, kOptional, Number<double>(0, 1'000'000, "Mbit/s"),
+           "Bandwidth of the machine's own link. 0: not known.");
 }
 
 auto ListenKeys() -> KeyTable<EdgeSettings> {
@@ -83,7 +89,15 @@
       .Add("apply_s", Bound(&Bounds::apply), kOptional, Seconds(1, 600),
            "Time after which a configuration is in force in all entry VMs.")
       .Add("answer_lifetime_s", Bound(&Bounds::answer_lifetime), kOptional, Seconds(0.1, 600),
-           "How long callers may keep a directory answer.");
+           "How long callers may keep a directory answer.")
+      .Add("revocation_s", Bound(&Bounds::revocation), kOptional, Seconds(0, 600),
+           "Time after which no request with a withdrawn access key runs. 0: no bound.")
+      .Add("quota_window_s", Bound(&Bounds::quota_window), kOptional, Seconds(1, 600),
+           "The window over which the requests of a team are counted.")
+      .Add("quota_overage", Bound(&Bounds::quota_overage), kOptional, Number<double>(0, 1),
+           "Part of a team's quota that may be exceeded in each window.")
+      .Add("quota_slack", Bound(&Bounds::quota_slack), kOptional, Number<double>(0, 1'000'000),
+           "Requests by which a team's quota may be exceeded in each window, beside the part.");
 }
 
 auto LogKeys() -> KeyTable<EdgeSettings> {
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -28,12 +28,20 @@
     Duration drain = std::chrono::milliseconds(2500);
     Duration apply = std::chrono::milliseconds(2500);
     Duration answer_lifetime = std::chrono::seconds(2);
+    /// Time after which no request with a withdrawn access key runs; 0 if that has no bound.
+    Duration revocation = Duration::zero();
+    Duration quota_window = std::chrono::seconds(5);
+    double quota_overage = 0.1;
+    double quota_slack = 20;
   };
 
   NodeName node;
   ZoneName zone;
   RegionName region;
   int descriptors = 1024;  ///< Files and sockets that the process may open.
+  int memory_mb = 0;       ///< Of the process, in MiB; 0 for the machine's memory.
+  double cpu_share = 1;    ///< Of one core.
+  double link_mbps = 0;    ///< Of the machine's own link, in Mbit/s; 0 if it is not known.
   Endpoint callers;
   Endpoint readiness;
   Endpoint directory;
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -78,12 +78,13 @@
 template <class T>
 concept MessageFormat = requires(const HttpRequest& request, const HttpResponse& response,
                                  const HttpResult& result, const RegisteredTarget& target,
-                                 const RelayTerms& terms, Duration time, std::string path) {
+                                 const RelayTerms& terms, const std::optional<TeamName>& team,
+                                 Duration time, std::string path) {
   { T::CorrelationHeader() } -> std::same_as<std::string>;
   typename T::CallerFields;
   { T::ReadCaller(request) } -> std::same_as<typename T::CallerFields>;
   { T::DigestOf(request, path) } -> std::same_as<RequestDigest>;
-  { T::ForTarget(request, target, time) } -> std::same_as<HttpRequest>;
+  { T::ForTarget(request, target, team, time) } -> std::same_as<HttpRequest>;
   { T::ForRelay(request, terms, time) } -> std::same_as<HttpRequest>;
   { T::RelayedRequest(request) } -> std::same_as<std::optional<typename T::Relayed>>;
   { T::ReadReply(result) } -> std::same_as<typename T::Reply>;
@@ -96,6 +97,8 @@
   { T::Failed() } -> std::same_as<HttpResponse>;
   { T::Expired() } -> std::same_as<HttpResponse>;
   { T::NoRoute() } -> std::same_as<HttpResponse>;
+  { T::UnknownKey() } -> std::same_as<HttpResponse>;
+  { T::OverQuota(time) } -> std::same_as<HttpResponse>;
   { T::HealthQuery(path) } -> std::same_as<HttpRequest>;
   { T::ReadHealth(response) } -> std::same_as<typename T::HealthReply>;
   { T::IsReadyQuery(request) } -> std::same_as<bool>;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -19,10 +19,12 @@
 #include "edge/request_log.h"
 #include "edge/request_relay.h"
 #include "edge/target_notice_handler.h"
+#include "edge/team_quota_gate.h"
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
 #include "gateway/relay_terms.h"
 #include "gateway/stop_plan.h"
+#include "gateway/team_access.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
@@ -49,12 +51,15 @@
   static constexpr Duration kClientTimeoutMargin = std::chrono::milliseconds(100);
 
   RequestForwarder(GatewayCore& core, HttpClient& client, WorkerPool& workers, EventLog& log,
-                   MetricsRegistry& metrics, HarmMonitor<Format>& harm, RequestRelay<Format>& relay)
+                   MetricsRegistry& metrics, TeamAccess& access, TeamQuotaGate& quotas,
+                   HarmMonitor<Format>& harm, RequestRelay<Format>& relay)
       : core_(core),
         client_(client),
         workers_(workers),
         log_(log),
         metrics_(metrics),
+        access_(access),
+        quotas_(quotas),
         harm_(harm),
         relay_(relay),
         request_log_(core, log, metrics),
@@ -120,6 +125,8 @@
     Duration expected_queue_wait{};  ///< Of the last attempt, or of the late placement.
     Duration expected_processing_time{};
     std::vector<Endpoint> endpoints;  ///< Of the targets that have got the request.
+    std::optional<TeamName> team;     ///< That the request is served for.
+    bool has_quota = false;           ///< The request has been taken from the team's quota.
     std::string through;              ///< The entry VM that has got the request for this one.
     bool for_peer = false;            ///< Another entry VM has passed the request on.
     bool finished = false;
@@ -145,9 +152,15 @@
       RefuseUnadmitted(id, Format::NoRoute(), Reason::kUnknownRoute, respond, for_peer);
       return;
     }
-    auto active =
-        std::make_shared<Active>(core_.Admit(id, *route, fields.object, fields.caller_timeout, now),
-                                 std::move(request), std::move(respond));
+    auto access = access_.Rule(*route, fields.access_key, core_.StoreAge(now));
+    if (access.outcome != TeamAccess::Outcome::kAllowed) {
+      RefuseAccess(id, access.outcome, respond, for_peer);
+      return;
+    }
+    auto active = std::make_shared<Active>(
+        core_.Admit(id, access.route, fields.object, fields.caller_timeout, now),
+        std::move(request), std::move(respond));
+    active->team = std::move(access.team);
     active->for_peer = for_peer;
     if (for_peer) {
       active->forwarded.Restrict(terms->retry_rule);
@@ -163,7 +176,42 @@
         workers_.RunAfter(active->forwarded.deadline() - now, [this, weak = std::weak_ptr(active)] {
           if (const auto locked = weak.lock()) OnDeadlineTimer(locked);
         });
-    Place(active);
+    TakeFromQuota(active);
+  }
+
+  auto RefuseAccess(const RequestId& id, TeamAccess::Outcome outcome,
+                    const HttpServer::Responder& respond, bool for_peer) -> void {
+    if (outcome == TeamAccess::Outcome::kUnknownKey) {
+      RefuseUnadmitted(id, Format::UnknownKey(), Reason::kUnknownAccessKey, respond, for_peer);
+    } else {
+      const auto reason = outcome == TeamAccess::Outcome::kStaleKeys ? Reason::kStaleConfiguration
+                                                                     : Reason::kNoTarget;
+      RefuseUnadmitted(id, Format::Refused(kRetryAfterOtherVm), reason, respond, for_peer);
+    }
+  }
+
+  /// The entry VM that passes a request on has taken it from the quota.
+  auto TakeFromQuota(const ActivePtr& active) -> void {
+    if (!active->team.has_value() || active->for_peer) {
+      Place(active);
+      return;
+    }
+    quotas_.Acquire(*active->team, [this, active](TeamQuotaGate::Ruling ruling) {
+      active->has_quota = ruling.admitted;
+      if (active->finished) {
+        ReturnToQuota(*active);
+      } else if (ruling.admitted) {
+        Place(active);
+      } else {
+        Conclude(active, RequestStep::kLimit, Reason::kTeamLimit, ruling.retry_after,
+                 HttpResponse());
+      }
+    });
+  }
+
+  auto ReturnToQuota(Active& active) -> void {
+    if (!active.team.has_value() || !std::exchange(active.has_quota, false)) return;
+    if (active.forwarded.verdict() == Verdict::kNotRun) quotas_.GiveBack(*active.team);
   }
 
   auto RefuseUnadmitted(const RequestId& id, HttpResponse response, Reason reason,
@@ -314,7 +362,7 @@
     }
     active->endpoints.push_back(endpoint);
     const auto time_left = active->forwarded.deadline() - now;
-    auto request = Format::ForTarget(active->request, entry, time_left);
+    auto request = Format::ForTarget(active->request, entry, active->team, time_left);
     active->attempt = core_.BeginAttempt(active->forwarded, placement, now);
     harm_.OnSent(active->digest);
     relay_.OnSentToTarget(now);
@@ -417,6 +465,10 @@
         answer = Format::Refused(retry_after);
         outcome = "refused";
         break;
+      case RequestStep::kLimit:
+        answer = Format::OverQuota(retry_after);
+        outcome = "refused";
+        break;
       case RequestStep::kReject:
         answer = Format::Harmful();
         outcome = "rejected";
@@ -460,6 +512,7 @@
     active->finished = true;
     active->deadline_timer.reset();
     active_.erase(active);
+    ReturnToQuota(*active);
     if (reason != Reason::kNone) harm_.OnRequestUnanswered(active->digest, Now());
     request_log_.OnEnd(active->forwarded,
                        {outcome, status, reason, active->expected_queue_wait,
@@ -472,6 +525,8 @@
   WorkerPool& workers_;
   EventLog& log_;
   MetricsRegistry& metrics_;
+  TeamAccess& access_;
+  TeamQuotaGate& quotas_;
   HarmMonitor<Format>& harm_;
   RequestRelay<Format>& relay_;
   RequestLog request_log_;
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -36,6 +36,7 @@
   kPlace,    ///< Choose a target and send the request there.
   kDeliver,  ///< Deliver the response of the last attempt to the caller.
   kRefuse,   ///< Report that the request has not run, with a time to retry after.
+  kLimit,    ///< The same, because the quota of the team is used up.
   kReject,   ///< Report that the request has not run and must not be repeated.
   kFail,     ///< Report that the request failed and may have run.
   kExpire,   ///< Report that the deadline has passed and the request may have run.
--- a/src/gateway/route.h
+++ b/src/gateway/route.h
@@ -31,6 +31,7 @@
   int priority = 0;      ///< 0 is served first.
   int max_attempts = 1;  ///< Maximum number of targets at which one request may run.
   bool session_affinity = false;
+  bool allow_anonymous = false;                    ///< Requests need no access key.
   std::vector<RegionName> allowed_regions;         ///< All regions if empty.
   std::vector<WeightedService> weighted_services;  ///< At least one.
 };
--- a/src/gateway/target_load.h
+++ b/src/gateway/target_load.h
@@ -15,6 +15,8 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  /// How long work takes at present, as a multiple of the usual time.
+  double slowdown = 1;
 };
 
 /// Predicts the queue wait of a new request at one target from this node's own requests there and
--- a/src/gateway/traffic_policy.h
+++ b/src/gateway/traffic_policy.h
@@ -7,6 +7,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "gateway/route.h"
+#include "gateway/team.h"
 
 namespace heatherspan {
 
@@ -32,6 +33,7 @@
   ConfigVersion version;
   std::vector<Route> routes;
   std::vector<ServicePolicy> services;
+  std::vector<Team> teams;  ///< If there are any, requests carry a key of a team.
   CallerLimits limits;
 };
 
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -49,7 +49,8 @@
 TEST(RequestFormat, ForwardsTheRequestWithTimeLeftAndExpectedInstance) {
   RegisteredTarget target;
   target.name = TargetName("i-7");
-  const auto sent = RequestFormat::ForTarget(CallerRequest(), target, milliseconds(1200));
+  const auto sent =
+      RequestFormat::ForTarget(CallerRequest(), target, std::nullopt, milliseconds(1200));
   EXPECT_EQ(sent.method, "PUT");
   EXPECT_EQ(sent.target, "/a/b?c=d");
   EXPECT_EQ(sent.body, "body");
@@ -147,7 +148,10 @@
   };
   ASSERT_TRUE(load("3,1, 8").has_value());
   EXPECT_EQ(load("3,1,8")->waiting, 1);
-  for (const auto* text : {"", "3", "3,1", "a,b,c", "1,2,3,4"}) {
+  EXPECT_EQ(load("3,1,8")->slowdown, 1);
+  EXPECT_EQ(load("3,1,8,250")->slowdown, 2.5);
+  for (const auto* text :
+       {"", "3", "3,1", "a,b,c", "1,2,3,0", "1,2,3,-5", "1,2,3,x", "1,2,3,nan", "1,2,3,100,5"}) {
     EXPECT_FALSE(load(text).has_value()) << text;
   }
 }
