gateway: access keys of teams, and how old a configuration can be

The state of the store has a proof beside its age: the time of the call whose answer showed it, in boot time, carried through peers; requests with keys are refused at 95% of revocation_s. A team's entry that can't be read is left out and named. Counters by team, lines when teams change and when keys are too old. A peer's 401 no longer reaches the caller of a VM that knows the key.

--- a/src/edge/edge_limits.cc
+++ b/src/edge/edge_limits.cc
@@ -13,6 +13,12 @@
   return std::min(bounds.drain, bounds.apply);
 }
 
+auto EdgeLimits::ReadTiming(const EdgeSettings::Bounds& bounds) -> StoreReadTiming {
+  const auto timing = StoreReadTiming::For(ChangeBound(bounds));
+  const bool is_bounded = bounds.revocation > Duration::zero();
+  return is_bounded ? timing.ProvedWithin(bounds.revocation) : timing;
+}
+
 auto EdgeLimits::Spillover(const EdgeSettings::Bounds& bounds) -> SpilloverLimiter::Limits {
   SpilloverLimiter::Limits limits;
   limits.max_fraction_increase = bounds.max_shift;
--- a/src/edge/edge_limits.h
+++ b/src/edge/edge_limits.h
@@ -6,6 +6,7 @@
 #include "base/time.h"
 #include "edge/edge_settings.h"
 #include "gateway/gateway_core.h"
+#include "gateway/store_read_timing.h"
 #include "gateway/traffic_policy.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -46,6 +47,7 @@
   static auto Retries(const EdgeSettings::Bounds& bounds) -> ServiceRetryBudget::Limits;
   /// The time within which all entry VMs have to know of a change in the store.
   static auto ChangeBound(const EdgeSettings::Bounds& bounds) -> Duration;
+  static auto ReadTiming(const EdgeSettings::Bounds& bounds) -> StoreReadTiming;
   static auto Spillover(const EdgeSettings::Bounds& bounds) -> SpilloverLimiter::Limits;
   static auto Core(const EdgeSettings& settings) -> GatewayCore::Options;
   static auto TargetClient(std::string correlation_header) -> HttpClient::Limits;
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/status.h"
 #include "base/build_version.h"
+#include "edge/access_control.h"
 #include "edge/edge_limits.h"
 #include "edge/edge_settings.h"
 #include "edge/harm_monitor.h"
@@ -89,6 +90,7 @@
             [this](StoreEra era) { OnPeerEra(era); }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node), Announcement(true),
                    [this](MonotonicTime at) { core_.OnAnnouncementRenewed(at); }),
+        access_(core_, log_, metrics_),
         harm_(
             core_, log_, metrics_, settings_.digest_key,
             [this](const std::vector<EntryVm>& vms) { Tell(vms); },
@@ -261,7 +263,13 @@
     const auto now = Now();
     return Store::WatchAnswer(changes, {sync_state.era(), sync_state.revision()},
                               sync_state.Age(now), sync_state.ContactAge(now),
-                              News(lacks_crashes, now));
+                              News(lacks_crashes, now), ProvedAge());
+  }
+
+  /// What peers are told, where they need it.
+  auto ProvedAge() const -> std::optional<Duration> {
+    if (settings_.bounds.revocation <= Duration::zero()) return std::nullopt;
+    return BootClock().Now() - follower_.sync_state().proved_at();
   }
 
   auto NextPeerQuestions() -> typename PeerSync<Store>::Questions {
@@ -364,6 +372,7 @@
   auto RecordStoreSeen() -> void {
     const auto& sync_state = follower_.sync_state();
     core_.OnStoreSeen(sync_state.revision(), sync_state.complete_at());
+    if (!items_.lacks_policy()) access_.OnConfigurationProved(sync_state.proved_at());
     items_.Settle();
   }
 
@@ -386,6 +395,7 @@
     items_.Settle();
     core_.OnTick(now);
     prober_.OnTick(now);
+    access_.OnTick(now);
     AnnounceReach(now);
     metrics_.Set(Metric::kInputAgeSeconds, {{"source", "store"}},
                  std::chrono::duration<double>(core_.StoreAge(now)).count());
@@ -428,7 +438,8 @@
   }
 
   auto SetChangeBound(const Bounds& bounds) -> void {
-    follower_.SetTiming(StoreReadTiming::For(EdgeLimits::ChangeBound(bounds)));
+    follower_.SetTiming(EdgeLimits::ReadTiming(bounds));
+    access_.SetLimits({bounds.apply, bounds.revocation});
     core_.SetChangeBound(EdgeLimits::ChangeBound(bounds));
   }
 
@@ -462,7 +473,7 @@
   MonotonicTime started_at_{};
   VmAnnouncer<Store> announcer_;
   bool announced_reach_ = true;
-  TeamAccess access_;
+  AccessControl access_;
   TeamQuotaGate quotas_;
   HarmMonitor<Messages> harm_;
   RequestRelay<Messages> relay_;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -13,6 +13,7 @@
 #include "base/endpoint.h"
 #include "base/reason.h"
 #include "base/verdict.h"
+#include "edge/access_control.h"
 #include "edge/attempt_log.h"
 #include "edge/harm_monitor.h"
 #include "edge/platform_ports.h"
@@ -51,7 +52,7 @@
   static constexpr Duration kClientTimeoutMargin = std::chrono::milliseconds(100);
 
   RequestForwarder(GatewayCore& core, HttpClient& client, WorkerPool& workers, EventLog& log,
-                   MetricsRegistry& metrics, TeamAccess& access, TeamQuotaGate& quotas,
+                   MetricsRegistry& metrics, AccessControl& access, TeamQuotaGate& quotas,
                    HarmMonitor<Format>& harm, RequestRelay<Format>& relay)
       : core_(core),
         client_(client),
@@ -152,9 +153,9 @@
       RefuseUnadmitted(id, Format::NoRoute(), Reason::kUnknownRoute, respond, for_peer);
       return;
     }
-    auto access = access_.Rule(*route, fields.access_key, core_.StoreAge(now));
+    auto access = access_.Rule(*route, fields.access_key, now);
     if (access.outcome != TeamAccess::Outcome::kAllowed) {
-      RefuseAccess(id, access.outcome, respond, for_peer);
+      RefuseAccess(id, access, respond, for_peer);
       return;
     }
     auto active = std::make_shared<Active>(
@@ -179,15 +180,17 @@
     TakeFromQuota(active);
   }
 
-  auto RefuseAccess(const RequestId& id, TeamAccess::Outcome outcome,
+  auto RefuseAccess(const RequestId& id, const TeamAccess::Ruling& ruling,
                     const HttpServer::Responder& respond, bool for_peer) -> void {
-    if (outcome == TeamAccess::Outcome::kUnknownKey) {
+    if (ruling.outcome == TeamAccess::Outcome::kUnknownKey) {
       RefuseUnadmitted(id, Format::UnknownKey(), Reason::kUnknownAccessKey, respond, for_peer);
-    } else {
-      const auto reason = outcome == TeamAccess::Outcome::kStaleKeys ? Reason::kStaleConfiguration
-                                                                     : Reason::kNoTarget;
-      RefuseUnadmitted(id, Format::Refused(kRetryAfterOtherVm), reason, respond, for_peer);
+      return;
     }
+    const auto reason = ruling.outcome == TeamAccess::Outcome::kStaleKeys
+                            ? Reason::kStaleConfiguration
+                            : Reason::kNoTarget;
+    if (!for_peer) request_log_.CountForTeam(ruling.team, reason);
+    RefuseUnadmitted(id, Format::Refused(kRetryAfterOtherVm), reason, respond, for_peer);
   }
 
   /// The entry VM that passes a request on has taken it from the quota.
@@ -514,9 +517,11 @@
     active_.erase(active);
     ReturnToQuota(*active);
     if (reason != Reason::kNone) harm_.OnRequestUnanswered(active->digest, Now());
+    // The entry VM that passes a request on counts it.
+    if (!active->for_peer) request_log_.CountForTeam(active->team, reason);
     request_log_.OnEnd(active->forwarded,
                        {outcome, status, reason, active->expected_queue_wait,
-                        active->expected_processing_time, active->through},
+                        active->expected_processing_time, active->through, active->team},
                        Now());
   }
 
@@ -525,7 +530,7 @@
   WorkerPool& workers_;
   EventLog& log_;
   MetricsRegistry& metrics_;
-  TeamAccess& access_;
+  AccessControl& access_;
   TeamQuotaGate& quotas_;
   HarmMonitor<Format>& harm_;
   RequestRelay<Format>& relay_;
--- a/src/edge/request_log.h
+++ b/src/edge/request_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,7 @@
     Duration expected_queue_wait{};
     Duration expected_processing_time{};
     std::string_view through;  ///< The entry VM that has served it for this one, if any.
+    std::optional<TeamName> team;
   };
 
   RequestLog(const GatewayCore& core, EventLog& log, MetricsRegistry& metrics)
@@ -42,6 +44,13 @@
                 {"config", ConfigVersionNumber()}});
   }
 
+  /// Counts a request of a team, as served without a reason.
+  auto CountForTeam(const std::optional<TeamName>& team, Reason reason) -> void {
+    if (!team.has_value()) return;
+    const auto result = reason == Reason::kNone ? "served" : ReasonText(reason);
+    metrics_.Increment(Metric::kTeamRequests, {{"team", team->value()}, {"result", result}});
+  }
+
   auto OnEnd(const ForwardedRequest& forwarded, const End& end, MonotonicTime now) -> void {
     const auto& attributes = forwarded.attributes();
     const auto elapsed = now - attributes.arrived;
@@ -57,6 +66,7 @@
                {{"id", attributes.id.value()},
                 {"route", attributes.route.name.value()},
                 {"service", attributes.service.value()},
+                {"team", end.team.has_value() ? end.team->value() : ""},
                 {"object", attributes.object},
                 {"target", targets.empty() ? "" : targets.back().value()},
                 {"through", end.through},
--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <utility>
 
+#include "base/boot_time.h"
 #include "base/task_runner.h"
 #include "edge/platform_ports.h"
 #include "gateway/store_reader_role.h"
@@ -32,12 +33,11 @@
   /// A watch of whose answer nothing has arrived so long after its wait is made again beside the
   /// first one: the answer may be lost, or the connection silent.
   static constexpr Duration kOverdueTime = std::chrono::milliseconds(500);
-  /// The delay before the next watch, so that one call reads several changes that come close
-  /// together. It is a tenth of the time within which a configuration has to be in force in a
-  /// deployment of full size.
-  static constexpr Duration kBatchDelay = std::chrono::milliseconds(900);
   /// How often a node that doesn't read the store looks whether it has to.
   static constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(100);
+  /// The wait of a watch that is made for a proof, so that a store whose answers prove nothing is
+  /// not called all the time.
+  static constexpr Duration kMinProofWait = std::chrono::milliseconds(100);
   static constexpr Duration kMinBackoff = std::chrono::milliseconds(100);
   static constexpr Duration kMaxBackoff = std::chrono::milliseconds(800);
 
@@ -85,10 +85,19 @@
  private:
   auto Now() const -> MonotonicTime { return workers_.Now(); }
 
+  /// How long the state is proved well enough.
+  auto ProofLeft() const -> Duration {
+    const auto limit = role_.timing().max_proved_age;
+    if (limit == Duration::max()) return limit;
+    return limit - (BootClock().Now() - sync_state_.proved_at());
+  }
+
   auto CallNext() -> void {
     const auto now = Now();
     const bool is_listing = sync_state_.Next().list;
-    const bool reads = is_listing || role_.ReadsStore(sync_state_.Age(now), now);
+    const auto proof_left = ProofLeft();
+    const bool reads =
+        is_listing || role_.ReadsStore(sync_state_.Age(now), now) || proof_left <= Duration::zero();
     if (reads != std::exchange(reads_, reads)) {
       log_.Write(
           LogLevel::kInfo, "store-reading",
@@ -121,7 +130,9 @@
     }
     // Each watch counts as a call to the store, also one that only waits.
     const auto interval = role_.timing().answer_interval;
-    const auto wait = std::clamp(interval - sync_state_.Age(now), Duration::zero(), interval);
+    const auto wait =
+        std::clamp(std::min(interval - sync_state_.Age(now), std::max(proof_left, kMinProofWait)),
+                   Duration::zero(), interval);
     // The store is known not to answer while calls fail one after the other.
     if (!lost_) {
       timer_ = workers_.RunAfter(wait + kOverdueTime, [this, call] { OnOverdue(call); });
@@ -188,7 +199,7 @@
     if (changes.empty() || sync_state_.Next().list) {
       CallNext();
     } else {
-      timer_ = workers_.RunAfter(kBatchDelay, [this] { CallNext(); });
+      timer_ = workers_.RunAfter(role_.timing().batch_delay, [this] { CallNext(); });
     }
   }
 
--- a/src/edge/store_items.h
+++ b/src/edge/store_items.h
@@ -40,6 +40,8 @@
         on_registered_(std::move(on_registered)) {}
 
   auto snapshot() const -> const StoreSnapshot& { return snapshot_; }
+  /// The latest configuration in the store can't be read, so that an earlier one is in force.
+  auto lacks_policy() const -> bool { return lacks_policy_; }
 
   /// The following changes are the whole state of a store that is back from an older copy.
   auto OnStoreRestored() -> void {
@@ -152,6 +154,7 @@
     // If the store item is removed, the last configuration stays in force.
     if (!change.value.has_value()) return;
     auto policy = Formats::ReadPolicy(*change.value);
+    lacks_policy_ = !policy.ok();
     if (!policy.ok()) {
       metrics_.Increment(Metric::kRejectedInput, {{"listener", "store"}, {"cause", "policy"}});
       log_.Write(
@@ -264,6 +267,7 @@
   PendingRemovals<ZoneName> pending_evacuation_ends_;
   std::vector<KeptRemoval> kept_removals_;
   bool is_restoring_ = false;
+  bool lacks_policy_ = false;
 };
 
 }  // namespace heatherspan
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -5,9 +5,11 @@
 #include <string>
 #include <vector>
 
+#include "base/boot_time.h"
 #include "base/strong_number.h"
 #include "base/time.h"
 #include "gateway/peer_news.h"
+#include "gateway/state_proof.h"
 
 namespace heatherspan {
 
@@ -34,6 +36,7 @@
   bool more = false;           ///< The listing continues after the last item.
   std::uint64_t revision = 0;  ///< Revision of the store when the page was made.
   StoreEra era = {};
+  BootTime proved_at = StateProof::kNever;  ///< The page was made later.
 };
 
 /// The changes since a revision.
@@ -47,6 +50,8 @@
   Duration contact_age{};
   PeerNews news = {};  ///< Only from other entry VMs.
   StoreEra era = {};
+  /// The store had no later change at that time than those up to the revision.
+  BootTime proved_at = StateProof::kNever;
 };
 
 struct StoreLease {
--- a/src/gateway/store_read_timing.h
+++ b/src/gateway/store_read_timing.h
@@ -15,6 +15,12 @@
   /// are well, no state becomes older than `max_state_age`: the difference covers the way to the
   /// store and the pause between two questions to the reader.
   Duration answer_interval = std::chrono::milliseconds(1000);
+  /// The delay before the next watch, so that one call reads several changes that come close
+  /// together. It is a tenth of the time within which a configuration has to be in force in a
+  /// deployment of full size.
+  Duration batch_delay = std::chrono::milliseconds(900);
+  /// A node whose state is proved only for a time longer ago reads the store itself.
+  Duration max_proved_age = Duration::max();
 
   /// Two answers of the store that are further apart mean an outage, even if no call is known to
   /// have failed: a node with an old state has called the store by then.
@@ -26,7 +32,26 @@
     constexpr Duration kSearchTime = std::chrono::seconds(1);
     constexpr Duration kReserve = std::chrono::milliseconds(500);
     const auto max_state_age = std::max(bound - kSearchTime, 2 * kReserve);
-    return {max_state_age, max_state_age - kReserve};
+    StoreReadTiming timing;
+    timing.max_state_age = max_state_age;
+    timing.answer_interval = max_state_age - kReserve;
+    return timing;
+  }
+
+  /// The same where requests are refused once the state is proved for no time since `limit`. While
+  /// the store and the readers are well, the proof that a node has by way of a reader is at most
+  /// two intervals old, since the next watch is made when the one before is answered, beside the
+  /// pause between two questions and the ways. A quarter of the limit is left for a read in place
+  /// of a reader that fails.
+  auto ProvedWithin(Duration limit) const -> StoreReadTiming {
+    constexpr Duration kWays = std::chrono::milliseconds(450);
+    constexpr Duration kMinInterval = std::chrono::milliseconds(100);
+    auto timing = *this;
+    timing.max_proved_age = limit * 3 / 4;
+    const auto longest = std::max((timing.max_proved_age - kWays) / 2, kMinInterval);
+    timing.answer_interval = std::min(answer_interval, longest);
+    timing.batch_delay = std::min(batch_delay, longest);
+    return timing;
   }
 };
 
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -70,6 +70,7 @@
     }
     list_revision_ = page.revision;
     list_began_at_ = now;
+    list_proved_at_ = page.proved_at;
     listed_revisions_.clear();
     listed_items_.clear();
   }
@@ -89,11 +90,14 @@
   if (listing_ == Listing::kOtherEra) {
     new_changes = ReplaceState({std::move(listed_items_), false, list_revision_, store_era_});
     contact_.OnRestored(list_began_at_);
+    proof_.Reset();
+    proof_.OnProved(list_proved_at_);
     return new_changes;
   }
   era_ = store_era_;
   CompleteListing(list_revision_, new_changes);
   contact_.OnAnswer(list_began_at_);
+  proof_.OnProved(list_proved_at_);
   return new_changes;
 }
 
@@ -151,6 +155,9 @@
     -> std::vector<StoreChange> {
   in_contact_ = true;
   contact_.OnAnswer(now);
+  // The answer of a store that has gone back shows nothing of the later state.
+  const bool continues_state = listing_ == Listing::kNone && changes.era == era_;
+  if (continues_state && changes.revision >= revision_) proof_.OnProved(changes.proved_at);
   return AcceptAll(std::move(changes));
 }
 
@@ -162,9 +169,11 @@
     store_era_known_at_ = now;
     peer_era_heard_at_.reset();
     contact_.Reset();
+    proof_.Reset();
     return ReplaceState(std::move(state));
   }
   contact_.Reset();
+  proof_.Reset();
   // Pages of another era than the state's may have been applied.
   const bool continues_pages = listing_ == Listing::kSameEra && state.era == store_era_;
   if (state.era > store_era_) {
@@ -193,6 +202,7 @@
   if (!synced_ || era_ != store_era_ || changes.era != era_) return {};
   if (changes.revision < revision_) return {};
   contact_.OnSpan(now - changes.contact_age, now - changes.age);
+  proof_.OnProved(changes.proved_at);
   if (changes.age <= kMaxContactAge) {
     in_contact_ = true;
     contact_was_lost_ = false;
--- a/src/gateway/store_sync_state.h
+++ b/src/gateway/store_sync_state.h
@@ -9,6 +9,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/status/status.h"
 #include "base/time.h"
+#include "gateway/state_proof.h"
 #include "gateway/state_quality.h"
 #include "gateway/store_changes.h"
 #include "gateway/store_contact.h"
@@ -87,6 +88,8 @@
   /// The state has all changes up to this time. An incomplete listing shows nothing of the changes
   /// on its further pages.
   auto complete_at() const -> MonotonicTime { return contact_.until(); }
+  /// The state is proved to have all changes up to this time.
+  auto proved_at() const -> BootTime { return proof_.at(); }
   /// Since when the state may lack changes.
   auto Age(MonotonicTime now) const -> Duration { return now - contact_.until(); }
   auto Quality(MonotonicTime now) const -> StateQuality {
@@ -133,7 +136,9 @@
   bool in_contact_ = false;
   bool contact_was_lost_ = false;
   StoreContact contact_;
-  MonotonicTime list_began_at_{};  ///< When the first page was read.
+  StateProof proof_;
+  MonotonicTime list_began_at_{};                 ///< When the first page was read.
+  BootTime list_proved_at_ = StateProof::kNever;  ///< By the first page.
 };
 
 }  // namespace heatherspan
--- a/src/gateway/traffic_policy.h
+++ b/src/gateway/traffic_policy.h
@@ -34,7 +34,11 @@
   std::vector<Route> routes;
   std::vector<ServicePolicy> services;
   std::vector<Team> teams;  ///< If there are any, requests carry a key of a team.
+  /// Teams whose entries can't be used, with the reason. Their callers are unknown.
+  std::vector<std::string> rejected_teams;
   CallerLimits limits;
+
+  auto RequiresKeys() const -> bool { return !teams.empty() || !rejected_teams.empty(); }
 };
 
 }  // namespace heatherspan
--- a/tests/edge/relayed_request_test.cc
+++ b/tests/edge/relayed_request_test.cc
@@ -180,6 +180,22 @@
   node_.reset();
 }
 
+// Guards against a caller who is told that its key is unknown, which it never sends again, although
+// its VM knows the key.
+TEST_F(RelayedRequestTest, AnUnknownKeyAtThePeerIsNoFinalAnswer) {
+  ScriptedPeer peer([](const std::string& id) {
+    return id != "a" ? ScriptedPeer::Served(id)
+                     : std::string(
+                           "HTTP/1.1 401 Unauthorized\r\nHeatherspan-Relay-Verdict: not-run\r\n"
+                           "Heatherspan-Request-Id: a\r\nContent-Length: 0\r\n\r\n");
+  });
+  StartBeside(peer);
+  const auto answer = SendWithId("a");
+  EXPECT_EQ(answer.status, 503);
+  EXPECT_FALSE(answer.Header("Retry-After").empty());
+  node_.reset();
+}
+
 // Guards against a caller who may not come back although no peer could be reached.
 TEST_F(RelayedRequestTest, HasNotRunIfNoPeerCanBeReached) {
   std::optional<ScriptedPeer> peer(std::in_place, &ScriptedPeer::Served);
--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -176,6 +176,29 @@
   }
 }
 
+// Guards against a state that counts as proved for the time of an answer, which may have been made
+// long before, and against a peer that is taken at its word without having given any.
+TEST_F(StoreClientTest, TellsUpToWhenChangesAreProved) {
+  const auto ask = [&] {
+    return ResultOf<absl::StatusOr<StoreChanges>>([&](auto done) {
+      store_.AskPeer({StoreEra(3), 41}, {}, done);
+    });
+  };
+  const auto answer = [&](std::optional<Duration> proved_age) {
+    const auto made = StoreClient::WatchAnswer(std::vector<StoreChange>(), {StoreEra(3), 41}, {},
+                                               {}, {}, proved_age);
+    Answer(made.status, made.body);
+  };
+  answer(std::nullopt);
+  EXPECT_EQ(ask()->proved_at, StateProof::kNever);
+  const auto before = BootClock().Now();
+  EXPECT_GE(Watch()->proved_at, before);
+  EXPECT_LE(Watch()->proved_at, BootClock().Now());
+  answer(milliseconds(2500));
+  EXPECT_LE(ask()->proved_at, BootClock().Now() - milliseconds(2500));
+  EXPECT_GE(ask()->proved_at, before - milliseconds(2500));
+}
+
 // Guards against limits that are lost or changed on their way to a peer, and against a call to the
 // store that has them.
 TEST_F(StoreClientTest, TellsPeersOfLimits) {
