gateway: reported slowdown, weights of entry VMs, callers that have gone

Cause: the fourth figure of a target's load was read and not used, so that its noise was learned as slowness; VMs with a tenth of a core were named as often as large ones; a VM that is late read requests whose callers had closed, and sent them on before it found the end.

Change: ReportedSlowdown, which Predict uses and Learn takes out; CapacityWeight in the announcement and drawn answers of the directory; LoopLateness; HasPeerClosed before a request is handed over and before each attempt.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -23,8 +23,10 @@
 #include "edge/target_prober.h"
 #include "edge/vm_announcer.h"
 #include "fmt/format.h"
+#include "gateway/capacity_weight.h"
 #include "gateway/gateway_core.h"
 #include "gateway/listing_budget.h"
+#include "gateway/loop_lateness.h"
 #include "gateway/peer_selection.h"
 #include "gateway/peer_state_need.h"
 #include "net/http_client.h"
@@ -87,15 +89,16 @@
               OnPeerChanges(peer, std::move(changes));
             },
             [this](StoreEra era) { OnPeerEra(era); }),
-        announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node), Announcement(true),
+        announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
+                   Announcement(true, false),
                    [this](MonotonicTime at) { core_.OnAnnouncementRenewed(at); }),
         harm_(
             core_, log_, metrics_, settings_.digest_key,
             [this](const std::vector<EntryVm>& vms) { Tell(vms); },
             [this](const TargetName& target) { prober_.Check(target); }),
         relay_(core_, relay_client_, log_, metrics_, [this] { prober_.CheckLinks(); }),
-        forwarder_(core_, target_client_, workers_, log_, metrics_, access_, quotas_, harm_,
-                   relay_),
+        forwarder_(core_, target_client_, workers_, log_, metrics_, access_, quotas_, harm_, relay_,
+                   lateness_),
         prober_(core_, target_client_, log_, metrics_, harm_, relay_),
         callers_server_(workers_, EdgeLimits::CallerServer(settings_.descriptors, CallerLimits()),
                         [this](HttpRequest request, HttpServer::Responder respond) {
@@ -168,9 +171,11 @@
     return response;
   }
 
-  auto Announcement(bool reaches_targets) const -> std::string {
+  auto Announcement(bool reaches_targets, bool is_reduced) const -> std::string {
+    const double capacity = CapacityWeight::Of(settings_.cpu_share, settings_.link_mbps);
     return Formats::WriteEntryVm({settings_.node, settings_.zone, settings_.region,
-                                  settings_.callers, settings_.peers, reaches_targets});
+                                  settings_.callers, settings_.peers, reaches_targets,
+                                  is_reduced ? CapacityWeight::Reduced(capacity) : capacity});
   }
 
   auto IsReady() const -> bool {
@@ -373,20 +378,44 @@
     if (IsReady()) announcer_.Start();
   }
 
-  /// Announces whether the VM reaches targets, once the first probes have had time to answer.
-  auto AnnounceReach(MonotonicTime now) -> void {
+  /// Announces whether the VM reaches targets, once the first probes have had time to answer, and
+  /// whether it keeps up with its requests.
+  auto AnnounceState(MonotonicTime now) -> void {
     const bool reaches_targets = !relay_.IsStranded(now);
-    if (std::exchange(announced_reach_, reaches_targets) == reaches_targets) return;
-    announcer_.Change(Announcement(reaches_targets));
+    const bool is_reduced = IsShareOfCore() && lateness_.is_reduced(now);
+    const bool reach_changed = std::exchange(announced_reach_, reaches_targets) != reaches_targets;
+    const bool weight_changed = std::exchange(announced_reduced_, is_reduced) != is_reduced;
+    if (reach_changed || weight_changed) {
+      announcer_.Change(Announcement(reaches_targets, is_reduced));
+    }
+  }
+
+  /// A VM with a whole core is late only while it is disrupted, which other parts answer.
+  auto IsShareOfCore() const -> bool { return settings_.cpu_share < 1; }
+
+  auto UpdateLateness(MonotonicTime now) -> void {
+    const bool was_late = lateness_.is_late();
+    lateness_.OnTick(now);
+    metrics_.Set(Metric::kLoopLagSeconds, {},
+                 std::chrono::duration<double>(lateness_.lag()).count());
+    if (!IsShareOfCore() || lateness_.is_late() == was_late) return;
+    forwarder_.SetBehind(lateness_.is_late());
+    log_.Write(
+        LogLevel::kWarning, lateness_.is_late() ? "loop-late" : "loop-late-over",
+        {{"lag_ms", std::chrono::duration_cast<std::chrono::milliseconds>(lateness_.lag()).count()},
+         {"in_flight", forwarder_.active()}});
   }
 
   auto OnTick() -> void {
     const auto now = Now();
+    UpdateLateness(now);
     listing_budget_.OnTick();
     items_.Settle();
     core_.OnTick(now);
     prober_.OnTick(now);
-    AnnounceReach(now);
+    AnnounceState(now);
+    metrics_.Set(Metric::kRejectedInput, {{"listener", "callers"}, {"cause", "caller-gone"}},
+                 static_cast<double>(callers_server_.counters().caller_gone));
     metrics_.Set(Metric::kInputAgeSeconds, {{"source", "store"}},
                  std::chrono::duration<double>(core_.StoreAge(now)).count());
     metrics_.Set(Metric::kInFlight, {{"region", settings_.region.value()}},
@@ -462,6 +491,8 @@
   MonotonicTime started_at_{};
   VmAnnouncer<Store> announcer_;
   bool announced_reach_ = true;
+  bool announced_reduced_ = false;
+  LoopLateness lateness_{kTickInterval};
   TeamAccess access_;
   TeamQuotaGate quotas_;
   HarmMonitor<Messages> harm_;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -22,6 +22,7 @@
 #include "edge/team_quota_gate.h"
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
+#include "gateway/loop_lateness.h"
 #include "gateway/relay_terms.h"
 #include "gateway/stop_plan.h"
 #include "gateway/team_access.h"
@@ -52,7 +53,8 @@
 
   RequestForwarder(GatewayCore& core, HttpClient& client, WorkerPool& workers, EventLog& log,
                    MetricsRegistry& metrics, TeamAccess& access, TeamQuotaGate& quotas,
-                   HarmMonitor<Format>& harm, RequestRelay<Format>& relay)
+                   HarmMonitor<Format>& harm, RequestRelay<Format>& relay,
+                   const LoopLateness& lateness)
       : core_(core),
         client_(client),
         workers_(workers),
@@ -62,6 +64,7 @@
         quotas_(quotas),
         harm_(harm),
         relay_(relay),
+        lateness_(lateness),
         request_log_(core, log, metrics),
         attempt_log_(log, metrics),
         notices_(core, log, metrics) {}
@@ -86,6 +89,9 @@
     }
   }
 
+  /// While this VM is behind with its requests, callers are sent to another one.
+  auto SetBehind(bool behind) -> void { behind_ = behind; }
+
   /// Begins a stop. The process will be killed at the end of the grace.
   auto BeginStop(Duration grace) -> void {
     const auto now = Now();
@@ -147,6 +153,11 @@
                        respond, for_peer);
       return;
     }
+    if (behind_ && !for_peer && core_.entry_vms().Announced(now).size() > 1) {
+      RefuseUnadmitted(id, Format::Refused(kRetryAfterOtherVm), Reason::kOverload, respond,
+                       for_peer);
+      return;
+    }
     const auto* route = core_.routes().Find(fields.host, request.target);
     if (route == nullptr) {
       RefuseUnadmitted(id, Format::NoRoute(), Reason::kUnknownRoute, respond, for_peer);
@@ -157,9 +168,10 @@
       RefuseAccess(id, access.outcome, respond, for_peer);
       return;
     }
-    auto active = std::make_shared<Active>(
-        core_.Admit(id, access.route, fields.object, fields.caller_timeout, now),
-        std::move(request), std::move(respond));
+    auto active =
+        std::make_shared<Active>(core_.Admit(id, access.route, fields.object, fields.caller_timeout,
+                                             now, lateness_.MaxWait(now)),
+                                 std::move(request), std::move(respond));
     active->team = std::move(access.team);
     active->for_peer = for_peer;
     if (for_peer) {
@@ -225,6 +237,15 @@
   auto Place(const ActivePtr& active) -> void {
     const auto now = Now();
     auto& forwarded = active->forwarded;
+    if (HasCallerClosed(*active)) {
+      OnCallerDisconnected(active);
+      return;
+    }
+    if (now >= forwarded.deadline()) {
+      Conclude(active, forwarded.OnNoTarget(), Reason::kTimeout, kRetryAfterOtherVm,
+               HttpResponse());
+      return;
+    }
     if (!forwarded.MayRun()) {
       // The other VM's attempt may have run, and this VM's configuration has another retry rule.
       Conclude(active, RequestStep::kFail, Reason::kTargetConnectionLost, Duration::zero(),
@@ -263,6 +284,11 @@
     Send(active, *result.placement, now);
   }
 
+  static auto HasCallerClosed(const Active& active) -> bool {
+    const auto& disconnect = active.request.disconnect;
+    return disconnect != nullptr && disconnect->has_closed && disconnect->has_closed();
+  }
+
   /// Concludes the request if it must not be sent because of the targets that it may end.
   auto MaySend(const ActivePtr& active, MonotonicTime now) -> bool {
     using Ruling = HarmGuard::Ruling;
@@ -529,10 +555,12 @@
   TeamQuotaGate& quotas_;
   HarmMonitor<Format>& harm_;
   RequestRelay<Format>& relay_;
+  const LoopLateness& lateness_;
   RequestLog request_log_;
   AttemptLog attempt_log_;
   TargetNoticeHandler notices_;
   absl::flat_hash_set<ActivePtr> active_;
+  bool behind_ = false;
   MonotonicTime serve_until_ = MonotonicTime::max();
   MonotonicTime complete_by_ = MonotonicTime::max();
 };
--- a/src/gateway/entry_vm_directory.cc
+++ b/src/gateway/entry_vm_directory.cc
@@ -1,6 +1,8 @@
 #include "gateway/entry_vm_directory.h"
 
 #include <algorithm>
+#include <iterator>
+#include <random>
 #include <utility>
 
 #include "base/stable_hash.h"
@@ -14,6 +16,8 @@
 /// Callers in a zone with a single entry VM also get the entry VMs of the region's other zones, so
 /// that they can switch at once when theirs is lost.
 constexpr std::size_t kMinAddresses = 2;
+/// Callers keep an answer for seconds, in which two VMs may be lost.
+constexpr std::size_t kMinDrawn = 3;
 
 }  // namespace
 
@@ -78,34 +82,64 @@
   }
   EntryVmSelection answer;
   answer.lifetime = options_.answer_lifetime;
-  answer.endpoints = Select(reaching.empty() ? all : reaching, zone, region, allowed_regions,
-                            options_.max_addresses);
+  const auto selected =
+      Draw(Select(reaching.empty() ? all : reaching, zone, region, allowed_regions));
+  for (const auto* vm : selected) {
+    if (answer.endpoints.size() == options_.max_addresses) break;
+    answer.endpoints.push_back(vm->caller_endpoint);
+  }
   return answer;
 }
 
 auto EntryVmDirectory::Select(const std::vector<const EntryVm*>& vms, const ZoneName& zone,
                               const RegionName& region,
-                              const std::vector<RegionName>& allowed_regions,
-                              std::size_t max_addresses) -> std::vector<Endpoint> {
-  std::vector<Endpoint> endpoints;
+                              const std::vector<RegionName>& allowed_regions)
+    -> std::vector<const EntryVm*> {
+  std::vector<const EntryVm*> selected;
   const auto add = [&](auto matches) {
-    for (const auto* vm : vms) {
-      if (endpoints.size() < max_addresses && matches(*vm)) {
-        endpoints.push_back(vm->caller_endpoint);
-      }
-    }
+    std::copy_if(vms.begin(), vms.end(), std::back_inserter(selected),
+                 [&](const EntryVm* vm) { return matches(*vm); });
   };
   add([&](const EntryVm& vm) { return vm.zone == zone; });
-  if (endpoints.size() < kMinAddresses) {
+  if (selected.size() < kMinAddresses) {
     add([&](const EntryVm& vm) { return vm.zone != zone && vm.region == region; });
   }
-  if (!endpoints.empty()) return endpoints;
+  if (!selected.empty()) return selected;
   add([&](const EntryVm& vm) {
     return allowed_regions.empty() || std::find(allowed_regions.begin(), allowed_regions.end(),
                                                 vm.region) != allowed_regions.end();
   });
-  if (endpoints.empty()) add([](const EntryVm&) { return true; });
-  return endpoints;
+  if (selected.empty()) add([](const EntryVm&) { return true; });
+  return selected;
+}
+
+auto EntryVmDirectory::Draw(std::vector<const EntryVm*> vms) -> std::vector<const EntryVm*> {
+  const auto by_weight = [](const EntryVm* a, const EntryVm* b) { return a->weight < b->weight; };
+  const auto [least, most] = std::minmax_element(vms.begin(), vms.end(), by_weight);
+  if (vms.size() <= kMinDrawn || (*least)->weight == (*most)->weight) return vms;
+  struct Ticket {
+    double key;
+    const EntryVm* vm;
+  };
+  std::vector<const EntryVm*> drawn;
+  std::vector<Ticket> others;
+  const double largest = (*most)->weight;
+  std::uniform_real_distribution<double> uniform(0, 1);
+  for (const auto* vm : vms) {
+    if (uniform(random_) < vm->weight / largest) {
+      drawn.push_back(vm);
+    } else {
+      // The smallest keys are a sample in proportion to the weights.
+      others.push_back({std::exponential_distribution<double>(vm->weight)(random_), vm});
+    }
+  }
+  std::sort(others.begin(), others.end(),
+            [](const Ticket& a, const Ticket& b) { return a.key < b.key; });
+  for (const auto& ticket : others) {
+    if (drawn.size() >= kMinDrawn) break;
+    drawn.push_back(ticket.vm);
+  }
+  return drawn;
 }
 
 auto IsTargetSender(const std::vector<EntryVm>& vms, const NodeName& self, const TargetName& target,
--- a/src/gateway/entry_vm_directory.h
+++ b/src/gateway/entry_vm_directory.h
@@ -7,6 +7,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "base/endpoint.h"
 #include "base/ids.h"
+#include "base/random.h"
 #include "base/time.h"
 
 namespace heatherspan {
@@ -19,6 +20,7 @@
   Endpoint caller_endpoint;     ///< Listens for callers' requests.
   Endpoint peer_endpoint = {};  ///< Listens for other entry VMs. Empty if it doesn't.
   bool reaches_targets = true;  ///< False while its links to all targets are lost.
+  double weight = 1;            ///< See CapacityWeight.
 
   friend auto operator==(const EntryVm&, const EntryVm&) -> bool = default;
 };
@@ -41,7 +43,8 @@
     std::size_t max_addresses = 64;
   };
 
-  explicit EntryVmDirectory(Options options) : options_(options) {}
+  explicit EntryVmDirectory(Options options, std::uint64_t seed = 1)
+      : options_(options), random_(seed) {}
 
   auto Announce(const EntryVm& vm, MonotonicTime now) -> void;
   /// `unconfirmed`: the announcement may have ended although the VM still runs.
@@ -50,7 +53,8 @@
   /// Returns the entry VMs for a caller: those of its zone; with fewer than two there, also those
   /// of the region's other zones. If the region has none, the allowed regions are used, and if
   /// these have none either, all regions. VMs that reach no target are named only if no other is
-  /// left: if none reaches any, the targets are more likely at fault than the links.
+  /// left: if none reaches any, the targets are more likely at fault than the links. VMs of unequal
+  /// capacity are drawn for each answer, see Draw().
   auto Answer(const ZoneName& zone, const RegionName& region,
               const std::vector<RegionName>& allowed_regions, MonotonicTime now)
       -> EntryVmSelection;
@@ -68,10 +72,15 @@
 
   auto Expire(MonotonicTime now) -> void;
   static auto Select(const std::vector<const EntryVm*>& vms, const ZoneName& zone,
-                     const RegionName& region, const std::vector<RegionName>& allowed_regions,
-                     std::size_t max_addresses) -> std::vector<Endpoint>;
+                     const RegionName& region, const std::vector<RegionName>& allowed_regions)
+      -> std::vector<const EntryVm*>;
+  /// Load pattern: callers pick one of the addresses of their answer at random, so that a VM with a
+  /// fifth of the others' capacity would get as many callers as they do. Each VM is named with a
+  /// probability in proportion to its capacity, and at least three are.
+  auto Draw(std::vector<const EntryVm*> vms) -> std::vector<const EntryVm*>;
 
   Options options_;
+  Random random_;
   absl::flat_hash_map<NodeName, Entry> entries_;
   std::vector<EntryVm> sorted_;
   bool sorted_is_current_ = true;
--- a/src/gateway/fleet_target.cc
+++ b/src/gateway/fleet_target.cc
@@ -35,6 +35,7 @@
     pause_ = TargetPause();
     cached_objects_.Clear();
     slowness_ = 1;
+    reported_slowdown_ = ReportedSlowdown();
     joined_under_traffic_ = true;
     used_ = false;
     known_since_ = now;
@@ -87,8 +88,13 @@
   slowness_ = slowness_ * (1 - kSlownessWeight) + sample * kSlownessWeight;
 }
 
-auto FleetTarget::Slowness(MonotonicTime now) const -> double {
-  return std::max(slowness_, std::min(kMaxSlowness, load_.OverdueRatio(now)));
+auto FleetTarget::Slowness(MonotonicTime now, MonotonicTime start) const -> double {
+  return std::max(slowness_ * reported_slowdown_.At(start),
+                  std::min(kMaxSlowness, load_.OverdueRatio(now)));
+}
+
+auto FleetTarget::QueueWait(MonotonicTime now) const -> Duration {
+  return reported_slowdown_.Stretch(load_.QueueWait(now), now);
 }
 
 }  // namespace heatherspan
--- a/src/gateway/fleet_target.h
+++ b/src/gateway/fleet_target.h
@@ -7,6 +7,7 @@
 #include "gateway/apartness.h"
 #include "gateway/cached_objects.h"
 #include "gateway/registered_target.h"
+#include "gateway/reported_slowdown.h"
 #include "gateway/target_health.h"
 #include "gateway/target_limit.h"
 #include "gateway/target_load.h"
@@ -47,12 +48,15 @@
     reserved_ = apartness;
   }
   auto reserved() const -> Apartness { return reserved_; }
-  /// Learns from an attempt without queue wait. `ratio` is its processing time divided by the
-  /// expected one.
+  /// Learns from an attempt without queue wait. `ratio` is its processing time, without the
+  /// reported slowdown, divided by the usual one.
   auto UpdateSlowness(double ratio) -> void;
 
-  /// Returns the target's processing time divided by the usual one.
-  auto Slowness(MonotonicTime now) const -> double;
+  /// Returns the expected processing time of a request that the target starts at the given time,
+  /// divided by the usual one.
+  auto Slowness(MonotonicTime now, MonotonicTime start) const -> double;
+  /// Returns the queue wait of a new request.
+  auto QueueWait(MonotonicTime now) const -> Duration;
   /// Whether the target has been sent a request since it registered or restarted.
   auto used() const -> bool { return used_; }
   auto joined_under_traffic() const -> bool { return joined_under_traffic_; }
@@ -60,6 +64,8 @@
 
   auto load() -> TargetLoad& { return load_; }
   auto load() const -> const TargetLoad& { return load_; }
+  auto reported_slowdown() -> ReportedSlowdown& { return reported_slowdown_; }
+  auto reported_slowdown() const -> const ReportedSlowdown& { return reported_slowdown_; }
   auto pause() -> TargetPause& { return pause_; }
   auto pause() const -> const TargetPause& { return pause_; }
   auto limit() -> TargetLimit& { return limit_; }
@@ -79,7 +85,8 @@
   CachedObjects cached_objects_;
   AttemptNumber reserved_for_ = 0;
   Apartness reserved_ = Apartness::kNone;
-  double slowness_ = 1;
+  double slowness_ = 1;  ///< By this node's own measurements, without what the target reports.
+  ReportedSlowdown reported_slowdown_;
   MonotonicTime known_since_;
   MonotonicTime cold_until_;
   MonotonicTime last_sent_while_cold_{};
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -19,6 +19,8 @@
 constexpr Duration kDefaultCallerTimeout = std::chrono::hours(1);
 /// An attempt with a shorter processing time ended early and is no measurement.
 constexpr Duration kMinProcessingTime = std::chrono::milliseconds(1);
+/// Keeps the logarithm of a ratio finite.
+constexpr double kMinRatio = 0.001;
 
 auto ObjectOf(const Route& route, std::string_view object) -> ObjectHash {
   if (object.empty()) return 0;
@@ -37,6 +39,26 @@
   return static_cast<double>(processing_time.count()) < threshold;
 }
 
+/// A run as it would have been at the target's usual speed.
+struct NormalizedRun {
+  double slowdown = 1;  ///< The slowdown that is taken out.
+  Duration processing_time{};
+  bool cached = false;
+  double ratio = 1;  ///< Of the processing time to the estimate.
+};
+
+auto UsualRun(Duration processing_time, double slowdown, const ProcessingTimeEstimate& estimate,
+              bool session_affinity) -> NormalizedRun {
+  NormalizedRun run;
+  run.slowdown = slowdown;
+  run.processing_time = Duration(static_cast<Duration::rep>(
+      std::round(static_cast<double>(processing_time.count()) / slowdown)));
+  run.cached = !session_affinity || LooksCached(run.processing_time, estimate);
+  run.ratio = std::max(
+      kMinRatio, Ratio(run.processing_time, run.cached ? estimate.cached : estimate.uncached));
+  return run;
+}
+
 }  // namespace
 
 GatewayCore::GatewayCore(Options options, std::uint64_t seed)
@@ -49,7 +71,7 @@
       placer_(options_.location, fleet_, estimates_, primary_regions_),
       spillover_(options_.spillover),
       standing_(options_.node),
-      entry_vms_(options_.entry_vms) {}
+      entry_vms_(options_.entry_vms, seed) {}
 
 auto GatewayCore::ApplyPolicy(TrafficPolicy policy) -> bool {
   if (policy_ != nullptr && policy.version <= policy_->version) return false;
@@ -89,7 +111,7 @@
 }
 
 auto GatewayCore::Admit(const RequestId& id, const Route& route, std::string_view object,
-                        std::optional<Duration> caller_timeout, MonotonicTime now)
+                        std::optional<Duration> caller_timeout, MonotonicTime now, Duration unread)
     -> ForwardedRequest {
   ForwardedRequest::Attributes attributes;
   attributes.id = id;
@@ -97,7 +119,7 @@
   if (policy_ != nullptr) attributes.config = policy_->version;
   attributes.service = service_selector_.Select(route);
   attributes.object = ObjectOf(route, object);
-  attributes.arrived = now;
+  attributes.arrived = now - unread;
   attributes.caller_timeout = caller_timeout.value_or(kDefaultCallerTimeout);
   if (caller_timeout.has_value()) {
     auto& max_timeout = max_caller_timeouts_[route.name];
@@ -158,8 +180,12 @@
   if (auto* target = fleet_.Find(attempt.target)) {
     const auto duration =
         target->End(attempt.number, request.attributes().object, ObservationOf(outcome), now);
-    if (outcome == AttemptOutcome::kSucceeded) Learn(request, attempt, *target, duration, now);
+    if (outcome == AttemptOutcome::kSucceeded) {
+      const double reported = ReportedSlowdown::Bounded(load.value_or(LoadReport()).slowdown);
+      Learn(request, attempt, *target, duration, reported, now);
+    }
     if (load.has_value()) {
+      target->reported_slowdown().OnReport(load->slowdown, now);
       target->load().OnReport(*load, now);
       primary_regions_.OnReport(request.attributes().service, target->region(), *load, now);
     } else if (outcome == AttemptOutcome::kRefused) {
@@ -212,7 +238,8 @@
 }
 
 auto GatewayCore::Learn(const ForwardedRequest& request, const Attempt& attempt,
-                        FleetTarget& target, Duration duration, MonotonicTime now) -> void {
+                        FleetTarget& target, Duration duration, double reported, MonotonicTime now)
+    -> void {
   const auto processing_time = duration - attempt.expected.round_trip;
   // Queue wait and warm-up would be mistaken for processing time.
   if (processing_time < kMinProcessingTime || attempt.expected.queue_wait > Duration::zero() ||
@@ -221,9 +248,16 @@
   }
   const auto& attributes = request.attributes();
   const auto estimate = estimates_.Estimate(attributes.route, attributes.service);
-  const bool cached = !attributes.route.session_affinity || LooksCached(processing_time, estimate);
-  target.UpdateSlowness(Ratio(processing_time, cached ? estimate.cached : estimate.uncached));
-  estimates_.Learn(attributes.route, attributes.service, cached, processing_time);
+  // The target may have started the request before its slowdown began or ended.
+  auto run = UsualRun(processing_time, 1, estimate, attributes.route.session_affinity);
+  for (const double slowdown : {attempt.expected.slowdown, reported}) {
+    const auto slowed =
+        UsualRun(processing_time, slowdown, estimate, attributes.route.session_affinity);
+    if (std::abs(std::log(slowed.ratio)) <= std::abs(std::log(run.ratio))) run = slowed;
+  }
+  if (reported > 1) target.reported_slowdown().OnCompared(run.slowdown == reported);
+  target.UpdateSlowness(run.ratio);
+  estimates_.Learn(attributes.route, attributes.service, run.cached, run.processing_time);
 }
 
 }  // namespace heatherspan
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -91,9 +91,10 @@
   auto node() const -> const NodeName& { return options_.node; }
   auto location() const -> const NodeLocation& { return options_.location; }
 
-  /// Starts to forward a request on the route.
+  /// Starts to forward a request on the route. `unread`: how long it may have waited to be read.
   auto Admit(const RequestId& id, const Route& route, std::string_view object,
-             std::optional<Duration> caller_timeout, MonotonicTime now) -> ForwardedRequest;
+             std::optional<Duration> caller_timeout, MonotonicTime now,
+             Duration unread = Duration::zero()) -> ForwardedRequest;
   /// Chooses a target for the request's next attempt.
   auto Place(const ForwardedRequest& request, MonotonicTime now) -> PlacementResult;
   auto BeginAttempt(ForwardedRequest& request, const Placement& placement, MonotonicTime now)
@@ -117,8 +118,9 @@
       -> void;
 
  private:
+  /// `reported`: the target's slowdown by its report at the end of the attempt.
   auto Learn(const ForwardedRequest& request, const Attempt& attempt, FleetTarget& target,
-             Duration duration, MonotonicTime now) -> void;
+             Duration duration, double reported, MonotonicTime now) -> void;
   auto RetryBudgetOf(const ServiceName& service) -> ServiceRetryBudget&;
   auto ColdTargetSenderCount(const ServiceName& service) const -> int;
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -184,15 +184,18 @@
       query.route->session_affinity ? CacheHitProbability(role, state) : 1;
   auto processing_time =
       Scale(estimate.cached, hit_probability) + Scale(estimate.uncached, 1 - hit_probability);
-  processing_time = Scale(processing_time, target.Slowness(now));
+  const auto queue_wait = target.QueueWait(now);
+  const double slowness = target.Slowness(now, now + queue_wait);
+  processing_time = Scale(processing_time, slowness);
   if (target.IsCold(now)) processing_time = Scale(processing_time, kColdFactor);
   Ranked ranked;
-  ranked.placement = {.target = &target,
-                      .queue_wait = target.load().QueueWait(now),
-                      .processing_time = processing_time,
-                      .max_processing_time =
-                          std::max(processing_time, Scale(estimate.uncached, target.Slowness(now))),
-                      .round_trip = RoundTrip(target)};
+  ranked.placement = {
+      .target = &target,
+      .queue_wait = queue_wait,
+      .processing_time = processing_time,
+      .max_processing_time = std::max(processing_time, Scale(estimate.uncached, slowness)),
+      .round_trip = RoundTrip(target),
+      .slowdown = target.reported_slowdown().At(now + queue_wait)};
   const auto objective = query.route->objective;
   const bool at_most_once = query.route->retry_rule == RetryRule::kAtMostOnce;
   const double failure_cost = target.health().FailureRate(now) *
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -49,6 +49,7 @@
   Duration processing_time{};      ///< Expected value, weighted by the probability of a cache hit.
   Duration max_processing_time{};  ///< On a cache miss.
   Duration round_trip{};
+  double slowdown = 1;  ///< The part of the target's slowness that it has reported itself.
 
   auto completion_time() const -> Duration { return queue_wait + processing_time + round_trip; }
   auto max_completion_time() const -> Duration {
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -24,6 +24,7 @@
 #include "net/http_reader.h"
 #include "net/http_server_state.h"
 #include "net/http_text.h"
+#include "net/peer_socket.h"
 #include "net/worker_pool.h"
 
 namespace heatherspan {
@@ -124,6 +125,7 @@
   auto CloseNow() -> void;
   auto Abort() -> void;
   auto OnOverdue() -> void;
+  auto HasCallerClosed() -> bool;
   auto HasUnanswered() const -> bool;
   auto MayHandOver() const -> bool;
   auto ReadMore() -> void;
@@ -231,6 +233,12 @@
   }
 }
 
+/// The end of the connection is read behind all bytes before it, and late while this process is
+/// busy.
+auto Connection::HasCallerClosed() -> bool {
+  return state_ != State::kOpen || input_ended_ || HasPeerClosed(socket_.native_handle());
+}
+
 auto Connection::HasUnanswered() const -> bool {
   return std::any_of(exchanges_.begin(), exchanges_.end(),
                      [](const auto& exchange) { return !exchange->response.has_value(); });
@@ -366,6 +374,11 @@
     CloseNow();
     return;
   }
+  if (limits_->watch_disconnects && HasCallerClosed()) {
+    server_->caller_gone.fetch_add(1);
+    Abort();
+    return;
+  }
   ClearReadDeadline();
   request_started_ = false;
   continue_sent_ = false;
@@ -378,6 +391,10 @@
   request.remote = remote_;
   if (limits_->watch_disconnects) {
     exchange->disconnect = std::make_shared<DisconnectHook>();
+    exchange->disconnect->has_closed = [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      return self == nullptr || self->HasCallerClosed();
+    };
     request.disconnect = exchange->disconnect;
   }
   exchanges_.push_back(exchange);
--- a/src/net/http_request.h
+++ b/src/net/http_request.h
@@ -15,6 +15,9 @@
 struct DisconnectHook {
   /// Set by the handler before it returns; called at most once, before any response is written.
   std::function<void()> on_disconnect;
+  /// Whether the sender has closed the connection, also if on_disconnect is still to come. Set by
+  /// the server; with one worker it may be called at any time.
+  std::function<bool()> has_closed;
 };
 
 /// A whole HTTP request, body included.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -140,7 +140,8 @@
           .header_too_large = state.header_too_large.load(),
           .body_too_large = state.body_too_large.load(),
           .request_timeout = state.request_timeout.load(),
-          .too_many_connections = state.too_many_connections.load()};
+          .too_many_connections = state.too_many_connections.load(),
+          .caller_gone = state.caller_gone.load()};
 }
 
 }  // namespace heatherspan
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,13 +35,14 @@
     bool watch_disconnects = false;
   };
 
-  /// Requests that the server answered itself, by cause.
+  /// Requests that the server answered itself or dropped, by cause.
   struct Counters {
     std::size_t bad_request = 0;
     std::size_t header_too_large = 0;
     std::size_t body_too_large = 0;
     std::size_t request_timeout = 0;
     std::size_t too_many_connections = 0;
+    std::size_t caller_gone = 0;  ///< The caller had closed the connection when it was read.
   };
 
   HttpServer(WorkerPool& workers, Limits limits, Handler handler);
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -25,6 +25,7 @@
   std::atomic<std::size_t> body_too_large{0};
   std::atomic<std::size_t> request_timeout{0};
   std::atomic<std::size_t> too_many_connections{0};
+  std::atomic<std::size_t> caller_gone{0};
 
   std::mutex mutex;
   std::unordered_set<std::shared_ptr<HttpConnection>> connections;  ///< Guarded by the mutex.
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -40,6 +40,7 @@
   kNotRunVerdicts,
   kReconnectedRequests,
   kAdminCalls,
+  kLoopLagSeconds,
   kCount,
 };
 
@@ -122,6 +123,9 @@
          "service."},
         {Metric::kAdminCalls, "heatherspan_admin_calls_total", MetricKind::kCounter,
          "Calls to the administration interface by path and status."},
+        {Metric::kLoopLagSeconds, "heatherspan_loop_lag_seconds", MetricKind::kGauge,
+         "Largest time that a timer or a request waited for this process, between the last two "
+         "ticks."},
     }};
 
 }  // namespace heatherspan
--- a/tests/fleet_platform/policy_format_test.cc
+++ b/tests/fleet_platform/policy_format_test.cc
@@ -143,6 +143,20 @@
   EXPECT_FALSE(PolicyFormat::ReadEntryVm(NodeName("n"), "{}").ok());
 }
 
+// Guards against an announcement that earlier builds don't know, and against one of theirs that
+// counts as a VM without capacity.
+TEST(PolicyFormat, OnlyAnUnusualCapacityIsAnnounced) {
+  EntryVm vm{NodeName("n"), ZoneName("a"), RegionName("r"), {"10.0.0.1", 80}};
+  const auto usual = PolicyFormat::WriteEntryVm(vm);
+  EXPECT_EQ(usual.find("weight"), std::string::npos);
+  vm.weight = 0.05;
+  EXPECT_EQ(PolicyFormat::ReadEntryVm(vm.name, PolicyFormat::WriteEntryVm(vm))->weight, 0.05);
+  for (const auto* weight : {"0", "-1", "\"1\"", "1e9"}) {
+    const auto text = usual.substr(0, usual.size() - 1) + ",\"weight\":" + weight + "}";
+    EXPECT_EQ(PolicyFormat::ReadEntryVm(vm.name, text)->weight, 1) << weight;
+  }
+}
+
 TEST(PolicyFormat, RecognizesKeysByPrefix) {
   EXPECT_TRUE(PolicyFormat::IsPolicyKey("op/config"));
   EXPECT_FALSE(PolicyFormat::IsPolicyKey("op/config2"));
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -3,8 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
+#include <latch>
 #include <random>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "blocking_queue.h"
@@ -412,6 +416,62 @@
   call->respond(Answer("too late"));
 }
 
+// Guards against requests that are sent on after their caller has gone: a server that is late reads
+// them in front of the end of the connection.
+TEST_F(HttpServerTest, DropsWhatItReadsAfterTheCallerHasClosed) {
+  constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string body(std::size_t{32} * 1024, 'b');
+  const std::string inputs[] = {std::string(kGet), std::string(kGet) + std::string(kGet),
+                                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                                    std::to_string(body.size()) + "\r\n\r\n" + body};
+  StartPipelined(4);
+  for (const auto& input : inputs) {
+    std::promise<void> resume;
+    const auto resumed = resume.get_future().share();
+    std::latch both_held(2);
+    for (int i = 0; i < 2; ++i) {
+      workers_.Post([&both_held, resumed] {
+        both_held.count_down();
+        resumed.wait();
+      });
+    }
+    both_held.wait();
+    auto socket = RawSocket::Connect(endpoint_);
+    ASSERT_TRUE(socket.Send(input));
+    socket.Close();
+    const auto before = server_->counters().caller_gone;
+    resume.set_value();
+    while (server_->counters().caller_gone == before && calls_.size() == 0) {
+      std::this_thread::yield();
+    }
+    EXPECT_EQ(calls_.size(), 0U);
+  }
+  EXPECT_EQ(server_->active_requests(), 0U);
+}
+
+// Guards against a further attempt for a caller whose leaving lies unread in the socket.
+TEST_F(HttpServerTest, AHandlerSeesThatTheCallerHasClosedBeforeItIsTold) {
+  HttpServer::Limits limits;
+  limits.watch_disconnects = true;
+  BlockingQueue<bool> started;
+  BlockingQueue<bool> closed;
+  BlockingQueue<std::pair<bool, bool>> seen;
+  server_ = std::make_unique<HttpServer>(
+      workers_, limits, [&](const HttpRequest& request, const HttpServer::Responder&) {
+        const bool before = request.disconnect->has_closed();
+        started.Push(true);
+        closed.Pop();
+        seen.Push({before, request.disconnect->has_closed()});
+      });
+  endpoint_ = *server_->Listen(AnyPort());
+  auto socket = RawSocket::Connect(endpoint_);
+  socket.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(started.Pop().has_value());
+  socket.Close();
+  closed.Push(true);
+  EXPECT_EQ(seen.Pop(), std::pair(false, true));
+}
+
 // Guards against a planned stop that cuts a request which was on its way over an idle connection.
 TEST_F(HttpServerTest, ClosingAnswersWhatIsOnItsWay) {
   Start();
