gateway: one retry budget over all VMs that a request passes

Cause: a request that one VM had sent to targets in vain and then passed on was a first request for the next VM, which counted it as new for the ratio as well.

Change: VMs state to each other how often a request has arrived at targets (header Heatherspan-Relay-Arrivals, in both directions; a VM of an earlier build that states nothing is taken to have caused one). A request that was passed on adds nothing to the ratio, and each arrival after the first is taken from the budget of the VM that sends it. A request that came back as out of reach although targets had shed it needs a permit like any other. A VM uses its part of the allowance only once it has run for a whole window, because it doesn't know what it used before it was started again. The simulation plays several kinds of requests.

--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -157,15 +157,14 @@
       RefuseAccess(id, access.outcome, respond, for_peer);
       return;
     }
-    auto active = std::make_shared<Active>(
-        core_.Admit(id, access.route, fields.object, fields.caller_timeout, now),
-        std::move(request), std::move(respond));
+    auto forwarded = for_peer
+                         ? core_.AdmitPassedOn(id, access.route, fields.object,
+                                               fields.caller_timeout, *terms, now)
+                         : core_.Admit(id, access.route, fields.object, fields.caller_timeout, now);
+    auto active =
+        std::make_shared<Active>(std::move(forwarded), std::move(request), std::move(respond));
     active->team = std::move(access.team);
     active->for_peer = for_peer;
-    if (for_peer) {
-      active->forwarded.Restrict(terms->retry_rule);
-      active->forwarded.OnEarlierAttempts(terms->verdict);
-    }
     if (active->request.disconnect != nullptr) {
       active->request.disconnect->on_disconnect = [this, weak = std::weak_ptr(active)] {
         if (const auto locked = weak.lock()) OnCallerDisconnected(locked);
@@ -218,7 +217,7 @@
                         const HttpServer::Responder& respond, bool for_peer) -> void {
     request_log_.OnUnadmitted(id, response.status, reason);
     // Another VM may have a newer configuration.
-    if (for_peer) Format::AddRelayVerdict(id, Verdict::kNotRun, false, response);
+    if (for_peer) Format::AddRelayVerdict(id, Verdict::kNotRun, 0, false, response);
     respond(std::move(response));
   }
 
@@ -292,24 +291,25 @@
     if (active->for_peer) return false;
     const auto vm = relay_.Choose(route, service, now);
     if (!vm.has_value()) return false;
-    const RelayTerms terms{route.retry_rule, forwarded.verdict()};
+    const RelayTerms terms{route.retry_rule, forwarded.verdict(), forwarded.arrivals()};
+    core_.OnPassedOn(forwarded);
     forwarded.OnSent(TargetName(vm->name.value()));
     active->through = vm->name.value();
     active->exchange = relay_.Send(
         *vm, service, active->request, terms, forwarded.deadline() - now, OptionsFor(*active),
-        [this, active](AttemptOutcome outcome, std::string_view verdict, HttpResult result) {
-          OnPassedOn(active, outcome, verdict, std::move(result));
+        [this, active](AttemptOutcome outcome, std::optional<int> arrivals,
+                       std::string_view verdict, HttpResult result) {
+          OnPassedOn(active, outcome, arrivals, verdict, std::move(result));
         });
     return true;
   }
 
-  auto OnPassedOn(const ActivePtr& active, AttemptOutcome outcome, std::string_view verdict,
-                  HttpResult result) -> void {
+  auto OnPassedOn(const ActivePtr& active, AttemptOutcome outcome, std::optional<int> arrivals,
+                  std::string_view verdict, HttpResult result) -> void {
     if (active->finished) return;
     active->exchange.reset();
     metrics_.Increment(Metric::kRelayed, {{"result", VerdictText(VerdictOf(outcome))}});
-    // The other VM has repeated the request as far as it may be.
-    const auto step = active->forwarded.OnEnd(outcome, Now(), [] { return false; });
+    const auto step = active->forwarded.OnRelayEnd(outcome, arrivals, Now());
     attempt_log_.Count(active->forwarded, outcome, result, true);
     if (AttemptLog::IsWritten(active->forwarded, outcome, result)) {
       attempt_log_.Write(active->forwarded,
@@ -339,6 +339,8 @@
         return Reason::kTargetLimit;
       case PlacementFailure::kPaused:
         return Reason::kTargetPause;
+      case PlacementFailure::kNoRetryBudget:
+        return Reason::kOverload;
     }
     return Reason::kInternal;
   }
@@ -487,7 +489,8 @@
     if (active->for_peer) {
       const auto verdict = active->forwarded.verdict();
       const bool out_of_reach = reason == Reason::kNoTarget && verdict == Verdict::kNotRun;
-      Format::AddRelayVerdict(active->forwarded.attributes().id, verdict, !out_of_reach, answer);
+      Format::AddRelayVerdict(active->forwarded.attributes().id, verdict,
+                              active->forwarded.own_arrivals(), !out_of_reach, answer);
     }
     active->respond(std::move(answer));
     Finish(active, outcome, status, reason);
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -26,9 +26,10 @@
 template <MessageFormat Format>
 class RequestRelay {
  public:
-  /// The verdict is that of the other VM as it has written it.
-  using OnAnswer =
-      std::function<void(AttemptOutcome outcome, std::string_view verdict, HttpResult result)>;
+  /// The verdict is that of the other VM as it has written it. `arrivals`: at targets, as far as
+  /// the other VM states them.
+  using OnAnswer = std::function<void(AttemptOutcome outcome, std::optional<int> arrivals,
+                                      std::string_view verdict, HttpResult result)>;
 
   /// The VM seems to have lost its links to all targets.
   using OnStranded = std::function<void()>;
@@ -79,7 +80,7 @@
           if (reply.end == AttemptOutcome::kNotSent) {
             peers_.OnFailure(name, service, SystemClock().Now());
           }
-          on_answer(reply.end, verdict, std::move(result));
+          on_answer(reply.end, reply.arrivals, verdict, std::move(result));
         });
   }
 
--- a/src/experiment/load_outcome.h
+++ b/src/experiment/load_outcome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <string>
 #include <vector>
 
 #include "base/ids.h"
@@ -27,6 +28,7 @@
 struct LoadOutcome {
   RequestCounts total;
   std::map<ZoneName, RequestCounts> by_zone;
+  std::map<std::string, RequestCounts> by_kind;
   std::vector<RequestCounts> by_second;  ///< By the second of the first submission.
   int uncached_runs = 0;  ///< Attempts run by a target that did not have the object cached.
   int distinct_objects = 0;
--- a/src/experiment/load_scenario.h
+++ b/src/experiment/load_scenario.h
@@ -38,6 +38,19 @@
   double factor = 1;
 };
 
+/// A kind of request, with its own route.
+struct ScenarioKind {
+  std::string name = "route";
+  double share = 1;  ///< Of the requests of all kinds, relative to the other kinds.
+  int priority = 0;
+  RetryRule retry_rule = RetryRule::kIdempotent;
+  int objects_per_region = 100;
+  Duration processing_time{};  ///< Mean, for an uncached object.
+  Duration objective{};
+  Duration timeout{};
+  Duration caller_timeout{};
+};
+
 /// One service under load: its targets, the entry VMs and their callers.
 struct LoadScenario {
   std::string name = "scenario";
@@ -53,7 +66,8 @@
   bool reports_load = true;
   Duration cold_time = std::chrono::seconds(3);
 
-  // Requests.
+  // Requests. Unless kinds are listed, all are of one kind, with the values that follow.
+  std::vector<ScenarioKind> kinds;
   RetryRule retry_rule = RetryRule::kIdempotent;
   int objects_per_region = 100;
   Duration processing_time = std::chrono::milliseconds(880);  ///< Mean, for an uncached object.
--- a/src/experiment/load_simulation.h
+++ b/src/experiment/load_simulation.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <tuple>
 #include <vector>
 
 #include "base/random.h"
@@ -37,6 +38,7 @@
   auto ScheduleArrival(std::size_t zone) -> void;
   auto ArrivalRate(const ScenarioZone& zone) const -> double;
   auto Arrive(std::size_t zone) -> void;
+  auto PickKind() -> std::size_t;
   auto PickVm(const ScenarioZone& zone, const Vm* excluded) -> Vm&;
   auto Submit(const RequestPtr& request) -> void;
   auto Place(const RequestPtr& request) -> void;
@@ -61,7 +63,7 @@
   std::map<std::uint64_t, RequestPtr> jobs_;  ///< Requests by the job of their current attempt.
   std::map<ZoneName, double> burst_factors_;
   std::map<ZoneName, RegionName> regions_;
-  std::map<std::pair<RegionName, std::uint64_t>, bool> requested_objects_;
+  std::map<std::tuple<RegionName, std::size_t, std::uint64_t>, bool> requested_objects_;
   std::uint64_t next_job_ = 0;
   int next_target_ = 0;
   LoadOutcome outcome_;
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -9,6 +9,8 @@
 /// Maximum number of targets per request, whether they run it or not: each refusal costs the caller
 /// a round trip.
 constexpr std::size_t kMaxAttempts = 4;
+/// The same over all entry VMs that the request passes.
+constexpr int kMaxArrivals = 4;
 /// Time that the caller has waited before its request arrived, and that the response takes on its
 /// way back.
 constexpr Duration kCallerRoundTripAllowance = std::chrono::milliseconds(30);
@@ -82,8 +84,25 @@
   in_flight_ = true;
 }
 
-auto ForwardedRequest::RecordOutcome(AttemptOutcome outcome) -> void {
+auto ForwardedRequest::OnEarlierAttempts(Verdict verdict, std::optional<int> arrivals) -> void {
+  earlier_verdict_ = verdict;
+  // Earlier builds don't state it, and an arrival that isn't counted would exceed the budget.
+  earlier_arrivals_ = arrivals.value_or(1);
+  arrivals_ = earlier_arrivals_;
+}
+
+auto ForwardedRequest::OnRelayEnd(AttemptOutcome outcome, std::optional<int> arrivals,
+                                  MonotonicTime now) -> RequestStep {
+  const bool reached_no_vm = outcome == AttemptOutcome::kNotSent;
+  RecordOutcome(outcome, arrivals.value_or(reached_no_vm ? 0 : 1));
+  if (outcome == AttemptOutcome::kSucceeded) return RequestStep::kDeliver;
+  return reached_no_vm && MayRetry(now) ? RequestStep::kPlace : FinalStep();
+}
+
+auto ForwardedRequest::RecordOutcome(AttemptOutcome outcome, int arrivals) -> void {
   in_flight_ = false;
+  arrivals_ += arrivals;
+  if (arrivals > 0) has_retry_permit_ = false;
   has_response_ = outcome == AttemptOutcome::kFailed;
   last_reason_ = ReasonOf(outcome);
   const auto verdict = VerdictOf(outcome);
@@ -100,7 +119,7 @@
 auto ForwardedRequest::MayRetry(MonotonicTime now) const -> bool {
   if (!MayRun()) return false;
   if (possible_runs_ >= attributes_.route.max_attempts ||
-      attempted_targets_.size() >= kMaxAttempts) {
+      attempted_targets_.size() >= kMaxAttempts || arrivals_ >= kMaxArrivals) {
     return false;
   }
   const auto min_time_left =
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -75,7 +77,8 @@
   }
 
   /// Another entry VM has made attempts with this verdict before it passed the request on.
-  auto OnEarlierAttempts(Verdict verdict) -> void { earlier_verdict_ = verdict; }
+  /// `arrivals`: at targets; empty if the VM doesn't state it.
+  auto OnEarlierAttempts(Verdict verdict, std::optional<int> arrivals) -> void;
   /// Whether the request may run, also if earlier attempts have run it.
   auto MayRun() const -> bool;
 
@@ -83,25 +86,46 @@
   auto SetApartness(Apartness apartness) -> void { apartness_ = apartness; }
   auto apartness() const -> Apartness { return apartness_; }
 
+  /// How often the request has arrived at targets, from all entry VMs. An attempt without a known
+  /// outcome counts as arrived.
+  auto arrivals() const -> int { return arrivals_; }
+  /// Those that this entry VM has caused.
+  auto own_arrivals() const -> int { return arrivals_ - earlier_arrivals_; }
+  /// Whether the next attempt has to be taken from the retry budget. Each arrival after the first
+  /// is a retry, whichever entry VM caused the first one.
+  auto NeedsRetryPermit() const -> bool { return arrivals_ > 0 && !has_retry_permit_; }
+  /// The next attempt that may arrive has been taken from the retry budget.
+  auto GrantRetryPermit() -> void { has_retry_permit_ = true; }
+  /// Gives the permit away. Returns whether there was one.
+  auto TakeRetryPermit() -> bool { return std::exchange(has_retry_permit_, false); }
+
   auto OnSent(const TargetName& target) -> void;
   /// Ends an attempt. `acquire_retry` asks the retry budget and is called only if a retry is
   /// allowed otherwise.
   template <class AcquireRetry>
   auto OnEnd(AttemptOutcome outcome, MonotonicTime now, AcquireRetry acquire_retry) -> RequestStep {
-    RecordOutcome(outcome);
-    if (outcome == AttemptOutcome::kSucceeded) return RequestStep::kDeliver;
     // An attempt that reached no target adds no load.
     const bool reached_no_target = outcome == AttemptOutcome::kNotSent;
-    if (MayRetry(now) && (reached_no_target || acquire_retry())) return RequestStep::kPlace;
-    return FinalStep();
+    RecordOutcome(outcome, reached_no_target ? 0 : 1);
+    if (outcome == AttemptOutcome::kSucceeded) return RequestStep::kDeliver;
+    if (!MayRetry(now)) return FinalStep();
+    if (reached_no_target) return RequestStep::kPlace;
+    if (!acquire_retry()) return FinalStep();
+    GrantRetryPermit();
+    return RequestStep::kPlace;
   }
+  /// Another entry VM, to which the request was passed on, has answered or has been lost. It has
+  /// repeated the request as far as it may be. `arrivals`: those that it caused; empty if it
+  /// doesn't state them.
+  auto OnRelayEnd(AttemptOutcome outcome, std::optional<int> arrivals, MonotonicTime now)
+      -> RequestStep;
   /// No target can take the request, at the first attempt or at a retry.
   auto OnNoTarget() const -> RequestStep { return FinalStep(); }
   /// The deadline has passed, or the request ends early because this process stops.
   auto OnDeadline() -> RequestStep;
 
  private:
-  auto RecordOutcome(AttemptOutcome outcome) -> void;
+  auto RecordOutcome(AttemptOutcome outcome, int arrivals) -> void;
   auto MayRetry(MonotonicTime now) const -> bool;
   auto FinalStep() const -> RequestStep;
 
@@ -113,6 +137,9 @@
   Apartness apartness_ = Apartness::kNone;
   Reason last_reason_ = Reason::kNone;
   int possible_runs_ = 0;  ///< Attempts that may have run the request.
+  int arrivals_ = 0;
+  int earlier_arrivals_ = 0;
+  bool has_retry_permit_ = false;
   bool in_flight_ = false;
   bool has_response_ = false;  ///< The last attempt returned a deliverable failure response.
 };
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -19,6 +19,8 @@
 constexpr Duration kDefaultCallerTimeout = std::chrono::hours(1);
 /// An attempt with a shorter processing time ended early and is no measurement.
 constexpr Duration kMinProcessingTime = std::chrono::milliseconds(1);
+/// Another entry VM may have a retry left.
+constexpr Duration kRetryAfterWithoutBudget = std::chrono::milliseconds(50);
 
 auto ObjectOf(const Route& route, std::string_view object) -> ObjectHash {
   if (object.empty()) return 0;
@@ -88,9 +90,41 @@
   return std::max(1, static_cast<int>(policy->cold_requests_per_second));
 }
 
+auto GatewayCore::AcquireRetry(const ServiceName& service, MonotonicTime now) -> bool {
+  auto& budget = RetryBudgetOf(service);
+  // Before its start, this node may have used its part of the allowance.
+  const bool may_have_used_allowance = !started_.has_value() || now - *started_ < budget.window();
+  const bool knows_vms = standing_.kind() != VmStanding::Kind::kLearning;
+  return budget.TryAcquire(knows_vms && !may_have_used_allowance
+                               ? std::optional(entry_vms_.RecentMaxCount(now))
+                               : std::nullopt,
+                           now);
+}
+
 auto GatewayCore::Admit(const RequestId& id, const Route& route, std::string_view object,
                         std::optional<Duration> caller_timeout, MonotonicTime now)
     -> ForwardedRequest {
+  auto request = MakeRequest(id, route, object, caller_timeout, now);
+  RetryBudgetOf(request.attributes().service).OnRequest(now);
+  return request;
+}
+
+auto GatewayCore::AdmitPassedOn(const RequestId& id, const Route& route, std::string_view object,
+                                std::optional<Duration> caller_timeout, const RelayTerms& terms,
+                                MonotonicTime now) -> ForwardedRequest {
+  auto request = MakeRequest(id, route, object, caller_timeout, now);
+  request.Restrict(terms.retry_rule);
+  request.OnEarlierAttempts(terms.verdict, terms.arrivals);
+  return request;
+}
+
+auto GatewayCore::OnPassedOn(ForwardedRequest& request) -> void {
+  if (request.TakeRetryPermit()) RetryBudgetOf(request.attributes().service).Return();
+}
+
+auto GatewayCore::MakeRequest(const RequestId& id, const Route& route, std::string_view object,
+                              std::optional<Duration> caller_timeout, MonotonicTime now)
+    -> ForwardedRequest {
   ForwardedRequest::Attributes attributes;
   attributes.id = id;
   attributes.route = route;
@@ -104,12 +138,25 @@
     max_timeout = std::max(max_timeout, *caller_timeout);
     attributes.resubmitted = Ratio(*caller_timeout, max_timeout) < kMinFirstSubmissionTimeoutRatio;
   }
-  RetryBudgetOf(attributes.service).OnRequest(now);
   fleet_.OnTraffic();
   return ForwardedRequest(std::move(attributes));
 }
 
-auto GatewayCore::Place(const ForwardedRequest& request, MonotonicTime now) -> PlacementResult {
+auto GatewayCore::Place(ForwardedRequest& request, MonotonicTime now) -> PlacementResult {
+  auto result = ChooseTarget(request, now);
+  if (!result.placement.has_value() || !request.NeedsRetryPermit()) return result;
+  if (AcquireRetry(request.attributes().service, now)) {
+    request.GrantRetryPermit();
+    return result;
+  }
+  result.late_placement = std::exchange(result.placement, std::nullopt);
+  result.failure = PlacementFailure::kNoRetryBudget;
+  result.retry_after = kRetryAfterWithoutBudget;
+  return result;
+}
+
+auto GatewayCore::ChooseTarget(const ForwardedRequest& request, MonotonicTime now)
+    -> PlacementResult {
   const auto& attributes = request.attributes();
   PlacementQuery query;
   query.route = &attributes.route;
@@ -166,12 +213,8 @@
       target->load().OnFull(now);
     }
   }
-  return request.OnEnd(outcome, now, [&] {
-    const auto entry_vms = standing_.kind() == VmStanding::Kind::kLearning
-                               ? std::nullopt
-                               : std::optional(entry_vms_.RecentMaxCount(now));
-    return RetryBudgetOf(request.attributes().service).TryAcquire(entry_vms, now);
-  });
+  return request.OnEnd(outcome, now,
+                       [&] { return AcquireRetry(request.attributes().service, now); });
 }
 
 auto GatewayCore::OnLimitReport(const LimitReport& report, MonotonicTime now) -> bool {
@@ -191,6 +234,7 @@
 }
 
 auto GatewayCore::OnTick(MonotonicTime now) -> void {
+  if (!started_.has_value()) started_ = now;
   standing_.Update(entry_vms_.Announced(now), now);
   absl::erase_if(limited_targets_, [&](const TargetName& name) {
     auto* target = fleet_.Find(name);
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -21,6 +21,7 @@
 #include "gateway/placement.h"
 #include "gateway/primary_region_selector.h"
 #include "gateway/processing_time_estimates.h"
+#include "gateway/relay_terms.h"
 #include "gateway/route_table.h"
 #include "gateway/service_retry_budget.h"
 #include "gateway/service_selector.h"
@@ -91,11 +92,17 @@
   auto node() const -> const NodeName& { return options_.node; }
   auto location() const -> const NodeLocation& { return options_.location; }
 
-  /// Starts to forward a request on the route.
+  /// Starts to forward a caller's request on the route.
   auto Admit(const RequestId& id, const Route& route, std::string_view object,
              std::optional<Duration> caller_timeout, MonotonicTime now) -> ForwardedRequest;
+  /// The same for a request that another entry VM passes on and has counted.
+  auto AdmitPassedOn(const RequestId& id, const Route& route, std::string_view object,
+                     std::optional<Duration> caller_timeout, const RelayTerms& terms,
+                     MonotonicTime now) -> ForwardedRequest;
+  /// The request is passed on to another entry VM, which takes retries from its own budget.
+  auto OnPassedOn(ForwardedRequest& request) -> void;
   /// Chooses a target for the request's next attempt.
-  auto Place(const ForwardedRequest& request, MonotonicTime now) -> PlacementResult;
+  auto Place(ForwardedRequest& request, MonotonicTime now) -> PlacementResult;
   auto BeginAttempt(ForwardedRequest& request, const Placement& placement, MonotonicTime now)
       -> Attempt;
   /// Updates the estimates from the outcome of an attempt and returns the next step.
@@ -119,7 +126,11 @@
  private:
   auto Learn(const ForwardedRequest& request, const Attempt& attempt, FleetTarget& target,
              Duration duration, MonotonicTime now) -> void;
+  auto MakeRequest(const RequestId& id, const Route& route, std::string_view object,
+                   std::optional<Duration> caller_timeout, MonotonicTime now) -> ForwardedRequest;
+  auto ChooseTarget(const ForwardedRequest& request, MonotonicTime now) -> PlacementResult;
   auto RetryBudgetOf(const ServiceName& service) -> ServiceRetryBudget&;
+  auto AcquireRetry(const ServiceName& service, MonotonicTime now) -> bool;
   auto ColdTargetSenderCount(const ServiceName& service) const -> int;
 
   Options options_;
@@ -141,6 +152,7 @@
   /// Longest caller timeout seen, by route. A resubmission has a shorter timeout left.
   absl::flat_hash_map<RouteName, Duration> max_caller_timeouts_;
   AttemptNumber last_attempt_ = 0;
+  std::optional<MonotonicTime> started_;
   std::uint64_t store_revision_ = 0;
   MonotonicTime store_seen_at_{};
 };
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -60,8 +60,9 @@
 enum class PlacementFailure {
   kNoTarget,
   kTooLate,
-  kLimited,  ///< The usable targets have named limits, of which this node has used its share.
-  kPaused,   ///< The usable targets have asked this node for a pause.
+  kLimited,        ///< The usable targets have named limits, of which this node has used its share.
+  kPaused,         ///< The usable targets have asked this node for a pause.
+  kNoRetryBudget,  ///< The request has arrived at a target before, and no retry is left.
 };
 
 struct PlacementResult {
--- a/src/gateway/relay_terms.h
+++ b/src/gateway/relay_terms.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "base/verdict.h"
 #include "gateway/route.h"
 
@@ -9,6 +11,8 @@
 struct RelayTerms {
   RetryRule retry_rule = RetryRule::kAtMostOnce;
   Verdict verdict = Verdict::kNotRun;  ///< Of its own attempts.
+  /// How often the request has arrived at targets; empty if the VM doesn't state it.
+  std::optional<int> arrivals;
 };
 
 }  // namespace heatherspan
--- a/src/gateway/service_retry_budget.cc
+++ b/src/gateway/service_retry_budget.cc
@@ -35,4 +35,8 @@
   return true;
 }
 
+auto ServiceRetryBudget::Return() -> void {
+  if (!retries_.empty()) retries_.pop_back();
+}
+
 }  // namespace heatherspan
