--- a/tests/edge/team_request_test.cc
+++ b/tests/edge/team_request_test.cc
@@ -141,6 +141,24 @@
   EXPECT_EQ(SendWithKey(settings.callers, "/read/x", "secret-blue").status, 503);
 }
 
+// Guards against a VM that refuses keys for good beside a reader of an earlier build, whose answers
+// say nothing of their proof.
+TEST_F(TeamRequestTest, ReadsTheStoreItselfIfItsPeerProvesNothing) {
+  // It becomes the reader of the zone.
+  const auto earlier_build = SecondNodeSettings();
+  settings_.bounds.revocation = seconds(1);
+  store_.Put("op/config", TeamPolicy(1, "secret-blue"));
+  Start();
+  LogCapture capture;
+  std::ostream stream(&capture);
+  EventLog log(LogLevel::kInfo, stream);
+  EdgeNode<FleetPlatform> second(earlier_build, log, [] {});
+  ASSERT_TRUE(second.Start().ok());
+  ASSERT_TRUE(Eventually([&] { return log_capture_.Contains("event=store-reading reads=0"); }));
+  EXPECT_TRUE(Eventually([&] { return log_capture_.Contains("event=store-reading reads=1"); }));
+  EXPECT_TRUE(Becomes(200, settings_.callers, "secret-blue"));
+}
+
 // Guards against a VM that can't read the latest configuration and counts the one before as proved.
 TEST_F(TeamRequestTest, AConfigurationThatCanNotBeReadIsNoProof) {
   settings_.bounds.revocation = seconds(1);
--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -21,6 +21,7 @@
       : server_(workers_, {},
                 [this](const HttpRequest& request, const HttpServer::Responder& respond) {
                   last_ = request;
+                  asked_at_ = BootClock().Now();
                   HttpResponse response;
                   response.status = status_;
                   response.headers = answer_headers_;
@@ -58,6 +59,7 @@
   std::string body_;
   std::vector<HeaderField> answer_headers_;
   HttpRequest last_;
+  BootTime asked_at_;  ///< When the last request has arrived.
   HttpServer server_;
   Endpoint server_endpoint_;
   StoreClient store_;
@@ -192,11 +194,14 @@
   answer(std::nullopt);
   EXPECT_EQ(ask()->proved_at, StateProof::kNever);
   const auto before = BootClock().Now();
-  EXPECT_GE(Watch()->proved_at, before);
-  EXPECT_LE(Watch()->proved_at, BootClock().Now());
+  const auto by_store = Watch()->proved_at;
+  EXPECT_GE(by_store, before);
+  EXPECT_LE(by_store, asked_at_);
+  EXPECT_LE(List()->proved_at, asked_at_);
   answer(milliseconds(2500));
-  EXPECT_LE(ask()->proved_at, BootClock().Now() - milliseconds(2500));
-  EXPECT_GE(ask()->proved_at, before - milliseconds(2500));
+  const auto by_peer = ask()->proved_at;
+  EXPECT_GE(by_peer, before - milliseconds(2500));
+  EXPECT_LE(by_peer, asked_at_ - milliseconds(2500));
 }
 
 // Guards against limits that are lost or changed on their way to a peer, and against a call to the
