tests: clients that end a gateway by their bodies

Cause: a trial ended a process that ran out of memory, by many large bodies of legal size, whole or piece by piece or in chunks, most of which stop just short of their end and stay open.

Change: hs_hostile_clients_test starts heatherspan-gateway on loopback addresses with lowered limits (a machine of 96 MiB, bodies of 8 MiB, 24 clients), and checks that the process lives, that its largest resident memory stays under the machine's, that it keeps under its descriptors, and that 100 ordinary requests are answered meanwhile. ctest runs these tests alone. One more test: a single body of 64 MiB, the limit, is served on a machine of 160 MiB.

--- a/cmake/HeatherspanTargets.cmake
+++ b/cmake/HeatherspanTargets.cmake
@@ -32,13 +32,22 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
-# hs_add_test(NAME SOURCES ... DEPS ...): the test program hs_NAME_test; ctest lists each of its cases.
+# hs_add_test(NAME [SERIAL] SOURCES ... DEPS ...): the test program hs_NAME_test; ctest lists each of
+# its cases. SERIAL: each runs with no other test beside it.
 function(hs_add_test name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "SERIAL" "" "SOURCES;DEPS" ${ARGN})
+  set(serial FALSE)
+  if(ARG_SERIAL)
+    set(serial TRUE)
+  endif()
   add_executable(hs_${name}_test ${ARG_SOURCES})
   target_link_libraries(hs_${name}_test PRIVATE hs_options ${ARG_DEPS} GTest::gmock
                                                 GTest::gtest_main)
   target_compile_definitions(
     hs_${name}_test PRIVATE HS_TEST_DATA_DIR="${CMAKE_CURRENT_SOURCE_DIR}")
-  gtest_discover_tests(hs_${name}_test TEST_PREFIX "${name}." DISCOVERY_TIMEOUT 60)
+  gtest_discover_tests(
+    hs_${name}_test
+    TEST_PREFIX "${name}."
+    DISCOVERY_TIMEOUT 60
+    PROPERTIES RUN_SERIAL ${serial})
 endfunction()
--- a/tests/edge/target_stub.cc
+++ b/tests/edge/target_stub.cc
@@ -4,9 +4,9 @@
 
 namespace heatherspan {
 
-TargetStub::TargetStub(std::string name)
+TargetStub::TargetStub(std::string name, const HttpServer::Limits& limits)
     : name_(std::move(name)),
-      server_(workers_, HttpServer::Limits{.watch_disconnects = true},
+      server_(workers_, limits,
               [this](const HttpRequest& request, const HttpServer::Responder& respond) {
                 Handle(request, respond);
               }) {
--- a/tests/edge/target_stub.h
+++ b/tests/edge/target_stub.h
@@ -15,7 +15,8 @@
  public:
   using Behaviour = std::function<void(const HttpRequest&, const HttpServer::Responder&)>;
 
-  explicit TargetStub(std::string name);
+  explicit TargetStub(std::string name,
+                      const HttpServer::Limits& limits = {.watch_disconnects = true});
   ~TargetStub() { workers_.Stop(); }
 
   /// The registration of a target at the address, as stored.
--- /dev/null
+++ b/tests/hostile_clients/gateway_under_load.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "fleet_standins/kv_standin.h"
+#include "net/http_client.h"
+#include "net/worker_pool.h"
+#include "soak/gateway_process.h"
+#include "target_stub.h"
+
+namespace heatherspan {
+
+/// A gateway process on a machine with little memory, with a store and one target in this process.
+class GatewayUnderLoad {
+ public:
+  struct Limits {
+    std::size_t memory_mb = 0;  ///< Of the gateway's machine.
+    std::size_t max_body_bytes = 0;
+    int descriptors = 400;
+  };
+
+  explicit GatewayUnderLoad(const Limits& limits);
+  ~GatewayUnderLoad();
+  GatewayUnderLoad(const GatewayUnderLoad&) = delete;
+  auto operator=(const GatewayUnderLoad&) -> GatewayUnderLoad& = delete;
+
+  /// Starts the process and waits until it is ready.
+  auto Start() -> bool;
+  auto callers() const -> Endpoint { return Own(kCallers); }
+  auto target() -> TargetStub& { return target_; }
+  /// Sends one request and returns the status of the answer, 0 without one.
+  auto Ask(std::string body) -> int;
+  auto is_alive() -> bool;
+  /// The largest resident memory so far.
+  auto PeakBytes() const -> std::size_t;
+  auto OpenDescriptors() const -> std::size_t;
+
+ private:
+  enum Number { kCallers = 1, kReadiness, kDirectory, kMetrics };
+
+  static auto Own(Number number) -> Endpoint;
+  auto WriteSettings() const -> void;
+  auto Configuration() const -> std::string;
+
+  const Limits limits_;
+  const std::string folder_;
+  KvStandin store_;
+  TargetStub target_;
+  WorkerPool workers_{1};
+  HttpClient client_;
+  GatewayProcess process_;
+};
+
+}  // namespace heatherspan
