net: one account of the memory that a process holds for others

Cause: single bodies, answers and connections had limits, their sum had none; a body was copied for its target and once more as its buffer doubled. Clients that send many bodies of legal size, or stop short of the end, took a gateway over the memory of its machine.

Change: MemoryAccount bounds what a process holds to half of its machine's memory (node.memory_mb). What is announced and doesn't fit is refused unread (503 with Retry-After), slow and large bodies that arrive give way, complete messages stay, small ones have a reserve. HttpServer and HttpClient draw on it, in the gateway and in heatherspand; ResponseMemory and max_reading_bytes are gone. The body of a request is shared by its copies and grows without being copied. A refused request's part is freed at once. The allocator gives freed blocks back. Metrics and lines tell of refusals.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "admin/admin_api.h"
+#include "base/process_memory.h"
 #include "daemon/caller_api.h"
 #include "daemon/config_service.h"
 #include "daemon/daemon_limits.h"
@@ -26,6 +27,7 @@
 #include "fmt/format.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/memory_account.h"
 #include "net/peer_client.h"
 #include "net/peer_server.h"
 #include "net/udp_socket.h"
@@ -81,8 +83,9 @@
         log(event_log),
         workers(static_cast<std::size_t>(settings.threads)),
         control(kControlWorkers),
-        target_client(workers, TargetLimits(settings)),
-        platform_client(workers, HttpClient::Limits{}),
+        memory(std::make_shared<MemoryAccount>(MemoryAccount::BoundFor(MachineMemoryBytes()))),
+        target_client(workers, TargetLimits(settings), memory),
+        platform_client(workers, HttpClient::Limits{}, memory),
         platform(platform_client, PlatformOptions(settings), Random(RandomSeed())),
         store(platform) {
     identity.name = settings.node;
@@ -110,15 +113,19 @@
   }
 
   auto Listen() -> absl::Status {
-    callers_server.emplace(workers, CallerLimits(settings),
-                           [this](HttpRequest request, HttpServer::Responder responder) {
-                             if (!started) return responder(AdminError(503, "starting"));
-                             callers->Handle(std::move(request), std::move(responder));
-                           });
-    admin_server.emplace(control, AdminLimits(),
-                         [this](const HttpRequest& request, const HttpServer::Responder& respond) {
-                           respond(started ? HandleAdmin(request) : AdminError(503, "starting"));
-                         });
+    callers_server.emplace(
+        workers, CallerLimits(settings),
+        [this](HttpRequest request, HttpServer::Responder responder) {
+          if (!started) return responder(AdminError(503, "starting"));
+          callers->Handle(std::move(request), std::move(responder));
+        },
+        memory);
+    admin_server.emplace(
+        control, AdminLimits(),
+        [this](const HttpRequest& request, const HttpServer::Responder& respond) {
+          respond(started ? HandleAdmin(request) : AdminError(503, "starting"));
+        },
+        memory);
     peer_server.emplace(
         workers, identity.instance, settings.peer_key,
         [this](InstanceId sender, PeerRequest request, PeerServer::Responder responder) {
@@ -379,6 +386,7 @@
     set("body-too-large", counters.body_too_large);
     set("request-timeout", counters.request_timeout);
     set("too-many-connections", counters.too_many_connections);
+    set("no-memory", counters.no_memory);
   }
 
   auto Status() -> nlohmann::ordered_json {
@@ -445,6 +453,7 @@
 
   WorkerPool workers;
   WorkerPool control;
+  const std::shared_ptr<MemoryAccount> memory;
   HttpClient target_client;
   HttpClient platform_client;
   PlatformCaller platform;
--- a/src/daemon/daemon_program.cc
+++ b/src/daemon/daemon_program.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <thread>
 
+#include "base/process_memory.h"
 #include "daemon/daemon.h"
 #include "observe/event_log.h"
 #include "settings/settings_reader.h"
@@ -40,6 +41,7 @@
 }
 
 auto Serve(const Settings& settings) -> int {
+  KeepFreedMemorySmall();
   const auto signals = BlockStopSignals();
   EventLog log(ParseLogLevel(settings.log_level).value_or(LogLevel::kInfo));
   Daemon daemon(settings, log);
--- a/src/daemon/peer_calls.cc
+++ b/src/daemon/peer_calls.cc
@@ -18,7 +18,7 @@
   message.method = request.method;
   message.path = request.path;
   message.headers = request.headers;
-  message.body = request.body;
+  message.body = request.body.text();
   return message;
 }
 
@@ -33,7 +33,7 @@
   request.method = std::move(message.method);
   request.path = std::move(message.path);
   request.headers = std::move(message.headers);
-  request.body = std::move(message.body);
+  request.body = message.body;
   return request;
 }
 
--- a/src/daemon/routed_request.h
+++ b/src/daemon/routed_request.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "messages/forward_response.h"
 #include "messages/header_field.h"
+#include "net/message_body.h"
 
 namespace heatherspan {
 
@@ -25,7 +26,7 @@
   std::string method;
   std::string path;
   std::vector<HeaderField> headers;
-  std::string body;
+  MessageBody body;
 };
 
 /// Receives the final response to a request. Called exactly once.
--- a/src/edge/edge_limits.cc
+++ b/src/edge/edge_limits.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/process_memory.h"
+
 namespace heatherspan {
 
 auto EdgeLimits::Retries(const EdgeSettings::Bounds& bounds) -> ServiceRetryBudget::Limits {
@@ -32,10 +34,17 @@
   return options;
 }
 
+auto EdgeLimits::Memory(const EdgeSettings& settings) -> std::shared_ptr<MemoryAccount> {
+  constexpr std::size_t kMebibyte = std::size_t{1024} * 1024;
+  const auto machine = settings.memory_mb > 0
+                           ? static_cast<std::size_t>(settings.memory_mb) * kMebibyte
+                           : MachineMemoryBytes();
+  return std::make_shared<MemoryAccount>(MemoryAccount::BoundFor(machine));
+}
+
 auto EdgeLimits::TargetClient(std::string correlation_header) -> HttpClient::Limits {
   HttpClient::Limits limits;
   limits.max_connections_per_endpoint = kConnectionsPerTarget;
-  limits.max_reading_bytes = kMaxReadingBytes;
   limits.connect_timeout = kConnectTimeout;
   limits.unacknowledged_timeout = kUnacknowledgedTimeout;
   limits.accept_unframed_responses = true;
--- a/src/edge/edge_limits.h
+++ b/src/edge/edge_limits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 #include "base/time.h"
@@ -9,6 +10,7 @@
 #include "gateway/traffic_policy.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "net/memory_account.h"
 
 namespace heatherspan {
 
@@ -22,8 +24,6 @@
   /// TCP retransmits a lost connection request only after 1 s; an attempt at another target is
   /// faster.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
-  /// Memory of the answers of all targets that are being read: a quarter of the smallest machine.
-  static constexpr std::size_t kMaxReadingBytes = std::size_t{64} * 1024 * 1024;
   /// The store's answer to a watch has each version of an item that was written several times, a
   /// listing only the last one: a longer answer is left for a listing. There is room for an item of
   /// the largest size.
@@ -48,6 +48,8 @@
   static auto ChangeBound(const EdgeSettings::Bounds& bounds) -> Duration;
   static auto Spillover(const EdgeSettings::Bounds& bounds) -> SpilloverLimiter::Limits;
   static auto Core(const EdgeSettings& settings) -> GatewayCore::Options;
+  /// The account of all that the process holds for others.
+  static auto Memory(const EdgeSettings& settings) -> std::shared_ptr<MemoryAccount>;
   static auto TargetClient(std::string correlation_header) -> HttpClient::Limits;
   static auto StoreClient() -> HttpClient::Limits;
   static auto StoreWatchClient() -> HttpClient::Limits;
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -14,6 +14,7 @@
 #include "edge/edge_limits.h"
 #include "edge/edge_settings.h"
 #include "edge/harm_monitor.h"
+#include "edge/memory_monitor.h"
 #include "edge/peer_reader.h"
 #include "edge/peer_sync.h"
 #include "edge/platform_ports.h"
@@ -59,10 +60,11 @@
         on_stopped_(std::move(on_stopped)),
         core_(EdgeLimits::Core(settings_), std::random_device()()),
         workers_(1),
-        target_client_(workers_, EdgeLimits::TargetClient(Messages::CorrelationHeader())),
-        store_client_(workers_, EdgeLimits::StoreClient()),
-        store_watch_client_(workers_, EdgeLimits::StoreWatchClient()),
-        relay_client_(workers_, EdgeLimits::RelayClient(Messages::CorrelationHeader())),
+        memory_(EdgeLimits::Memory(settings_)),
+        target_client_(workers_, EdgeLimits::TargetClient(Messages::CorrelationHeader()), memory_),
+        store_client_(workers_, EdgeLimits::StoreClient(), memory_),
+        store_watch_client_(workers_, EdgeLimits::StoreWatchClient(), memory_),
+        relay_client_(workers_, EdgeLimits::RelayClient(Messages::CorrelationHeader()), memory_),
         store_(store_client_, store_watch_client_, settings_.store,
                [this](StoreEra era, MonotonicTime called_at) { OnStoreEra(era, called_at); }),
         follower_(
@@ -97,17 +99,22 @@
         forwarder_(core_, target_client_, workers_, log_, metrics_, access_, quotas_, harm_,
                    relay_),
         prober_(core_, target_client_, log_, metrics_, harm_, relay_),
-        callers_server_(workers_, EdgeLimits::CallerServer(settings_.descriptors, CallerLimits()),
-                        [this](HttpRequest request, HttpServer::Responder respond) {
-                          forwarder_.Forward(std::move(request), std::move(respond));
-                        }),
+        callers_server_(
+            workers_, EdgeLimits::CallerServer(settings_.descriptors, CallerLimits()),
+            [this](HttpRequest request, HttpServer::Responder respond) {
+              forwarder_.Forward(std::move(request), std::move(respond));
+            },
+            memory_),
         readiness_server_(workers_, {}, Handler(&EdgeNode::Readiness)),
         directory_server_(workers_, {}, Handler(&EdgeNode::Directory)),
         metrics_server_(workers_, {}, Handler(&EdgeNode::Metrics)),
-        peers_server_(workers_, EdgeLimits::PeerServer(CallerLimits()),
-                      [this](const HttpRequest& request, const HttpServer::Responder& respond) {
-                        OnPeerRequest(request, respond);
-                      }) {}
+        peers_server_(
+            workers_, EdgeLimits::PeerServer(CallerLimits()),
+            [this](const HttpRequest& request, const HttpServer::Responder& respond) {
+              OnPeerRequest(request, respond);
+            },
+            memory_),
+        memory_monitor_(*memory_, log_, metrics_) {}
 
   ~EdgeNode() { workers_.Stop(); }
   EdgeNode(const EdgeNode&) = delete;
@@ -387,6 +394,7 @@
     core_.OnTick(now);
     prober_.OnTick(now);
     AnnounceReach(now);
+    memory_monitor_.OnTick(now);
     metrics_.Set(Metric::kInputAgeSeconds, {{"source", "store"}},
                  std::chrono::duration<double>(core_.StoreAge(now)).count());
     metrics_.Set(Metric::kInFlight, {{"region", settings_.region.value()}},
@@ -448,6 +456,7 @@
   MetricsRegistry metrics_;
   GatewayCore core_;
   WorkerPool workers_;
+  const std::shared_ptr<MemoryAccount> memory_;
   HttpClient target_client_;
   HttpClient store_client_;
   HttpClient store_watch_client_;
@@ -473,6 +482,7 @@
   HttpServer directory_server_;
   HttpServer metrics_server_;
   HttpServer peers_server_;
+  MemoryMonitor memory_monitor_;
   std::shared_ptr<WorkerPool::Timer> tick_;
   std::shared_ptr<WorkerPool::Timer>
       stop_timer_;  ///< Ends a stop whose requests outlast the grace.
--- a/src/edge/edge_program.h
+++ b/src/edge/edge_program.h
@@ -10,6 +10,7 @@
 
 #include "base/build_version.h"
 #include "base/file_text.h"
+#include "base/process_memory.h"
 #include "edge/edge_node.h"
 #include "edge/edge_settings.h"
 #include "observe/event_log.h"
@@ -68,6 +69,7 @@
   }
 
   static auto Serve(const std::string& path, const EdgeSettings& settings) -> int {
+    KeepFreedMemorySmall();
     const auto signals = BlockSignals();
     EventLog log(ParseLogLevel(settings.log_level).value_or(LogLevel::kInfo),
                  settings.log_lines_per_second);
--- a/src/net/correlated_response_reader.cc
+++ b/src/net/correlated_response_reader.cc
@@ -15,8 +15,6 @@
 constexpr std::size_t kInitialBufferBytes = std::size_t{4} * 1024;
 // Long bodies are read in pieces of this size; a header has to fit in.
 constexpr std::size_t kMaxBufferBytes = std::size_t{128} * 1024;
-// Bodies up to this size are read whatever others take.
-constexpr std::size_t kSmallBodyBytes = std::size_t{64} * 1024;
 // More responses to other requests in front of one response come from a peer that sends without
 // end.
 constexpr int kMaxForeignResponses = 16;
@@ -26,10 +24,12 @@
 }  // namespace
 
 CorrelatedResponseReader::CorrelatedResponseReader(std::string peer,
-                                                   std::shared_ptr<HttpClientState> client)
+                                                   std::shared_ptr<HttpClientState> client,
+                                                   std::function<void()> give_way)
     : peer_(std::move(peer)),
       client_(std::move(client)),
-      reader_(client_->limits().max_response_bytes, client_->limits().accept_unframed_responses) {}
+      reader_(client_->limits().max_response_bytes, client_->limits().accept_unframed_responses),
+      give_way_(std::move(give_way)) {}
 
 CorrelatedResponseReader::~CorrelatedResponseReader() { SetReadingBytes(0); }
 
@@ -104,12 +104,7 @@
   std::copy(buffer_.begin() + static_cast<std::ptrdiff_t>(used),
             buffer_.begin() + static_cast<std::ptrdiff_t>(end_), buffer_.begin());
   end_ -= used;
-  if (!SetReadingBytes(reader_.response().body.capacity())) {
-    return absl::ResourceExhaustedError(fmt::format(
-        "the response from {} is one of the largest, and all that are being read take more than "
-        "{} bytes",
-        peer_, client_->limits().max_reading_bytes));
-  }
+  if (!SetReadingBytes(reader_.response().body.capacity())) return OutOfMemory();
   switch (reader_.error()) {
     case HttpReadError::kNone:
       break;
@@ -130,8 +125,21 @@
 }
 
 auto CorrelatedResponseReader::SetReadingBytes(std::size_t bytes) -> bool {
-  if (bytes <= kSmallBodyBytes) bytes = 0;
-  return client_->response_memory().Change(std::exchange(reading_bytes_, bytes), bytes);
+  if (bytes <= MemoryAccount::kSmallBytes) bytes = 0;
+  client_->ChangeReadingBytes(std::exchange(reading_bytes_, bytes), bytes);
+  if (bytes == 0) {
+    arriving_.reset();
+    return true;
+  }
+  if (!arriving_.has_value()) arriving_.emplace(client_->memory(), MemoryUse::kAnswers, give_way_);
+  return arriving_->OnBytes(bytes, 0, SystemClock().Now());
+}
+
+auto CorrelatedResponseReader::OutOfMemory() const -> absl::Status {
+  return absl::ResourceExhaustedError(fmt::format(
+      "the response from {} is one of the largest, and all that the process holds takes nearly {} "
+      "bytes",
+      peer_, client_->memory()->max_bytes()));
 }
 
 /// A late second response to an earlier request stands where the response to this one is due.
--- a/src/net/correlated_response_reader.h
+++ b/src/net/correlated_response_reader.h
@@ -2,7 +2,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -12,6 +14,7 @@
 #include "net/answer_identity.h"
 #include "net/http_reader.h"
 #include "net/http_response.h"
+#include "net/memory_account.h"
 
 namespace heatherspan {
 
@@ -22,8 +25,9 @@
 /// drops responses that name another request.
 class CorrelatedResponseReader {
  public:
-  /// The peer's name is for error texts.
-  CorrelatedResponseReader(std::string peer, std::shared_ptr<HttpClientState> client);
+  /// The peer's name is for error texts. `give_way`: see ArrivingBody.
+  CorrelatedResponseReader(std::string peer, std::shared_ptr<HttpClientState> client,
+                           std::function<void()> give_way);
   ~CorrelatedResponseReader();
   CorrelatedResponseReader(const CorrelatedResponseReader&) = delete;
   auto operator=(const CorrelatedResponseReader&) -> CorrelatedResponseReader& = delete;
@@ -47,6 +51,10 @@
   /// The peer has ended the connection in an orderly way. True if that completes the response.
   auto OnEndOfInput() -> bool;
 
+  /// The response has to be given up, because the memory is needed for others.
+  auto gave_way() const -> bool { return arriving_.has_value() && arriving_->gave_way(); }
+  auto OutOfMemory() const -> absl::Status;
+
   /// The whole response is there.
   auto done() const -> bool { return reader_.done(); }
   /// Bytes of a response have arrived.
@@ -69,7 +77,7 @@
  private:
   auto IdOf(const HttpRequest& request) const -> std::string_view;
   auto Parse() -> absl::Status;
-  /// Returns false if the response has to be given up.
+  /// Counts the memory of the present body. Returns false if it has to be given up.
   auto SetReadingBytes(std::size_t bytes) -> bool;
   auto DropForeignResponse() -> bool;
 
@@ -77,8 +85,10 @@
   const std::shared_ptr<HttpClientState> client_;
   HttpResponseReader reader_;
   std::vector<char> buffer_;
-  std::size_t end_ = 0;                 ///< Bytes in the buffer that are not read yet.
-  std::size_t reading_bytes_ = 0;       ///< Memory of the present body, unless it is small.
+  std::size_t end_ = 0;            ///< Bytes in the buffer that are not read yet.
+  std::size_t reading_bytes_ = 0;  ///< Memory of the present body, unless it is small.
+  const std::function<void()> give_way_;
+  std::optional<ArrivingBody> arriving_;  ///< The present body, unless it is small.
   std::string expected_;                ///< What the response to the present request has to repeat.
   std::vector<std::uint64_t> carried_;  ///< Hashes of the ids that the connection has carried.
   bool is_head_request_ = false;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -39,8 +39,11 @@
 
 class HttpClient::Impl {
  public:
-  Impl(WorkerPool& workers, Limits limits)
-      : workers_(workers), state_(std::make_shared<HttpClientState>(std::move(limits))) {}
+  Impl(WorkerPool& workers, Limits limits, std::shared_ptr<MemoryAccount> memory)
+      : workers_(workers),
+        state_(std::make_shared<HttpClientState>(
+            std::move(limits),
+            memory == nullptr ? std::make_shared<MemoryAccount>() : std::move(memory))) {}
 
   ~Impl() {
     for (const auto& connection : state_->Stop()) connection->Close();
@@ -68,7 +71,7 @@
     return std::make_shared<ConnectionExchange>(std::move(connection), number);
   }
 
-  auto reading_bytes() const -> std::size_t { return state_->response_memory().total(); }
+  auto reading_bytes() const -> std::size_t { return state_->reading_bytes(); }
 
  private:
   auto FailLater(absl::Status status, Callback callback) -> std::shared_ptr<Exchange> {
@@ -83,8 +86,8 @@
   std::atomic<std::uint64_t> next_exchange_{0};
 };
 
-HttpClient::HttpClient(WorkerPool& workers, Limits limits)
-    : impl_(std::make_shared<Impl>(workers, std::move(limits))) {}
+HttpClient::HttpClient(WorkerPool& workers, Limits limits, std::shared_ptr<MemoryAccount> memory)
+    : impl_(std::make_shared<Impl>(workers, std::move(limits), std::move(memory))) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <string>
 
@@ -13,6 +12,7 @@
 
 namespace heatherspan {
 
+class MemoryAccount;
 class WorkerPool;
 
 /// An HTTP/1.1 client with a bounded pool of connections for each endpoint. It never sends a
@@ -22,7 +22,7 @@
 ///
 /// Status codes of failures: kInvalidArgument (the request can't be written), kResourceExhausted
 /// (with nothing written: all connections are in use; else: the response is too large, by itself or
-/// beside others),
+/// beside all else that the process holds),
 /// kUnavailable (with nothing written: no connection; else: closed without a response), kDataLoss
 /// (truncated or malformed response, or one whose end can't be told), kDeadlineExceeded,
 /// kCancelled.
@@ -33,8 +33,6 @@
   struct Limits {
     std::size_t max_connections_per_endpoint = 64;  ///< Further requests fail at once.
     std::size_t max_response_bytes = std::size_t{8} * 1024 * 1024;
-    /// All bodies that are being read, in memory. Above it, the largest are given up.
-    std::size_t max_reading_bytes = std::numeric_limits<std::size_t>::max();
     Duration connect_timeout = std::chrono::seconds(1);
     /// A shorter time in a response's Keep-Alive field goes first.
     Duration idle_timeout = std::chrono::seconds(30);
@@ -67,7 +65,8 @@
     virtual auto Cancel() -> void = 0;
   };
 
-  HttpClient(WorkerPool& workers, Limits limits);
+  /// `memory`: the account of the responses that are being read; null for one without a bound.
+  HttpClient(WorkerPool& workers, Limits limits, std::shared_ptr<MemoryAccount> memory = nullptr);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   auto operator=(const HttpClient&) -> HttpClient& = delete;
--- a/src/net/http_client_connection.cc
+++ b/src/net/http_client_connection.cc
@@ -66,7 +66,11 @@
         timer_(strand_),
         endpoint_(std::move(endpoint)),
         client_(std::move(client)),
-        responses_(endpoint_.Text(), client_) {}
+        responses_(endpoint_.Text(), client_, [this] {
+          auto self = weak_from_this().lock();
+          if (self == nullptr) return;
+          asio::post(strand_, [self = std::move(self)] { self->OnGiveWay(); });
+        }) {}
 
   ~Connection() override = default;
   Connection(const Connection&) = delete;
@@ -98,6 +102,8 @@
   auto OnBegin(std::uint64_t exchange, HttpRequest request, SteadyClock::time_point deadline,
                HttpClient::Callback callback) -> void;
   auto OnClose() -> void;
+  /// The account wants the memory of the response for others.
+  auto OnGiveWay() -> void;
   auto Connect() -> void;
   /// Opens the socket if its options have to be set before it is connected.
   auto OpenSocket(bool is_v6) -> void;
@@ -174,6 +180,10 @@
   client_->ForgetIdle(endpoint_, shared_from_this());
 }
 
+auto Connection::OnGiveWay() -> void {
+  if (callback_ != nullptr && responses_.gave_way()) Fail(responses_.OutOfMemory());
+}
+
 auto Connection::Connect() -> void {
   CloseSocket();
   ErrorCode error;
--- a/src/net/http_client_state.h
+++ b/src/net/http_client_state.h
@@ -12,7 +12,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "net/http_client.h"
-#include "net/response_memory.h"
+#include "net/memory_account.h"
 
 namespace heatherspan {
 
@@ -21,12 +21,18 @@
 /// The connections of an HttpClient, by endpoint. Thread-safe.
 class HttpClientState {
  public:
-  explicit HttpClientState(HttpClient::Limits limits)
-      : limits_(std::move(limits)), response_memory_(limits_.max_reading_bytes) {}
+  HttpClientState(HttpClient::Limits limits, std::shared_ptr<MemoryAccount> memory)
+      : limits_(std::move(limits)), memory_(std::move(memory)) {}
 
   auto limits() const -> const HttpClient::Limits& { return limits_; }
 
-  auto response_memory() -> ResponseMemory& { return response_memory_; }
+  auto memory() const -> const std::shared_ptr<MemoryAccount>& { return memory_; }
+
+  /// Memory of the response bodies that are being read, small ones apart.
+  auto reading_bytes() const -> std::size_t { return reading_bytes_.load(); }
+  auto ChangeReadingBytes(std::size_t before, std::size_t after) -> void {
+    reading_bytes_.fetch_add(after - before);
+  }
 
   /// A connection that has been idle for at most that time, or a new one from the function; null at
   /// the limit or after Stop.
@@ -59,7 +65,8 @@
   };
 
   const HttpClient::Limits limits_;
-  ResponseMemory response_memory_;
+  const std::shared_ptr<MemoryAccount> memory_;
+  std::atomic<std::size_t> reading_bytes_{0};
   std::mutex mutex_;
   absl::flat_hash_map<Endpoint, Pool> pools_;  ///< Guarded by the mutex, as is the flag.
   bool stopped_ = false;
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -24,6 +24,7 @@
 #include "net/http_reader.h"
 #include "net/http_server_state.h"
 #include "net/http_text.h"
+#include "net/memory_account.h"
 #include "net/worker_pool.h"
 
 namespace heatherspan {
@@ -41,6 +42,10 @@
 constexpr std::size_t kMaxPieceBytes = std::size_t{64} * 1024;
 // Bodies up to this size are copied behind the header, which is cheaper than a second buffer.
 constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} * 1024;
+// What a connection takes beside its buffer.
+constexpr std::size_t kConnectionBytes = std::size_t{4} * 1024;
+// After this time, slow bodies have given way.
+constexpr std::string_view kRetryAfterSeconds = "1";
 
 /// A request that was handed over, or an error in the input, and its response. Responses leave in
 /// the order of the requests.
@@ -50,6 +55,7 @@
   bool head = false;
   std::shared_ptr<DisconnectHook> disconnect;
   std::optional<HttpResponse> response;
+  HeldMemory held;  ///< By the response.
 };
 
 /// Private methods run on the strand.
@@ -62,7 +68,8 @@
         server_(std::move(server)),
         limits_(server_->limits.load()),
         reader_(limits_->max_header_bytes, limits_->max_body_bytes),
-        buffer_(kInitialBufferBytes) {}
+        buffer_(kInitialBufferBytes),
+        held_(server_->memory, MemoryUse::kConnections, kConnectionBytes + kInitialBufferBytes) {}
 
   auto Start() -> void override {
     Post([](Connection& self) {
@@ -132,10 +139,17 @@
   auto ParseInput() -> void;
   auto OnIncompleteRequest() -> void;
   auto RefuseInput(HttpReadError error) -> void;
+  auto RefuseForMemory() -> void;
+  /// Whether the account has room for what has come of the body, and for what is announced.
+  auto HasRoomForBody() -> bool;
+  auto OnGiveWay() -> void;
+  /// Counts the complete body. Nothing if there is no room for it.
+  auto HoldBody() -> std::optional<HeldMemory>;
+  auto GrowBuffer() -> void;
   auto MakeRoom() -> void;
   auto SendContinueIfDue() -> void;
   auto HandOver() -> void;
-  auto Refuse(int status) -> void;
+  auto Refuse(int status, std::vector<HeaderField> headers = {}) -> void;
   auto OnResponse(Exchange& exchange, HttpResponse response) -> void;
   auto WriteNext() -> void;
   auto OnWritten(const ErrorCode& error, bool is_last) -> void;
@@ -150,6 +164,8 @@
   std::vector<char> buffer_;
   std::size_t begin_ = 0;  ///< Start of the bytes that are not read yet.
   std::size_t end_ = 0;
+  HeldMemory held_;                       ///< By the connection and its buffer.
+  std::optional<ArrivingBody> arriving_;  ///< The body of which only a part has come.
   std::string output_;
   std::string body_;
   State state_ = State::kOpen;
@@ -201,6 +217,9 @@
   PublishDeadline();
   server_->active.fetch_sub(exchanges_.size());
   exchanges_.clear();
+  // The connection may live on in handlers that are pending.
+  reader_.Discard();
+  arriving_.reset();
   ErrorCode ignored;
   socket_.close(ignored);
   const std::lock_guard lock(server_->mutex);
@@ -260,6 +279,7 @@
     begin_ = end_ = 0;
     if (!request_started_ && buffer_.size() > kInitialBufferBytes) {
       buffer_ = std::vector<char>(kInitialBufferBytes);
+      held_.TryResize(kConnectionBytes + kInitialBufferBytes);
     }
   }
   if (end_ < buffer_.size()) return;
@@ -270,7 +290,14 @@
     begin_ = 0;
     return;
   }
+  // A line that does not fit, which the limit of the header bounds.
   buffer_.resize(buffer_.size() * 2);
+  held_.TryResize(kConnectionBytes + buffer_.size());
+}
+
+/// Lets the next piece be larger, if there is room for it.
+auto Connection::GrowBuffer() -> void {
+  if (held_.TryResize(kConnectionBytes + buffer_.size() * 2)) buffer_.resize(buffer_.size() * 2);
 }
 
 auto Connection::OnRead(const ErrorCode& error, std::size_t size) -> void {
@@ -281,7 +308,7 @@
     return;
   }
   end_ += size;
-  if (end_ == buffer_.size() && end_ < kMaxPieceBytes) buffer_.resize(buffer_.size() * 2);
+  if (end_ == buffer_.size() && end_ < kMaxPieceBytes) GrowBuffer();
   ParseInput();
 }
 
@@ -338,9 +365,49 @@
     request_started_ = true;
     SetReadDeadline(server_->limits.load()->request_timeout);
   }
+  if (!HasRoomForBody()) {
+    RefuseForMemory();
+    return;
+  }
   SendContinueIfDue();
 }
 
+auto Connection::HasRoomForBody() -> bool {
+  const auto received = reader_.body_bytes();
+  const auto announced = reader_.announced_bytes();
+  if (received == 0 && announced == 0) return true;
+  if (!arriving_.has_value()) {
+    arriving_.emplace(server_->memory, MemoryUse::kRequests, [this] {
+      auto self = weak_from_this().lock();
+      if (self == nullptr) return;
+      asio::post(strand_, [self = std::move(self)] { self->OnGiveWay(); });
+    });
+  }
+  return arriving_->OnBytes(received, announced, SystemClock().Now());
+}
+
+auto Connection::OnGiveWay() -> void {
+  if (state_ == State::kOpen && arriving_.has_value() && arriving_->gave_way()) RefuseForMemory();
+}
+
+auto Connection::HoldBody() -> std::optional<HeldMemory> {
+  const auto bytes = reader_.body_bytes();
+  if (bytes == 0) return HeldMemory();
+  if (!arriving_.has_value()) {
+    auto held = HeldMemory::Try(server_->memory, MemoryUse::kRequests, bytes);
+    if (held.has_value()) return held;
+  }
+  // Others may have to give way.
+  if (!HasRoomForBody()) return std::nullopt;
+  arriving_.reset();
+  return HeldMemory(server_->memory, MemoryUse::kRequests, bytes);
+}
+
+auto Connection::RefuseForMemory() -> void {
+  server_->no_memory.fetch_add(1);
+  Refuse(503, {{"Retry-After", std::string(kRetryAfterSeconds)}});
+}
+
 auto Connection::SendContinueIfDue() -> void {
   constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
   // The responses to earlier requests go first.
@@ -366,13 +433,18 @@
     CloseNow();
     return;
   }
+  auto held = HoldBody();
+  if (!held.has_value()) {
+    RefuseForMemory();
+    return;
+  }
   ClearReadDeadline();
   request_started_ = false;
   continue_sent_ = false;
   auto exchange = std::make_shared<Exchange>();
   exchange->keep_alive = reader_.keep_alive();
   exchange->http_1_0 = reader_.http_1_0();
-  auto request = reader_.Take();
+  auto request = reader_.Take(*std::move(held));
   exchange->head = request.method == "HEAD";
   closing_ = !exchange->keep_alive || server_->closing.load();
   request.remote = remote_;
@@ -388,9 +460,11 @@
   });
 }
 
-auto Connection::Refuse(int status) -> void {
+auto Connection::Refuse(int status, std::vector<HeaderField> headers) -> void {
   if (state_ != State::kOpen) return;
   ClearReadDeadline();
+  reader_.Discard();
+  arriving_.reset();
   request_started_ = false;
   closing_ = true;
   auto exchange = std::make_shared<Exchange>();
@@ -399,12 +473,16 @@
   server_->active.fetch_add(1);
   HttpResponse response;
   response.status = status;
+  response.headers = std::move(headers);
   OnResponse(*exchange, std::move(response));
 }
 
 auto Connection::OnResponse(Exchange& exchange, HttpResponse response) -> void {
   if (state_ != State::kOpen) return;
   exchange.disconnect = nullptr;
+  if (response.body.size() > kMaxCopiedBodyBytes) {
+    exchange.held = HeldMemory(server_->memory, MemoryUse::kAnswers, response.body.size());
+  }
   exchange.response = std::move(response);
   WriteNext();
 }
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -59,6 +59,7 @@
   Message message;
   bool http_1_0 = false;
   bool expects_continue = false;
+  ByteBuffer request_body;
 
  protected:
   auto on_request_impl(http::verb /*method*/, Text method, Text target, int version,
@@ -100,11 +101,21 @@
 
   auto on_body_init_impl(const boost::optional<std::uint64_t>& length, ErrorCode& /*error*/)
       -> void override {
-    if (length) message.body.reserve(std::min<std::uint64_t>(*length, kMaxReservedBodyBytes));
+    if (!length) return;
+    const auto size = std::min<std::uint64_t>(*length, kMaxReservedBodyBytes);
+    if constexpr (is_request) {
+      request_body.Reserve(size);
+    } else {
+      message.body.reserve(size);
+    }
   }
 
   auto on_body_impl(Text body, ErrorCode& /*error*/) -> std::size_t override {
-    message.body.append(body.data(), body.size());
+    if constexpr (is_request) {
+      request_body.Append(ToView(body));
+    } else {
+      message.body.append(body.data(), body.size());
+    }
     return body.size();
   }
 
@@ -190,6 +201,13 @@
 class HttpRequestReader::Impl : public Reader<true, HttpRequest> {
  public:
   using Reader::Reader;
+
+  auto TakeRequest(HeldMemory held) -> HttpRequest {
+    auto body = std::move(parser().request_body);
+    auto request = Take();
+    request.body = MessageBody(std::move(body), std::move(held));
+    return request;
+  }
 };
 
 HttpRequestReader::HttpRequestReader(std::size_t max_header_bytes, std::size_t max_body_bytes)
@@ -208,7 +226,21 @@
   return parser.is_header_done() && parser.expects_continue && !parser.is_done();
 }
 
-auto HttpRequestReader::Take() -> HttpRequest { return impl_->Take(); }
+auto HttpRequestReader::body_bytes() const -> std::size_t {
+  return impl_->parser().request_body.size();
+}
+
+auto HttpRequestReader::announced_bytes() const -> std::size_t {
+  auto& parser = impl_->parser();
+  if (!parser.is_header_done()) return 0;
+  return parser.content_length().value_or(0);
+}
+
+auto HttpRequestReader::Take(HeldMemory held) -> HttpRequest {
+  return impl_->TakeRequest(std::move(held));
+}
+
+auto HttpRequestReader::Discard() -> void { impl_->Restart(); }
 
 class HttpResponseReader::Impl : public Reader<false, HttpResponse> {
  public:
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -36,8 +36,16 @@
   /// The sender waits for "100 Continue" before it sends the body.
   auto expects_continue() const -> bool;
 
-  /// Hands over the request that was read and starts with the next one.
-  auto Take() -> HttpRequest;
+  /// The size of the body that has come.
+  auto body_bytes() const -> std::size_t;
+  /// The size of the body as the header states it; 0 if it does not.
+  auto announced_bytes() const -> std::size_t;
+
+  /// Hands over the request that was read and starts with the next one. `held`: what its body takes
+  /// of an account.
+  auto Take(HeldMemory held = {}) -> HttpRequest;
+  /// Frees what has come of a request that will not be read to its end.
+  auto Discard() -> void;
 
  private:
   class Impl;
--- a/src/net/http_request.h
+++ b/src/net/http_request.h
@@ -8,6 +8,7 @@
 
 #include "base/endpoint.h"
 #include "messages/header_field.h"
+#include "net/message_body.h"
 
 namespace heatherspan {
 
@@ -22,7 +23,7 @@
   std::string method = "GET";
   std::string target = "/";  ///< Path and query.
   std::vector<HeaderField> headers;
-  std::string body;
+  MessageBody body;
   Endpoint remote;  ///< The sender; set by the server.
   /// Set by a server that watches for disconnects; else null.
   std::shared_ptr<DisconnectHook> disconnect = nullptr;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -60,9 +60,10 @@
 
 class HttpServer::Impl {
  public:
-  Impl(WorkerPool& workers, Limits limits, Handler handler)
+  Impl(WorkerPool& workers, Limits limits, Handler handler, std::shared_ptr<MemoryAccount> memory)
       : workers_(workers),
-        state_(std::make_shared<HttpServerState>()),
+        state_(std::make_shared<HttpServerState>(
+            memory == nullptr ? std::make_shared<MemoryAccount>() : std::move(memory))),
         acceptor_(workers, [&workers, state = state_](AcceptedSocket socket) {
           Open(workers, state, std::move(socket));
         }) {
@@ -113,8 +114,9 @@
   std::shared_ptr<WorkerPool::Timer> sweep_;
 };
 
-HttpServer::HttpServer(WorkerPool& workers, Limits limits, Handler handler)
-    : impl_(std::make_shared<Impl>(workers, limits, std::move(handler))) {}
+HttpServer::HttpServer(WorkerPool& workers, Limits limits, Handler handler,
+                       std::shared_ptr<MemoryAccount> memory)
+    : impl_(std::make_shared<Impl>(workers, limits, std::move(handler), std::move(memory))) {}
 
 HttpServer::~HttpServer() { impl_->Stop(); }
 
@@ -140,7 +142,8 @@
           .header_too_large = state.header_too_large.load(),
           .body_too_large = state.body_too_large.load(),
           .request_timeout = state.request_timeout.load(),
-          .too_many_connections = state.too_many_connections.load()};
+          .too_many_connections = state.too_many_connections.load(),
+          .no_memory = state.no_memory.load()};
 }
 
 }  // namespace heatherspan
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -12,6 +12,7 @@
 
 namespace heatherspan {
 
+class MemoryAccount;
 class WorkerPool;
 
 /// An HTTP/1.1 server that reads whole requests within limits and hands them to one handler.
@@ -42,9 +43,12 @@
     std::size_t body_too_large = 0;
     std::size_t request_timeout = 0;
     std::size_t too_many_connections = 0;
+    std::size_t no_memory = 0;
   };
 
-  HttpServer(WorkerPool& workers, Limits limits, Handler handler);
+  /// `memory`: the account of all that the server holds; null for one without a bound.
+  HttpServer(WorkerPool& workers, Limits limits, Handler handler,
+             std::shared_ptr<MemoryAccount> memory = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   auto operator=(const HttpServer&) -> HttpServer& = delete;
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -5,8 +5,10 @@
 #include <memory>
 #include <mutex>
 #include <unordered_set>
+#include <utility>
 
 #include "net/http_server.h"
+#include "net/memory_account.h"
 
 namespace heatherspan {
 
@@ -14,6 +16,9 @@
 
 /// What the connections of an HttpServer share with it.
 struct HttpServerState {
+  explicit HttpServerState(std::shared_ptr<MemoryAccount> account) : memory(std::move(account)) {}
+
+  const std::shared_ptr<MemoryAccount> memory;
   std::atomic<std::shared_ptr<const HttpServer::Limits>> limits;
   HttpServer::Handler handler;
   std::atomic<bool> closing{false};   ///< Each response closes its connection.
@@ -25,6 +30,7 @@
   std::atomic<std::size_t> body_too_large{0};
   std::atomic<std::size_t> request_timeout{0};
   std::atomic<std::size_t> too_many_connections{0};
+  std::atomic<std::size_t> no_memory{0};
 
   std::mutex mutex;
   std::unordered_set<std::shared_ptr<HttpConnection>> connections;  ///< Guarded by the mutex.
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -40,6 +40,8 @@
   kNotRunVerdicts,
   kReconnectedRequests,
   kAdminCalls,
+  kMemoryBytes,
+  kMemoryBound,
   kCount,
 };
 
@@ -122,6 +124,10 @@
          "service."},
         {Metric::kAdminCalls, "heatherspan_admin_calls_total", MetricKind::kCounter,
          "Calls to the administration interface by path and status."},
+        {Metric::kMemoryBytes, "heatherspan_memory_bytes", MetricKind::kGauge,
+         "Memory held for callers, targets, peers and the store, by use."},
+        {Metric::kMemoryBound, "heatherspan_memory_bound_bytes", MetricKind::kGauge,
+         "The bound of that memory. What would pass it is refused."},
     }};
 
 }  // namespace heatherspan
--- a/standins/platform_standin.cc
+++ b/standins/platform_standin.cc
@@ -116,7 +116,7 @@
     lease = StoreLeaseId(*number);
     if (!store_.HasLease(*lease)) return Plain(404, "the lease has ended\n");
   }
-  const auto change = store_.Write(key, request.body, *if_revision, lease);
+  const auto change = store_.Write(key, request.body.text(), *if_revision, lease);
   return WithRevision(change.done ? 200 : 412, change.revision);
 }
 
--- a/tests/ctl/scripted_transport.h
+++ b/tests/ctl/scripted_transport.h
@@ -37,7 +37,8 @@
     }
     CheckHeaders(exchange.value("headers", nlohmann::json::object()), request);
     const auto part = exchange.value("body_contains", std::string());
-    if (request.body.find(part) == std::string::npos) problems_ += "the body lacks " + part + "\n";
+    if (request.body.view().find(part) == std::string::npos)
+      problems_ += "the body lacks " + part + "\n";
     return Answer(exchange);
   }
 
--- a/tests/fleet_standins/kv_standin.cc
+++ b/tests/fleet_standins/kv_standin.cc
@@ -221,7 +221,7 @@
     watches_.push_back({after, SystemClock().Now() + wait, respond});
     Notify();
   } else if (path.ends_with("kv-txn")) {
-    respond(Answer(200, Write(request.body)));
+    respond(Answer(200, Write(request.body.text())));
   } else if (path.ends_with("kv-lease")) {
     leases_[++last_lease_] = SystemClock().Now() + kLeaseLifetime;
     respond(Answer(200, fmt::format(R"({{"lease":{},"ttl_s_time":3}})", last_lease_)));
--- a/tests/net/exchange_trace_test.cc
+++ b/tests/net/exchange_trace_test.cc
@@ -25,7 +25,7 @@
   auto Send(const std::string& id, std::size_t body_bytes = 0, Duration timeout = kLong) -> void {
     HttpRequest request;
     request.headers = {{"Id", id}};
-    request.body.assign(body_bytes, 'x');
+    request.body = std::string(body_bytes, 'x');
     client_->Send(listener_.endpoint(), request, timeout,
                   [this](const HttpResult& result) { traces_.Push(result.trace); });
   }
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -232,7 +232,7 @@
     request.body = std::to_string(sent) + std::string(sent % 7 == 0 ? 40'000 : 0, 'x');
     ++sent;
     client.Send(endpoint, request, kLong, [&answers, body = request.body](HttpResult result) {
-      answers.Push({body, std::move(result)});
+      answers.Push({body.text(), std::move(result)});
     });
   };
   while (sent < kAtOnce) send();
@@ -314,7 +314,7 @@
   constexpr int kRounds = 5;
   for (int i = 0; i < kRounds; ++i) {
     auto request = WithId("1");
-    request.body.assign(std::size_t{64} * 1024 * 1024, 'x');
+    request.body = std::string(std::size_t{64} * 1024 * 1024, 'x');
     Send(request);
     auto socket = listener_.Accept();
     socket.ReadUntil("\r\n\r\n");
--- a/tests/net/http_reader_fuzz_test.cc
+++ b/tests/net/http_reader_fuzz_test.cc
@@ -105,7 +105,7 @@
     std::string text;
     for (const auto& field : message.headers) text += field.name + '=' + field.value + ';';
     EXPECT_LE(message.body.size(), kMaxBodyBytes);
-    return text + message.body + '|';
+    return text + std::string(message.body) + '|';
   }
 
   auto ReadRequests(const std::string& bytes, std::size_t piece) -> Reading {
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -241,7 +241,7 @@
     const auto answer_next = [&] {
       auto call = calls_.Pop();
       ASSERT_TRUE(call.has_value()) << split;
-      seen.push_back(call->request.target + call->request.body);
+      seen.push_back(call->request.target + call->request.body.text());
       call->respond(Answer("answer" + call->request.target + "\n"));
     };
     if (split >= Get("/1").size()) answer_next();
