net: a status that is none is no answer

Cause: a target in trouble answered with the status 000, signed. The reader of responses took any three digits for a status, and a signed answer below 500 counts as served.

Change: a response whose status is outside 100 to 599, or 101, which no client asks for, is malformed. All clients read responses there: of targets, relays, health checks and the store in the gateway, targets and the platform in heatherspand, and heatherspanctl. The exchange is lost (may have run), its connection is closed, and the caller gets a retry where the route allows it, or 502. A status of 0 that another heatherspand reports was refused already (CallerApi::Finish). RFC 9110 has no status above 599, so that an answer with one is none either.

Tests, before the change: net.HttpClientTest.AStatusThatIsNoneIsNoAnswer fails for 000, 001, 099, 600 and 999 ("result.status.code() Which is: OK, absl::StatusCode::kDataLoss Which is: DATA_LOSS"); edge.TargetTroubleTest.AnAnswerWithoutAStatusReachesNoCaller fails with "Which is: 200, 502" (200 is what the test's client reports for an answer without a readable status).

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -20,6 +20,10 @@
 
 namespace http = boost::beast::http;
 
+// Other numbers are no status, RFC 9110 section 15.
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+constexpr int kSwitchingProtocols = 101;
 /// More in front of one response come from a peer that sends without end.
 constexpr int kMaxInformationalResponses = 16;
 constexpr std::size_t kMaxResponseHeaderBytes = std::size_t{64} * 1024;
@@ -74,6 +78,10 @@
   auto on_response_impl(int code, Text phrase, int version, ErrorCode& error) -> void override {
     if constexpr (!is_request) {
       if (HoldsStatusLine(ToView(phrase))) error = http::error::bad_reason;
+      // No client asks for another protocol, so that what follows a 101 could not be read.
+      if (code < kFirstStatus || code > kLastStatus || code == kSwitchingProtocols) {
+        error = http::error::bad_status;
+      }
       message.status = code;
       http_1_0 = version == 10;
     }
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -512,6 +512,22 @@
   node_.reset();
 }
 
+// Guards against a caller who gets an answer that is none: a target in trouble signs one whose
+// status is 000. The request may have run.
+TEST_F(TargetTroubleTest, AnAnswerWithoutAStatusReachesNoCaller) {
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(
+        "HTTP/1.1 000 X\r\nHeatherspan-Response-Signature: sig\r\n"
+        "Heatherspan-Request-Id: id-a\r\nContent-Length: 2\r\n\r\nab");
+    // The connection carries no further request.
+    socket.ReadUntilClosed();
+  });
+  StartWith(target);
+  EXPECT_EQ(SendWithId("id-a").status, 502);
+  node_.reset();
+}
+
 // Guards against requests that are taken late in the grace of a planned stop and cut at its end.
 TEST_F(TargetTroubleTest, AStopAnswersEachRequestThatItTakes) {
   settings_.bounds.stop_grace = std::chrono::milliseconds(1500);
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "blocking_queue.h"
+#include "fmt/format.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
 #include "raw_socket.h"
@@ -112,6 +113,27 @@
   }
 }
 
+// Guards against a peer in trouble whose status is no status of HTTP, or whose answer never comes
+// behind informational ones, and whose answer passes for one.
+TEST_F(HttpClientTest, AStatusThatIsNoneIsNoAnswer) {
+  for (const auto* status : {"000", "001", "099", "101", "600", "999"}) {
+    const auto result =
+        ResultOf(fmt::format("HTTP/1.1 {} X\r\nContent-Length: 2\r\n\r\nab", status));
+    EXPECT_EQ(result.status.code(), absl::StatusCode::kDataLoss) << status << result.status;
+    EXPECT_EQ(result.progress, SendProgress::kWritten) << status;
+    EXPECT_NE(result.response.status, 0) << status;
+  }
+  std::string endless;
+  for (int i = 0; i < 17; ++i) endless += "HTTP/1.1 100 Continue\r\n\r\n";
+  EXPECT_EQ(ResultOf(endless).status.code(), absl::StatusCode::kDataLoss);
+  for (const int status : {200, 404, 599}) {
+    const auto result = ResultOf(fmt::format(
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 {} X\r\nContent-Length: 0\r\n\r\n", status));
+    EXPECT_TRUE(result.status.ok()) << result.status;
+    EXPECT_EQ(result.response.status, status);
+  }
+}
+
 TEST_F(HttpClientTest, NothingIsWrittenWithoutAConnection) {
   HttpRequest injected;
   injected.headers = {{"A", "b\r\nC: d"}};
