--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -42,6 +42,8 @@
   kReconnectedRequests,
   kAdminCalls,
   kLoopLagSeconds,
+  kMemoryBytes,
+  kMemoryBound,
   kCount,
 };
 
@@ -129,6 +131,10 @@
         {Metric::kLoopLagSeconds, "heatherspan_loop_lag_seconds", MetricKind::kGauge,
          "Largest time that a timer or a request waited for this process, between the last two "
          "ticks."},
+        {Metric::kMemoryBytes, "heatherspan_memory_bytes", MetricKind::kGauge,
+         "Memory held for callers, targets, peers and the store, by use."},
+        {Metric::kMemoryBound, "heatherspan_memory_bound_bytes", MetricKind::kGauge,
+         "The bound of that memory. What would pass it is refused."},
     }};
 
 }  // namespace heatherspan
--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -177,6 +177,7 @@
   constexpr std::size_t kBody = std::size_t{7} * 1024 * 1024;
   // The smallest machine of the deployments has 260 MB.
   constexpr std::size_t kMachine = std::size_t{260} * 1000 * 1000;
+  settings_.memory_mb = static_cast<int>(kMachine / (1024 * 1024));
   std::list<EndlessTarget> targets;
   store_.Put("op/config", Policy(1));
   for (int i = 0; i < kTargets; ++i) {
@@ -511,6 +512,22 @@
   node_.reset();
 }
 
+// Guards against a caller who gets an answer that is none: a target in trouble signs one whose
+// status is 000. The request may have run.
+TEST_F(TargetTroubleTest, AnAnswerWithoutAStatusReachesNoCaller) {
+  RawTarget target(1, [&](const RawSocket& socket) {
+    socket.ReadUntil("\r\n\r\n");
+    socket.Send(
+        "HTTP/1.1 000 X\r\nHeatherspan-Response-Signature: sig\r\n"
+        "Heatherspan-Request-Id: id-a\r\nContent-Length: 2\r\n\r\nab");
+    // The connection carries no further request.
+    socket.ReadUntilClosed();
+  });
+  StartWith(target);
+  EXPECT_EQ(SendWithId("id-a").status, 502);
+  node_.reset();
+}
+
 // Guards against requests that are taken late in the grace of a planned stop and cut at its end.
 TEST_F(TargetTroubleTest, AStopAnswersEachRequestThatItTakes) {
   settings_.bounds.stop_grace = std::chrono::milliseconds(1500);
