tests: a placement may take a retry permit

Cause: Place() takes the request as one that it may change since the retry budget counts arrivals.

Change: the request in the test of reported slowdowns is no longer const.

--- a/tests/gateway/reported_slowdown_test.cc
+++ b/tests/gateway/reported_slowdown_test.cc
@@ -54,7 +54,7 @@
   }
 
   auto Expected() -> Duration {
-    const auto request = core_.Admit(RequestId("q"), route_, "", seconds(4), now_);
+    auto request = core_.Admit(RequestId("q"), route_, "", seconds(4), now_);
     return core_.Place(request, now_).placement->processing_time;
   }
 
