--- a/tests/fleet_platform/decoder_fuzz_test.cc
+++ b/tests/fleet_platform/decoder_fuzz_test.cc
@@ -27,7 +27,9 @@
     R"("cold_s":3,"cold_per_s":3.7}},{"type":"routes","metadata":{"name":"read"},"spec":)"
     R"({"host":"h.example","path_prefix":"/r/","kind":"safe","timeout_s":1.5,"latency_slo_s":0.4,)"
     R"("priority":2,"max_attempts":2,"session_affinity":true,"allowed_regions":["east"],)"
-    R"("split":[{"service":"s","weight":0.25},{"service":"t","weight":0.75}]}}]})";
+    R"("split":[{"service":"s","weight":0.25},{"service":"t","weight":0.75}]}},)"
+    R"({"type":"tenants","metadata":{"name":"blue"},"spec":{"api_keys":["k1","k2"],"priority":1,)"
+    R"("rate_per_s":5.5,"burst":9,"allowed_regions":["east"]}}]})";
 
 /// Changes bytes, repeats or removes a part of the text, or inserts an invalid or extreme value.
 class Mutator {
@@ -125,6 +127,12 @@
       EXPECT_GE(service.max_connections, 1) << text;
       EXPECT_GE(service.cold_requests_per_second, 0) << text;
     }
+    for (const auto& team : policy->teams) {
+      EXPECT_GE(team.quota.rate.value(), 0) << text;
+      EXPECT_GE(team.quota.burst, 0) << text;
+      EXPECT_GE(team.priority.value_or(0), 0) << text;
+      EXPECT_EQ(team.name.value().find_first_of("\r\n "), std::string::npos) << text;
+    }
   }
   EXPECT_GT(accepted, kRounds / 20);
 }
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -63,6 +63,18 @@
   EXPECT_EQ(sent.Header("Connection"), "");
 }
 
+// Guards against a request that counts as another caller's: one that ends targets would be refused
+// to all.
+TEST(RequestFormat, DigestsTellCallersApart) {
+  auto request = CallerRequest();
+  const auto without_key = RequestFormat::DigestOf(request, "k");
+  request.headers.push_back({"Api-Key", "one"});
+  const auto one = RequestFormat::DigestOf(request, "k");
+  request.headers.back().value = "other";
+  EXPECT_NE(one, without_key);
+  EXPECT_NE(one, RequestFormat::DigestOf(request, "k"));
+}
+
 // Guards against a wrong verdict: the verdict is "not run" only if the target says so or if nothing
 // was sent.
 TEST(RequestFormat, ReadsTheOutcomeOfAnAttempt) {
--- a/tests/gateway/state_proof_test.cc
+++ b/tests/gateway/state_proof_test.cc
@@ -71,6 +71,10 @@
   fresh.OnPeerState(Page(10, kStart), MonotonicTime());
   EXPECT_TRUE(fresh.synced());
   EXPECT_EQ(fresh.proved_at(), StateProof::kNever);
+  state_.OnStoreEra(StoreEra(2), MonotonicTime(seconds(1)), MonotonicTime(seconds(1)));
+  state_.OnPeerState(Page(5, kStart + seconds(2), 2), MonotonicTime());
+  EXPECT_EQ(state_.revision(), 5U);
+  EXPECT_EQ(state_.proved_at(), StateProof::kNever);
 }
 
 // Guards against a proof by a store that is back from an older copy, before its state is read.
