--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -17,6 +17,7 @@
 #include "edge/peer_reader.h"
 #include "edge/peer_sync.h"
 #include "edge/platform_ports.h"
+#include "edge/quota_link.h"
 #include "edge/request_forwarder.h"
 #include "edge/store_follower.h"
 #include "edge/store_items.h"
@@ -43,6 +44,7 @@
   using Messages = typename Platform::MessageFormat;
   using Formats = typename Platform::StoreFormat;
   using Store = typename Platform::Store;
+  using Quotas = typename Platform::QuotaFormat;
 
   static constexpr Duration kTickInterval = std::chrono::milliseconds(250);
   /// Requests still in flight get their final answer this long before the process would be killed.
@@ -88,7 +90,16 @@
             },
             [this](StoreEra era) { OnPeerEra(era); }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node), Announcement(true),
-                   [this](MonotonicTime at) { core_.OnAnnouncementRenewed(at); }),
+                   [this](MonotonicTime at) {
+                     core_.OnAnnouncementRenewed(at);
+                     quotas_.OnAnnouncementRenewed(at);
+                   }),
+        quota_link_(store_client_, log_, metrics_),
+        quotas_(settings_.node, InstanceId(std::random_device()()), workers_, log_, metrics_,
+                [this](const Endpoint& keeper, const QuotaAsk& ask, Duration timeout,
+                       TeamQuotaGate::OnReply on_reply) {
+                  quota_link_.Send(keeper, ask, timeout, std::move(on_reply));
+                }),
         harm_(
             core_, log_, metrics_, settings_.digest_key,
             [this](const std::vector<EntryVm>& vms) { Tell(vms); },
@@ -221,12 +232,15 @@
     callers_server_.SetLimits(EdgeLimits::CallerServer(settings_.descriptors, policy.limits));
     peers_server_.SetLimits(EdgeLimits::PeerServer(policy.limits));
     access_.Apply(policy);
+    quotas_.Apply(policy.teams);
     forwarder_.OnPolicyApplied();
   }
 
   auto OnPeerRequest(const HttpRequest& request, const HttpServer::Responder& respond) -> void {
     if (auto relayed = Messages::RelayedRequest(request)) {
       forwarder_.ForwardForPeer(std::move(relayed->request), relayed->terms, respond);
+    } else if (Quotas::IsAsk(request)) {
+      respond(quota_link_.Answer(request, quotas_));
     } else {
       respond(PeerQuestion(request));
     }
@@ -370,6 +384,11 @@
   auto OnBatchApplied() -> void {
     items_.OnBatchApplied();
     RecordStoreSeen();
+    if (follower_.sync_state().synced() && !std::exchange(has_state_, true)) {
+      const auto now = Now();
+      quotas_.OnFirstState(core_.entry_vms().Announced(now), now - core_.StoreAge(now));
+      quotas_.OnTick(core_.entry_vms().Announced(now), now);
+    }
     if (IsReady()) announcer_.Start();
   }
 
@@ -385,6 +404,7 @@
     listing_budget_.OnTick();
     items_.Settle();
     core_.OnTick(now);
+    quotas_.OnTick(core_.entry_vms().Announced(now), now);
     prober_.OnTick(now);
     AnnounceReach(now);
     metrics_.Set(Metric::kInputAgeSeconds, {{"source", "store"}},
@@ -404,6 +424,7 @@
                  std::chrono::duration_cast<std::chrono::milliseconds>(settings_.bounds.stop_grace)
                      .count()}});
     announcer_.Withdraw();
+    quotas_.BeginStop();
     callers_server_.BeginClosing();
     forwarder_.BeginStop(settings_.bounds.stop_grace);
     stop_timer_ = workers_.RunAfter(settings_.bounds.stop_grace - kStopMargin, [this] {
@@ -430,6 +451,8 @@
   auto SetChangeBound(const Bounds& bounds) -> void {
     follower_.SetTiming(StoreReadTiming::For(EdgeLimits::ChangeBound(bounds)));
     core_.SetChangeBound(EdgeLimits::ChangeBound(bounds));
+    quotas_.SetRule({bounds.quota_window, bounds.quota_overage, bounds.quota_slack},
+                    EdgeLimits::ChangeBound(bounds));
   }
 
   auto OnReload(EdgeSettings& settings) -> void {
@@ -463,7 +486,9 @@
   VmAnnouncer<Store> announcer_;
   bool announced_reach_ = true;
   TeamAccess access_;
+  QuotaLink<Quotas> quota_link_;
   TeamQuotaGate quotas_;
+  bool has_state_ = false;  ///< Of the store, its own or another VM's.
   HarmMonitor<Messages> harm_;
   RequestRelay<Messages> relay_;
   RequestForwarder<Messages> forwarder_;
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -11,6 +11,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "gateway/entry_vm_directory.h"
+#include "gateway/quota_exchange.h"
 #include "gateway/registered_target.h"
 #include "gateway/relay_terms.h"
 #include "gateway/request_digest.h"
@@ -105,9 +106,23 @@
   { T::ReadDirectoryQuery(request) } -> std::same_as<std::optional<typename T::DirectoryQuery>>;
 };
 
+/// The formats of the messages between entry VMs about the quotas of teams.
+template <class T>
+concept QuotaMessageFormat = requires(const HttpRequest& request, const HttpResponse& response,
+                                      const QuotaAsk& ask, const QuotaAnswer& answer) {
+  { T::IsAsk(request) } -> std::same_as<bool>;
+  { T::WriteAsk(ask) } -> std::same_as<HttpRequest>;
+  { T::ReadAsk(request) } -> std::same_as<absl::StatusOr<QuotaAsk>>;
+  { T::WriteAnswer(answer) } -> std::same_as<HttpResponse>;
+  { T::ReadAnswer(response) } -> std::same_as<absl::StatusOr<QuotaAnswer>>;
+  { T::Declined() } -> std::same_as<HttpResponse>;
+  { T::Malformed() } -> std::same_as<HttpResponse>;
+  { T::IsDeclined(response) } -> std::same_as<bool>;
+};
+
 /// All formats and protocols that are specific to a platform.
 template <class T>
 concept PlatformAdapter = GatewayStore<typename T::Store> && StoreFormat<typename T::StoreFormat> &&
-    MessageFormat<typename T::MessageFormat>;
+    MessageFormat<typename T::MessageFormat> && QuotaMessageFormat<typename T::QuotaFormat>;
 
 }  // namespace heatherspan
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -124,11 +124,11 @@
     HttpResponse last_response;      ///< A failure, delivered if no retry succeeds.
     Duration expected_queue_wait{};  ///< Of the last attempt, or of the late placement.
     Duration expected_processing_time{};
-    std::vector<Endpoint> endpoints;  ///< Of the targets that have got the request.
-    std::optional<TeamName> team;     ///< That the request is served for.
-    bool has_quota = false;           ///< The request has been taken from the team's quota.
-    std::string through;              ///< The entry VM that has got the request for this one.
-    bool for_peer = false;            ///< Another entry VM has passed the request on.
+    std::vector<Endpoint> endpoints;       ///< Of the targets that have got the request.
+    std::optional<TeamName> team;          ///< That the request is served for.
+    std::optional<TeamQuotaRuling> quota;  ///< By which the request was taken from the quota.
+    std::string through;                   ///< The entry VM that has got the request for this one.
+    bool for_peer = false;                 ///< Another entry VM has passed the request on.
     bool finished = false;
   };
   using ActivePtr = std::shared_ptr<Active>;
@@ -196,8 +196,8 @@
       Place(active);
       return;
     }
-    quotas_.Acquire(*active->team, [this, active](TeamQuotaGate::Ruling ruling) {
-      active->has_quota = ruling.admitted;
+    quotas_.Acquire(*active->team, [this, active](const TeamQuotaRuling& ruling) {
+      if (ruling.admitted) active->quota = ruling;
       if (active->finished) {
         ReturnToQuota(*active);
       } else if (ruling.admitted) {
@@ -210,8 +210,9 @@
   }
 
   auto ReturnToQuota(Active& active) -> void {
-    if (!active.team.has_value() || !std::exchange(active.has_quota, false)) return;
-    if (active.forwarded.verdict() == Verdict::kNotRun) quotas_.GiveBack(*active.team);
+    const auto ruling = std::exchange(active.quota, std::nullopt);
+    if (!ruling.has_value() || active.forwarded.verdict() != Verdict::kNotRun) return;
+    quotas_.GiveBack(*active.team, *ruling);
   }
 
   auto RefuseUnadmitted(const RequestId& id, HttpResponse response, Reason reason,
--- /dev/null
+++ b/src/gateway/quota_client.cc
@@ -0,0 +1,239 @@
+#include "gateway/quota_client.h"
+
+#include <algorithm>
+
+#include "base/stable_hash.h"
+
+namespace heatherspan {
+namespace {
+
+constexpr std::string_view kKeeperRole = "team-quotas";
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(200);
+/// Between exchanges of a VM with itself.
+constexpr Duration kOwnGap = std::chrono::milliseconds(5);
+
+}  // namespace
+
+auto QuotaClient::Acquire(const TeamName& team, Waiter waiter, MonotonicTime now)
+    -> std::optional<TeamQuotaRuling> {
+  const auto* budget = quotas_.Find(team);
+  if (budget == nullptr) return Admit(MonotonicTime::min());
+  auto& state = teams_[team];
+  state.tokens.OnRequest();
+  is_active_ = true;
+  if (state.waiting.empty()) {
+    const auto usable_until = state.tokens.Take(now);
+    if (usable_until > now) return Admit(usable_until);
+    if (local_.Take(team, *budget, now)) return Admit(MonotonicTime::min());
+  }
+  if (waiters_ >= kMaxWaiters || !MayWait(state, now)) return Refuse(state, now);
+  state.waiting.push_back({waiter, now});
+  ++waiters_;
+  is_needed_ = true;
+  return std::nullopt;
+}
+
+auto QuotaClient::GiveBack(const TeamName& team, MonotonicTime usable_until, MonotonicTime now)
+    -> void {
+  if (usable_until <= now) return;
+  const auto found = teams_.find(team);
+  if (found != teams_.end()) found->second.tokens.Put(usable_until, 1);
+}
+
+auto QuotaClient::Refuse(TeamState& state, MonotonicTime now) -> TeamQuotaRuling {
+  return {false, state.tokens.OnRefused(std::max(state.retry_after, kLeastRetryAfter), now), {}};
+}
+
+auto QuotaClient::Update(double fraction, const QuotaTiming& timing,
+                         const std::vector<EntryVm>& announced, MonotonicTime now) -> bool {
+  fraction_ = fraction;
+  timing_ = timing;
+  for (const auto& vm : announced) {
+    if (vm.name != self_ && vm.peer_endpoint.address.empty()) continue;
+    auto& candidate = candidates_[vm.name];
+    candidate.vm = vm;
+    candidate.seen_at = now;
+  }
+  absl::erase_if(candidates_,
+                 [&](const auto& entry) { return now - entry.second.seen_at > kKeeperRetention; });
+  const auto before = keeper_.has_value() ? keeper_->name : NodeName();
+  if (!exchange_.has_value()) ChooseKeeper(now);
+  UpdateLocal(now);
+  SettleAll(now);
+  return (keeper_.has_value() ? keeper_->name : NodeName()) != before;
+}
+
+auto QuotaClient::OnQuotasChanged() -> void {
+  for (auto& [team, state] : teams_) state.dry_until = MonotonicTime{};
+}
+
+auto QuotaClient::ChooseKeeper(MonotonicTime now) -> void {
+  const Candidate* best = nullptr;
+  double best_score = 0;
+  const auto key = StableHash(kKeeperRole);
+  for (const auto& [name, candidate] : candidates_) {
+    if (candidate.avoid_until > now) continue;
+    const double score = RendezvousScore(key, StableHash(name.value()));
+    if (best != nullptr && score <= best_score) continue;
+    best = &candidate;
+    best_score = score;
+  }
+  const bool is_same = best != nullptr && keeper_.has_value() && keeper_->name == best->vm.name;
+  const bool answers = keeper_.has_value() && !has_failed_ && stamp_.has_value();
+  is_releasing_ = !is_same && answers && lent_to_ == keeper_->name && now < lent_until_;
+  if (is_releasing_) {
+    is_needed_ = true;
+    return;
+  }
+  if (!is_same) {
+    stamp_.reset();
+    has_failed_ = false;
+    is_needed_ = true;
+  }
+  keeper_ = best == nullptr ? std::nullopt : std::optional(best->vm);
+}
+
+auto QuotaClient::HasKeeper(MonotonicTime now) const -> bool {
+  return stamp_.has_value() && now < stamp_at_ + timing_.loan_time;
+}
+
+auto QuotaClient::MayWait(const TeamState& state, MonotonicTime now) const -> bool {
+  if (!HasKeeper(now)) return local_.fraction() <= 0;
+  return state.dry_until <= now || now >= lent_until_;
+}
+
+auto QuotaClient::MayLend(MonotonicTime now) const -> bool {
+  if (!HasKeeper(now) || is_releasing_) return false;
+  // Tokens that the last keeper has handed out end one lifetime after the loan.
+  return lent_to_ == keeper_->name || now >= lent_until_ + timing_.token_life;
+}
+
+auto QuotaClient::UpdateLocal(MonotonicTime now) -> void {
+  const bool is_own = now >= lent_until_ + timing_.token_life;
+  local_.SetFraction(is_own ? fraction_ : 0, now);
+}
+
+auto QuotaClient::NextAskAt() const -> std::optional<MonotonicTime> {
+  if (!keeper_.has_value() || exchange_.has_value() || quotas_.empty()) return std::nullopt;
+  const auto gap = keeper_->name == self_ ? kOwnGap : timing_.min_gap;
+  const auto interval = is_needed_ ? gap : is_active_ ? timing_.interval : timing_.idle_interval;
+  return last_ask_at_ + interval;
+}
+
+auto QuotaClient::BeginAsk(MonotonicTime now) -> QuotaAsk {
+  QuotaAsk ask;
+  ask.node = self_;
+  if (MayLend(now)) {
+    lent_to_ = keeper_->name;
+    lent_until_ = std::max(lent_until_, stamp_at_ + timing_.loan_time);
+    ask.fraction = fraction_;
+  }
+  ask.stamp = stamp_;
+  exchange_.emplace();
+  exchange_->sent_at = now;
+  exchange_->releases = is_releasing_;
+  for (auto& [team, state] : teams_) {
+    state.tokens.UpdateRates(now);
+    if (ask.teams.size() >= QuotaAsk::kMaxTeams) continue;
+    QuotaAsk::Item item;
+    item.team = team;
+    item.returned = state.tokens.TakeSpare(timing_.interval, now);
+    item.needed = static_cast<int>(state.waiting.size());
+    item.ahead = std::max(0, state.tokens.Expected(timing_.interval) - state.tokens.Count(now));
+    if (item.returned == 0 && item.needed == 0 && item.ahead == 0) continue;
+    ask.teams.push_back(item);
+    exchange_->teams.push_back(team);
+  }
+  absl::erase_if(teams_, [now](const auto& entry) {
+    return entry.second.waiting.empty() && entry.second.tokens.IsIdle(now);
+  });
+  is_active_ = !teams_.empty();
+  is_needed_ = false;
+  last_ask_at_ = now;
+  UpdateLocal(now);
+  return ask;
+}
+
+auto QuotaClient::OnAnswer(const QuotaAnswer& answer, MonotonicTime now) -> void {
+  if (!exchange_.has_value()) return;
+  const auto exchange = *std::exchange(exchange_, std::nullopt);
+  // The first answer of a keeper only gives its stamp.
+  is_needed_ =
+      exchange.releases || !stamp_.has_value() || stamp_->instance != answer.stamp.instance;
+  has_failed_ = false;
+  stamp_ = answer.stamp;
+  stamp_at_ = now;
+  if (exchange.releases) lent_until_ = std::min(lent_until_, now);
+  const auto usable_until = exchange.sent_at + std::min(answer.token_life, ask_timeout());
+  const auto count = std::min(exchange.teams.size(), answer.teams.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    auto& state = teams_[exchange.teams[i]];
+    const auto& item = answer.teams[i];
+    state.tokens.OnGranted(item.granted);
+    if (usable_until > now) state.tokens.Put(usable_until, item.granted);
+    state.retry_after = item.retry_after;
+    if (item.retry_after > Duration::zero()) {
+      state.dry_until = now + std::min(timing_.interval, item.retry_after);
+    }
+  }
+  if (exchange.releases) ChooseKeeper(now);
+  UpdateLocal(now);
+  SettleAll(now);
+}
+
+auto QuotaClient::OnFailure(Failure failure, MonotonicTime now) -> void {
+  if (!exchange_.has_value()) return;
+  exchange_.reset();
+  const bool again = std::exchange(has_failed_, true);
+  if (failure == Failure::kDeclined && lent_to_ == keeper_->name) {
+    lent_until_ = std::min(lent_until_, now);
+  }
+  if (failure == Failure::kDeclined || again) {
+    const auto found = candidates_.find(keeper_->name);
+    if (found != candidates_.end()) found->second.avoid_until = now + kAvoidTime;
+  }
+  ChooseKeeper(now);
+  is_needed_ = true;
+  UpdateLocal(now);
+  SettleAll(now);
+}
+
+auto QuotaClient::Settle(const TeamName& team, TeamState& state, MonotonicTime now) -> void {
+  const auto* budget = quotas_.Find(team);
+  while (!state.waiting.empty()) {
+    const auto& first = state.waiting.front();
+    std::optional<TeamQuotaRuling> ruling;
+    if (budget == nullptr) {
+      ruling = Admit(MonotonicTime::min());
+    } else if (const auto usable_until = state.tokens.Take(now); usable_until > now) {
+      ruling = Admit(usable_until);
+    } else if (local_.Take(team, *budget, now)) {
+      ruling = Admit(MonotonicTime::min());
+    } else if (!MayWait(state, now) || now - first.since >= kMaxWait) {
+      ruling = Refuse(state, now);
+    }
+    if (!ruling.has_value()) {
+      is_needed_ = true;
+      return;
+    }
+    rulings_.emplace_back(first.waiter, *ruling);
+    state.waiting.pop_front();
+    --waiters_;
+  }
+}
+
+auto QuotaClient::SettleAll(MonotonicTime now) -> void {
+  if (waiters_ == 0) return;
+  for (auto& [team, state] : teams_) Settle(team, state, now);
+}
+
+auto QuotaClient::TakeRulings() -> std::vector<std::pair<Waiter, TeamQuotaRuling>> {
+  return std::exchange(rulings_, {});
+}
+
+auto QuotaClient::TokensOf(const TeamName& team, MonotonicTime now) const -> int {
+  const auto found = teams_.find(team);
+  return found == teams_.end() ? 0 : found->second.tokens.Count(now);
+}
+
+}  // namespace heatherspan
--- /dev/null
+++ b/src/gateway/team_quota_budget.cc
@@ -0,0 +1,28 @@
+#include "gateway/team_quota_budget.h"
+
+#include <algorithm>
+
+namespace heatherspan {
+namespace {
+
+constexpr double kMaxExtraRate = 0.05;
+/// Of what the rule allows beyond the quota and the extra rate.
+constexpr double kUsedFractionOfSpare = 0.75;
+
+auto Seconds(Duration duration) -> double {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+auto TeamQuotaRule::Allowed(const TeamQuota& quota) const -> double {
+  return (quota.rate.value() * Seconds(window) + quota.burst) * (1 + overage) + slack;
+}
+
+auto TeamQuotaBudget::Of(const TeamQuota& quota, const TeamQuotaRule& rule) -> TeamQuotaBudget {
+  const double rate = quota.rate.value() * (1 + std::min(kMaxExtraRate, rule.overage / 2));
+  const double spare = rule.Allowed(quota) - rate * Seconds(rule.window) - quota.burst;
+  return {RequestsPerSecond(rate), quota.burst + kUsedFractionOfSpare * std::max(0.0, spare)};
+}
+
+}  // namespace heatherspan
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -39,6 +39,11 @@
   kUnattributedAnswers,
   kNotRunVerdicts,
   kReconnectedRequests,
+  kTeamQuota,
+  kTeamTokens,
+  kQuotaFraction,
+  kQuotaMessages,
+  kQuotaMessageBytes,
   kAdminCalls,
   kCount,
 };
@@ -120,6 +125,16 @@
          MetricKind::kCounter,
          "Requests sent over a new connection as the write on a used one took nothing, by "
          "service."},
+        {Metric::kTeamQuota, "heatherspan_team_quota_total", MetricKind::kCounter,
+         "Requests of teams with a quota, by team and result."},
+        {Metric::kTeamTokens, "heatherspan_team_tokens", MetricKind::kGauge,
+         "Requests of the team that this entry VM may admit without asking, by team."},
+        {Metric::kQuotaFraction, "heatherspan_quota_fraction", MetricKind::kGauge,
+         "Fraction of every quota that is this entry VM's own, lent by it, or kept for others."},
+        {Metric::kQuotaMessages, "heatherspan_quota_messages_total", MetricKind::kCounter,
+         "Messages between entry VMs about quotas, asked and answered."},
+        {Metric::kQuotaMessageBytes, "heatherspan_quota_message_bytes_total", MetricKind::kCounter,
+         "Bytes of the bodies of these messages."},
         {Metric::kAdminCalls, "heatherspan_admin_calls_total", MetricKind::kCounter,
          "Calls to the administration interface by path and status."},
     }};
