quota: tokens are renewed instead of exchanged, keepers are probed before they are chosen again

Cause: a token that was returned with each exchange was missing until the answer, and a VM that came back to a lost keeper too early lost its loan for a while.

--- a/src/edge/team_quota_gate.cc
+++ b/src/edge/team_quota_gate.cc
@@ -48,6 +48,7 @@
   if (quotas_.empty()) return;
   LogChanges(keeper_changed);
   SetMetrics(now);
+  Probe(now);
   Proceed();
 }
 
@@ -108,6 +109,20 @@
   }
 }
 
+auto TeamQuotaGate::Probe(MonotonicTime now) -> void {
+  const auto vm = client_.BeginProbe(now);
+  if (!vm.has_value()) return;
+  if (vm->name == self_) {
+    client_.OnProbed(self_, !stopping_);
+    return;
+  }
+  QuotaAsk ask;
+  ask.node = self_;
+  send_(vm->peer_endpoint, ask, client_.ask_timeout(), [this, name = vm->name](const Reply& reply) {
+    client_.OnProbed(name, reply.answer.has_value());
+  });
+}
+
 auto TeamQuotaGate::OnAnswered(const Reply& reply) -> void {
   if (reply.answer.has_value()) {
     client_.OnAnswer(*reply.answer, Now());
--- a/src/edge/team_quota_gate.h
+++ b/src/edge/team_quota_gate.h
@@ -66,6 +66,7 @@
   /// Begins exchanges that are due, and sets the timer for the next.
   auto Proceed() -> void;
   auto Ask() -> void;
+  auto Probe(MonotonicTime now) -> void;
   auto OnAnswered(const Reply& reply) -> void;
   auto DeliverRulings() -> void;
   auto Report(const TeamName& team, const TeamQuotaRuling& ruling, MonotonicTime now) -> void;
--- a/src/experiment/team_quota_simulation.cc
+++ b/src/experiment/team_quota_simulation.cc
@@ -67,7 +67,26 @@
 
 auto TeamQuotaSimulation::ResetCounts() -> void {
   counted_since_ = scheduler_.now();
-  owed_ = lost_ = admitted_ = waited_ = messages_ = bytes_ = 0;
+  waited_ = messages_ = bytes_ = 0;
+  for (auto& team : teams_) team.owed = team.admitted = 0;
+}
+
+auto TeamQuotaSimulation::Lost() const -> double {
+  std::int64_t lost = 0;
+  for (const auto& team : teams_) lost += std::max<std::int64_t>(0, team.owed - team.admitted);
+  return static_cast<double>(lost) / static_cast<double>(std::max<std::int64_t>(1, owed()));
+}
+
+auto TeamQuotaSimulation::owed() const -> std::int64_t {
+  std::int64_t sum = 0;
+  for (const auto& team : teams_) sum += team.owed;
+  return sum;
+}
+
+auto TeamQuotaSimulation::WaitedPart() const -> double {
+  std::int64_t admitted = 0;
+  for (const auto& team : teams_) admitted += team.admitted;
+  return static_cast<double>(waited_) / static_cast<double>(std::max<std::int64_t>(1, admitted));
 }
 
 auto TeamQuotaSimulation::Teams() const -> std::vector<Team> {
@@ -190,6 +209,11 @@
   state.fraction->Update(state.announced, now);
   state.client->Update(state.fraction->value(), QuotaTiming::For(state.fraction->vm_count()),
                        state.announced, now);
+  if (const auto peer = state.client->BeginProbe(now)) {
+    const auto& other = *vms_[vm_numbers_.at(peer->name.value())];
+    state.client->OnProbed(
+        peer->name, other.is_up && now >= std::max(other.vms_cut_until, state.vms_cut_until));
+  }
   Proceed(state);
 }
 
@@ -312,10 +336,9 @@
 auto TeamQuotaSimulation::Rule(std::size_t team, bool owed, const TeamQuotaRuling& ruling) -> void {
   auto& state = teams_[team];
   const auto now = scheduler_.now();
-  owed_ += owed ? 1 : 0;
-  lost_ += owed && !ruling.admitted ? 1 : 0;
+  state.owed += owed ? 1 : 0;
   if (!ruling.admitted) return;
-  ++admitted_;
+  ++state.admitted;
   auto& runs = state.runs;
   runs.push_back(now);
   while (runs.front() <= now - rule_.window) runs.pop_front();
--- a/src/experiment/team_quota_simulation.h
+++ b/src/experiment/team_quota_simulation.h
@@ -51,12 +51,14 @@
   /// The largest number of requests in a window, as a part of what the rule allows, and its team.
   auto LargestUse() const -> std::pair<double, std::size_t> { return largest_use_; }
   /// The part of the requests within quota that were refused.
-  auto Lost() const -> double { return owed_ == 0 ? 0 : double(lost_) / double(owed_); }
-  auto owed() const -> std::int64_t { return owed_; }
-  /// The part of the admitted requests that have waited for a token, and their mean wait.
-  auto WaitedPart() const -> double { return double(waited_) / std::max(1.0, double(admitted_)); }
-  auto MessagesPerSecond() const -> double { return double(messages_) / CountedSeconds(); }
-  auto BytesPerSecond() const -> double { return double(bytes_) / CountedSeconds(); }
+  auto Lost() const -> double;
+  auto owed() const -> std::int64_t;
+  /// The part of the admitted requests that have waited for a token.
+  auto WaitedPart() const -> double;
+  auto MessagesPerSecond() const -> double {
+    return static_cast<double>(messages_) / CountedSeconds();
+  }
+  auto BytesPerSecond() const -> double { return static_cast<double>(bytes_) / CountedSeconds(); }
 
  private:
   struct Vm {
@@ -86,6 +88,8 @@
     std::vector<std::size_t> vms;
     double owed_tokens = 0;
     MonotonicTime owed_at{};
+    std::int64_t owed = 0;  ///< Requests within quota.
+    std::int64_t admitted = 0;
     std::deque<MonotonicTime> runs;
     double earlier_allowed = 0;  ///< Until the VMs know of the lower quota.
     MonotonicTime earlier_until{};
@@ -126,9 +130,6 @@
   MonotonicTime store_away_until_{};
   MonotonicTime counted_since_{};
   std::pair<double, std::size_t> largest_use_{0, 0};
-  std::int64_t owed_ = 0;
-  std::int64_t lost_ = 0;
-  std::int64_t admitted_ = 0;
   std::int64_t waited_ = 0;
   std::int64_t messages_ = 0;
   std::int64_t bytes_ = 0;
--- a/src/gateway/quota_bucket.cc
+++ b/src/gateway/quota_bucket.cc
@@ -32,19 +32,29 @@
   return taken;
 }
 
-auto QuotaBucket::Credit(int returned) -> void {
-  auto open = static_cast<float>(std::max(0, returned));
-  float credited = 0;
-  const auto count = SlotCount(token_life_);
-  for (std::int64_t i = 0; i <= count && open > 0; ++i) {
+auto QuotaBucket::Forget(int count) -> float {
+  const auto wanted = static_cast<float>(std::max(0, count));
+  float open = wanted;
+  const auto slots = SlotCount(token_life_);
+  for (std::int64_t i = 0; i <= slots && open > 0; ++i) {
     auto& granted = granted_[static_cast<std::size_t>((slot_ - i + static_cast<int>(kSlots)) %
                                                       static_cast<int>(kSlots))];
     const float part = std::min(granted, open);
     granted -= part;
     open -= part;
-    credited += part;
   }
-  level_ = std::min(level_ + credited, std::max(0.0, limit_ - Recent(token_life_)));
+  return wanted - open;
+}
+
+auto QuotaBucket::Credit(int returned) -> void {
+  level_ += static_cast<double>(Forget(returned));
+  level_ = std::min(level_, std::max(0.0, limit_ - Recent(token_life_)));
+}
+
+auto QuotaBucket::Renew(int count) -> bool {
+  const float renewed = Forget(count);
+  granted_[static_cast<std::size_t>(slot_ % static_cast<int>(kSlots))] += renewed;
+  return renewed == static_cast<float>(std::max(0, count));
 }
 
 auto QuotaBucket::Recent(Duration token_life) const -> double {
--- a/src/gateway/quota_bucket.h
+++ b/src/gateway/quota_bucket.h
@@ -24,6 +24,9 @@
   auto Take(int wanted) -> int;
   /// Takes back tokens that were handed out within their lifetime and will not be used.
   auto Credit(int returned) -> void;
+  /// Counts tokens as handed out now, if they were handed out within their lifetime. Returns
+  /// whether they were.
+  auto Renew(int count) -> bool;
 
   auto level() const -> double { return level_; }
 
@@ -32,6 +35,8 @@
   static constexpr std::size_t kSlots = 16;
 
   static auto SlotCount(Duration token_life) -> std::int64_t;
+  /// Forgets that tokens were handed out lately, the latest first. Returns how many.
+  auto Forget(int count) -> float;
   auto Recent(Duration token_life) const -> double;
 
   double level_ = 0;
--- a/src/gateway/quota_client.cc
+++ b/src/gateway/quota_client.cc
@@ -7,11 +7,16 @@
 namespace heatherspan {
 namespace {
 
-constexpr std::string_view kKeeperRole = "team-quotas";
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(200);
 /// Between exchanges of a VM with itself.
 constexpr Duration kOwnGap = std::chrono::milliseconds(5);
 
+/// The VM with the highest rank is the keeper.
+auto KeeperRank(const NodeName& vm) -> double {
+  constexpr std::string_view kRole = "team-quotas";
+  return RendezvousScore(StableHash(kRole), StableHash(vm.value()));
+}
+
 }  // namespace
 
 auto QuotaClient::Acquire(const TeamName& team, Waiter waiter, MonotonicTime now)
@@ -22,8 +27,7 @@
   state.tokens.OnRequest();
   is_active_ = true;
   if (state.waiting.empty()) {
-    const auto usable_until = state.tokens.Take(now);
-    if (usable_until > now) return Admit(usable_until);
+    if (state.tokens.Take(now)) return Admit(state.tokens.usable_until());
     if (local_.Take(team, *budget, now)) return Admit(MonotonicTime::min());
   }
   if (waiters_ >= kMaxWaiters || !MayWait(state, now)) return Refuse(state, now);
@@ -37,7 +41,7 @@
     -> void {
   if (usable_until <= now) return;
   const auto found = teams_.find(team);
-  if (found != teams_.end()) found->second.tokens.Put(usable_until, 1);
+  if (found != teams_.end()) found->second.tokens.GiveBack(usable_until);
 }
 
 auto QuotaClient::Refuse(TeamState& state, MonotonicTime now) -> TeamQuotaRuling {
@@ -51,7 +55,7 @@
   for (const auto& vm : announced) {
     if (vm.name != self_ && vm.peer_endpoint.address.empty()) continue;
     auto& candidate = candidates_[vm.name];
-    candidate.vm = vm;
+    if (candidate.vm != vm) candidate.vm = vm;
     candidate.seen_at = now;
   }
   absl::erase_if(candidates_,
@@ -69,14 +73,9 @@
 
 auto QuotaClient::ChooseKeeper(MonotonicTime now) -> void {
   const Candidate* best = nullptr;
-  double best_score = 0;
-  const auto key = StableHash(kKeeperRole);
   for (const auto& [name, candidate] : candidates_) {
-    if (candidate.avoid_until > now) continue;
-    const double score = RendezvousScore(key, StableHash(name.value()));
-    if (best != nullptr && score <= best_score) continue;
-    best = &candidate;
-    best_score = score;
+    if (candidate.is_suspect) continue;
+    if (best == nullptr || KeeperRank(name) > KeeperRank(best->vm.name)) best = &candidate;
   }
   const bool is_same = best != nullptr && keeper_.has_value() && keeper_->name == best->vm.name;
   const bool answers = keeper_.has_value() && !has_failed_ && stamp_.has_value();
@@ -93,6 +92,23 @@
   keeper_ = best == nullptr ? std::nullopt : std::optional(best->vm);
 }
 
+auto QuotaClient::BeginProbe(MonotonicTime now) -> std::optional<EntryVm> {
+  Candidate* best = nullptr;
+  for (auto& [name, candidate] : candidates_) {
+    const bool outranks = !keeper_.has_value() || KeeperRank(name) > KeeperRank(keeper_->name);
+    if (!candidate.is_suspect || candidate.probe_at > now || !outranks) continue;
+    if (best == nullptr || KeeperRank(name) > KeeperRank(best->vm.name)) best = &candidate;
+  }
+  if (best == nullptr) return std::nullopt;
+  best->probe_at = now + kProbeInterval;
+  return best->vm;
+}
+
+auto QuotaClient::OnProbed(const NodeName& vm, bool answered) -> void {
+  const auto found = candidates_.find(vm);
+  if (found != candidates_.end() && answered) found->second.is_suspect = false;
+}
+
 auto QuotaClient::HasKeeper(MonotonicTime now) const -> bool {
   return stamp_.has_value() && now < stamp_at_ + timing_.loan_time;
 }
@@ -104,13 +120,16 @@
 
 auto QuotaClient::MayLend(MonotonicTime now) const -> bool {
   if (!HasKeeper(now) || is_releasing_) return false;
-  // Tokens that the last keeper has handed out end one lifetime after the loan.
-  return lent_to_ == keeper_->name || now >= lent_until_ + timing_.token_life;
+  return lent_to_ == keeper_->name || now >= FreeAt();
+}
+
+auto QuotaClient::FreeAt() const -> MonotonicTime {
+  const auto overlap = std::min(timing_.token_life, TeamQuotaBudget::kMoveOverlap);
+  return lent_until_ + timing_.token_life - overlap;
 }
 
 auto QuotaClient::UpdateLocal(MonotonicTime now) -> void {
-  const bool is_own = now >= lent_until_ + timing_.token_life;
-  local_.SetFraction(is_own ? fraction_ : 0, now);
+  local_.SetFraction(now >= FreeAt() ? fraction_ : 0, now);
 }
 
 auto QuotaClient::NextAskAt() const -> std::optional<MonotonicTime> {
@@ -137,10 +156,14 @@
     if (ask.teams.size() >= QuotaAsk::kMaxTeams) continue;
     QuotaAsk::Item item;
     item.team = team;
-    item.returned = state.tokens.TakeSpare(timing_.interval, now);
+    const int expected = state.tokens.Expected(timing_.interval);
     item.needed = static_cast<int>(state.waiting.size());
-    item.ahead = std::max(0, state.tokens.Expected(timing_.interval) - state.tokens.Count(now));
-    if (item.returned == 0 && item.needed == 0 && item.ahead == 0) continue;
+    item.returned = state.tokens.TakeSpare(2 * expected, now);
+    const int held = state.tokens.Count(now);
+    const bool ends_soon = held > 0 && state.tokens.usable_until() - now < timing_.interval;
+    if (ends_soon || 2 * held < expected) item.ahead = std::max(0, expected - held);
+    if (!ends_soon && item.returned == 0 && item.needed == 0 && item.ahead == 0) continue;
+    item.renewed = held;
     ask.teams.push_back(item);
     exchange_->teams.push_back(team);
   }
@@ -169,8 +192,7 @@
   for (std::size_t i = 0; i < count; ++i) {
     auto& state = teams_[exchange.teams[i]];
     const auto& item = answer.teams[i];
-    state.tokens.OnGranted(item.granted);
-    if (usable_until > now) state.tokens.Put(usable_until, item.granted);
+    state.tokens.OnGranted(item.granted, item.renewed, usable_until, now);
     state.retry_after = item.retry_after;
     if (item.retry_after > Duration::zero()) {
       state.dry_until = now + std::min(timing_.interval, item.retry_after);
@@ -184,13 +206,17 @@
 auto QuotaClient::OnFailure(Failure failure, MonotonicTime now) -> void {
   if (!exchange_.has_value()) return;
   exchange_.reset();
-  const bool again = std::exchange(has_failed_, true);
+  has_failed_ = true;
   if (failure == Failure::kDeclined && lent_to_ == keeper_->name) {
     lent_until_ = std::min(lent_until_, now);
   }
-  if (failure == Failure::kDeclined || again) {
+  // Before the loan ends, another keeper would have no more than this one.
+  if (failure == Failure::kDeclined || !HasKeeper(now)) {
     const auto found = candidates_.find(keeper_->name);
-    if (found != candidates_.end()) found->second.avoid_until = now + kAvoidTime;
+    if (found != candidates_.end()) {
+      found->second.is_suspect = true;
+      found->second.probe_at = now + kProbeInterval;
+    }
   }
   ChooseKeeper(now);
   is_needed_ = true;
@@ -205,8 +231,8 @@
     std::optional<TeamQuotaRuling> ruling;
     if (budget == nullptr) {
       ruling = Admit(MonotonicTime::min());
-    } else if (const auto usable_until = state.tokens.Take(now); usable_until > now) {
-      ruling = Admit(usable_until);
+    } else if (state.tokens.Take(now)) {
+      ruling = Admit(state.tokens.usable_until());
     } else if (local_.Take(team, *budget, now)) {
       ruling = Admit(MonotonicTime::min());
     } else if (!MayWait(state, now) || now - first.since >= kMaxWait) {
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -35,8 +35,8 @@
                 ///< quotas.
   };
 
-  /// A VM that does not answer is not chosen again for so long.
-  static constexpr Duration kAvoidTime = std::chrono::seconds(3);
+  /// A VM that has not answered is asked again after so long, and chosen again once it answers.
+  static constexpr Duration kProbeInterval = std::chrono::seconds(1);
   /// VMs that were announced so lately stay eligible, since the store's view may be at fault.
   static constexpr Duration kKeeperRetention = std::chrono::seconds(20);
   static constexpr Duration kMaxWait = std::chrono::milliseconds(500);
@@ -64,6 +64,10 @@
   auto OnAnswer(const QuotaAnswer& answer, MonotonicTime now) -> void;
   auto OnFailure(Failure failure, MonotonicTime now) -> void;
   /// The rulings on requests that have waited.
+  /// Returns a VM that is to be the keeper if it answers an ask without content, and its answer is
+  /// to be told.
+  auto BeginProbe(MonotonicTime now) -> std::optional<EntryVm>;
+  auto OnProbed(const NodeName& vm, bool answered) -> void;
   auto TakeRulings() -> std::vector<std::pair<Waiter, TeamQuotaRuling>>;
 
   auto keeper() const -> const std::optional<EntryVm>& { return keeper_; }
@@ -96,10 +100,14 @@
   auto ChooseKeeper(MonotonicTime now) -> void;
   auto UpdateLocal(MonotonicTime now) -> void;
   auto MayLend(MonotonicTime now) const -> bool;
+  /// When tokens of the VM that holds the loan no longer count beside those of another.
+  auto FreeAt() const -> MonotonicTime;
   auto HasKeeper(MonotonicTime now) const -> bool;
   /// Whether a request without a token may get one soon.
   auto MayWait(const TeamState& state, MonotonicTime now) const -> bool;
-  auto Admit(MonotonicTime usable_until) -> TeamQuotaRuling { return {true, {}, usable_until}; }
+  static auto Admit(MonotonicTime usable_until) -> TeamQuotaRuling {
+    return {true, {}, usable_until};
+  }
   auto Refuse(TeamState& state, MonotonicTime now) -> TeamQuotaRuling;
   /// Rules on requests that have waited, as far as it can be.
   auto Settle(const TeamName& team, TeamState& state, MonotonicTime now) -> void;
@@ -117,7 +125,8 @@
   struct Candidate {
     EntryVm vm;
     MonotonicTime seen_at;
-    MonotonicTime avoid_until{};
+    bool is_suspect = false;  ///< It has not answered.
+    MonotonicTime probe_at{};
   };
   absl::flat_hash_map<NodeName, Candidate> candidates_;
   std::optional<EntryVm> keeper_;
--- a/src/gateway/quota_exchange.h
+++ b/src/gateway/quota_exchange.h
@@ -25,7 +25,8 @@
 
   struct Item {
     TeamName team;
-    int returned = 0;  ///< Tokens of the keeper's last answer that will not be used.
+    int returned = 0;  ///< Tokens that will not be used.
+    int renewed = 0;   ///< Tokens that are to be usable for longer.
     int needed = 0;    ///< Tokens for requests that wait.
     int ahead = 0;     ///< Tokens for requests that are expected.
   };
@@ -39,7 +40,8 @@
 /// The keeper's answer, with one item for each of the ask, in the same order.
 struct QuotaAnswer {
   struct Item {
-    int granted = 0;
+    int granted = 0;         ///< Beside those that are renewed.
+    bool renewed = false;    ///< All that were to be.
     Duration retry_after{};  ///< Until there may be more, if some are missing.
   };
 
--- a/src/gateway/quota_keeper.cc
+++ b/src/gateway/quota_keeper.cc
@@ -89,8 +89,11 @@
   if (budget == nullptr) return {};
   auto& bucket = buckets_[item.team];
   bucket.Advance(*budget, fraction_, supply_, token_life_, now);
-  if (may_return) bucket.Credit(item.returned);
   QuotaAnswer::Item answer;
+  if (may_return) {
+    bucket.Credit(item.returned);
+    answer.renewed = bucket.Renew(item.renewed);
+  }
   answer.granted = bucket.Take(item.needed);
   if (answer.granted == item.needed) {
     const auto spare = static_cast<int>(std::floor(bucket.level() * kAheadPart));
--- a/src/gateway/quota_timing.h
+++ b/src/gateway/quota_timing.h
@@ -23,11 +23,11 @@
     QuotaTiming timing;
     timing.interval =
         std::clamp<Duration>(microseconds(2500) * count, milliseconds(250), milliseconds(1000));
-    timing.idle_interval = 2 * timing.interval;
+    timing.idle_interval = timing.interval + timing.interval / 2;
     timing.min_gap =
         std::clamp<Duration>(microseconds(800) * count, milliseconds(60), milliseconds(500));
     timing.token_life = timing.interval + milliseconds(150);
-    timing.loan_time = 6 * timing.interval;
+    timing.loan_time = 5 * timing.interval;
     return timing;
   }
 };
--- a/src/gateway/team_quota_budget.cc
+++ b/src/gateway/team_quota_budget.cc
@@ -5,9 +5,10 @@
 namespace heatherspan {
 namespace {
 
-constexpr double kMaxExtraRate = 0.05;
-/// Of what the rule allows beyond the quota and the extra rate.
-constexpr double kUsedFractionOfSpare = 0.75;
+/// Makes up for the part of the fractions that is set aside.
+constexpr double kMaxExtraRate = 0.03;
+/// Of what the rule allows beyond.
+constexpr double kUsedFractionOfSpare = 0.9;
 
 auto Seconds(Duration duration) -> double {
   return std::chrono::duration<double>(duration).count();
@@ -21,7 +22,8 @@
 
 auto TeamQuotaBudget::Of(const TeamQuota& quota, const TeamQuotaRule& rule) -> TeamQuotaBudget {
   const double rate = quota.rate.value() * (1 + std::min(kMaxExtraRate, rule.overage / 2));
-  const double spare = rule.Allowed(quota) - rate * Seconds(rule.window) - quota.burst;
+  const double spare =
+      rule.Allowed(quota) - rate * Seconds(rule.window + kMoveOverlap) - quota.burst;
   return {RequestsPerSecond(rate), quota.burst + kUsedFractionOfSpare * std::max(0.0, spare)};
 }
 
--- a/src/gateway/team_quota_budget.h
+++ b/src/gateway/team_quota_budget.h
@@ -19,6 +19,9 @@
 
 /// The token bucket of a team that all entry VMs together make up.
 struct TeamQuotaBudget {
+  /// Tokens of the last keeper may still be used for so long when the next one begins.
+  static constexpr Duration kMoveOverlap = std::chrono::milliseconds(400);
+
   RequestsPerSecond rate = RequestsPerSecond(0);
   double depth = 0;
 
--- a/src/gateway/team_tokens.cc
+++ b/src/gateway/team_tokens.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace heatherspan {
 namespace {
@@ -29,40 +28,34 @@
   return std::max(least, next_return_ - now);
 }
 
-auto TeamTokens::Take(MonotonicTime now) -> MonotonicTime {
-  for (auto& batch : batches_) {
-    if (batch.count <= 0 || batch.usable_until <= now) continue;
-    --batch.count;
-    return batch.usable_until;
-  }
-  return MonotonicTime::min();
+auto TeamTokens::Take(MonotonicTime now) -> bool {
+  if (Count(now) == 0) return false;
+  --count_;
+  return true;
 }
 
-auto TeamTokens::Put(MonotonicTime usable_until, int count) -> void {
-  for (auto& batch : batches_) {
-    if (batch.usable_until != usable_until) continue;
-    batch.count += count;
-    return;
-  }
-  if (usable_until < batches_[1].usable_until) return;
-  batches_[0] = batches_[1];
-  batches_[1] = {usable_until, count};
+auto TeamTokens::GiveBack(MonotonicTime usable_until) -> void {
+  ++(usable_until == usable_until_ ? count_ : given_back_);
 }
 
-auto TeamTokens::TakeSpare(Duration time, MonotonicTime now) -> int {
-  // Only tokens of the keeper's last answer can be returned.
-  auto& batch = batches_[1];
-  if (batch.usable_until <= now || batch.usable_until - now >= time) return 0;
-  const int kept = std::min(batch.count, static_cast<int>(request_rate_ * Seconds(kExchangeTime)));
-  return std::exchange(batch.count, kept) - kept;
+auto TeamTokens::OnGranted(int granted, bool renewed, MonotonicTime usable_until, MonotonicTime now)
+    -> void {
+  granted_ += granted;
+  if (usable_until <= now) return;
+  if (!renewed) {
+    if (granted == 0) return;
+    count_ = 0;
+  }
+  count_ = Count(now) + granted;
+  usable_until_ = usable_until;
 }
 
-auto TeamTokens::Count(MonotonicTime now) const -> int {
-  int count = 0;
-  for (const auto& batch : batches_) {
-    if (batch.usable_until > now) count += batch.count;
-  }
-  return count;
+auto TeamTokens::TakeSpare(int needed, MonotonicTime now) -> int {
+  const int kept = std::min(Count(now), needed);
+  const int spare = Count(now) - kept + given_back_;
+  count_ = kept;
+  given_back_ = 0;
+  return spare;
 }
 
 auto TeamTokens::UpdateRates(MonotonicTime now) -> void {
--- a/src/gateway/team_tokens.h
+++ b/src/gateway/team_tokens.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include <array>
-
 #include "base/time.h"
 
 namespace heatherspan {
 
 /// The tokens of one team that an entry VM has got from the keeper, and the demand that they meet.
+/// All of them end at one time, unless the keeper renews them.
 class TeamTokens {
  public:
   /// A request has come.
@@ -15,16 +14,17 @@
   /// refused before it.
   auto OnRefused(Duration least, MonotonicTime now) -> Duration;
 
-  /// Takes one token. Returns until when it may be used, or a time that has passed if there is
-  /// none.
-  auto Take(MonotonicTime now) -> MonotonicTime;
-  auto Put(MonotonicTime usable_until, int count) -> void;
-  /// Takes the tokens for return that could not be used for so long, apart from those that are
-  /// likely to be used before the keeper's next answer arrives.
-  auto TakeSpare(Duration time, MonotonicTime now) -> int;
-  auto Count(MonotonicTime now) const -> int;
-  /// The keeper has answered.
-  auto OnGranted(int granted) -> void { granted_ += granted; }
+  auto Count(MonotonicTime now) const -> int { return usable_until_ > now ? count_ : 0; }
+  auto usable_until() const -> MonotonicTime { return usable_until_; }
+  /// Takes one token. Returns false if there is none.
+  auto Take(MonotonicTime now) -> bool;
+  /// The request with a token that was usable until then has not run.
+  auto GiveBack(MonotonicTime usable_until) -> void;
+  /// The keeper has granted tokens, and has renewed those that were here or has not.
+  auto OnGranted(int granted, bool renewed, MonotonicTime usable_until, MonotonicTime now) -> void;
+  /// Takes the tokens that are more than needed, for return.
+  auto TakeSpare(int needed, MonotonicTime now) -> int;
+
   /// Counts what has happened since the last call.
   auto UpdateRates(MonotonicTime now) -> void;
   /// The tokens for the requests that are expected until the given time has passed.
@@ -33,12 +33,9 @@
   auto IsIdle(MonotonicTime now) const -> bool;
 
  private:
-  struct Batch {
-    MonotonicTime usable_until;
-    int count = 0;
-  };
-
-  std::array<Batch, 2> batches_{};  ///< The older one first.
+  int count_ = 0;
+  int given_back_ = 0;  ///< Tokens of another end, only for return.
+  MonotonicTime usable_until_{};
   int requests_ = 0;
   int granted_ = 0;
   double request_rate_ = 0;
