--- a/src/experiment/team_quota_simulation.cc
+++ b/src/experiment/team_quota_simulation.cc
@@ -10,6 +10,9 @@
 using std::chrono::seconds;
 
 constexpr Duration kTickInterval = milliseconds(250);
+/// Of a large fleet, whose VMs take the model long.
+constexpr Duration kLargeTickInterval = milliseconds(1000);
+constexpr std::size_t kLargeFleet = 100;
 constexpr Duration kRenewalInterval = milliseconds(1300);
 constexpr Duration kLeaseLifetime = seconds(3);
 constexpr Duration kChangeBound = milliseconds(2500);
@@ -203,7 +206,8 @@
 auto TeamQuotaSimulation::Tick(std::size_t vm, int life) -> void {
   auto& state = *vms_[vm];
   if (!state.is_up || state.life != life) return;
-  scheduler_.RunAfter(kTickInterval, [this, vm, life] { Tick(vm, life); });
+  scheduler_.RunAfter(vms_.size() > kLargeFleet ? kLargeTickInterval : kTickInterval,
+                      [this, vm, life] { Tick(vm, life); });
   const auto now = scheduler_.now();
   ReadNews(state, now - state.news_delay);
   state.fraction->Update(state.announced, now);
--- a/src/gateway/quota_client.cc
+++ b/src/gateway/quota_client.cc
@@ -235,7 +235,7 @@
       ruling = Admit(state.tokens.usable_until());
     } else if (local_.Take(team, *budget, now)) {
       ruling = Admit(MonotonicTime::min());
-    } else if (!MayWait(state, now) || now - first.since >= kMaxWait) {
+    } else if (!MayWait(state, now) || now - first.since >= timing_.max_wait) {
       ruling = Refuse(state, now);
     }
     if (!ruling.has_value()) {
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -39,7 +39,6 @@
   static constexpr Duration kProbeInterval = std::chrono::seconds(1);
   /// VMs that were announced so lately stay eligible, since the store's view may be at fault.
   static constexpr Duration kKeeperRetention = std::chrono::seconds(20);
-  static constexpr Duration kMaxWait = std::chrono::milliseconds(500);
   static constexpr std::size_t kMaxWaiters = 1000;
 
   QuotaClient(NodeName self, const TeamQuotaTable& quotas)
