--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -19,6 +19,7 @@
 #include "edge/peer_reader.h"
 #include "edge/peer_sync.h"
 #include "edge/platform_ports.h"
+#include "edge/quota_link.h"
 #include "edge/request_forwarder.h"
 #include "edge/store_follower.h"
 #include "edge/store_items.h"
@@ -47,6 +48,7 @@
   using Messages = typename Platform::MessageFormat;
   using Formats = typename Platform::StoreFormat;
   using Store = typename Platform::Store;
+  using Quotas = typename Platform::QuotaFormat;
 
   static constexpr Duration kTickInterval = std::chrono::milliseconds(250);
   /// Requests still in flight get their final answer this long before the process would be killed.
@@ -94,7 +96,16 @@
             [this](StoreEra era) { OnPeerEra(era); }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
                    Announcement(true, false),
-                   [this](MonotonicTime at) { core_.OnAnnouncementRenewed(at); }),
+                   [this](MonotonicTime at) {
+                     core_.OnAnnouncementRenewed(at);
+                     quotas_.OnAnnouncementRenewed(at);
+                   }),
+        quota_link_(store_client_, log_, metrics_),
+        quotas_(settings_.node, InstanceId(std::random_device()()), workers_, log_, metrics_,
+                [this](const Endpoint& keeper, const QuotaAsk& ask, Duration timeout,
+                       TeamQuotaGate::OnReply on_reply) {
+                  quota_link_.Send(keeper, ask, timeout, std::move(on_reply));
+                }),
         access_(core_, log_, metrics_),
         harm_(
             core_, log_, metrics_, settings_.digest_key,
@@ -235,12 +246,15 @@
     callers_server_.SetLimits(EdgeLimits::CallerServer(settings_.descriptors, policy.limits));
     peers_server_.SetLimits(EdgeLimits::PeerServer(policy.limits));
     access_.Apply(policy);
+    quotas_.Apply(policy.teams);
     forwarder_.OnPolicyApplied();
   }
 
   auto OnPeerRequest(const HttpRequest& request, const HttpServer::Responder& respond) -> void {
     if (auto relayed = Messages::RelayedRequest(request)) {
       forwarder_.ForwardForPeer(std::move(relayed->request), relayed->terms, respond);
+    } else if (Quotas::IsAsk(request)) {
+      respond(quota_link_.Answer(request, quotas_));
     } else {
       respond(PeerQuestion(request));
     }
@@ -391,6 +405,11 @@
   auto OnBatchApplied() -> void {
     items_.OnBatchApplied();
     RecordStoreSeen();
+    if (follower_.sync_state().synced() && !std::exchange(has_state_, true)) {
+      const auto now = Now();
+      quotas_.OnFirstState(core_.entry_vms().Announced(now), now - core_.StoreAge(now));
+      quotas_.OnTick(core_.entry_vms().Announced(now), now);
+    }
     if (IsReady()) announcer_.Start();
   }
 
@@ -428,6 +447,7 @@
     listing_budget_.OnTick();
     items_.Settle();
     core_.OnTick(now);
+    quotas_.OnTick(core_.entry_vms().Announced(now), now);
     prober_.OnTick(now);
     access_.OnTick(now);
     AnnounceState(now);
@@ -451,6 +471,7 @@
                  std::chrono::duration_cast<std::chrono::milliseconds>(settings_.bounds.stop_grace)
                      .count()}});
     announcer_.Withdraw();
+    quotas_.BeginStop();
     callers_server_.BeginClosing();
     forwarder_.BeginStop(settings_.bounds.stop_grace);
     stop_timer_ = workers_.RunAfter(settings_.bounds.stop_grace - kStopMargin, [this] {
@@ -478,6 +499,8 @@
     follower_.SetTiming(EdgeLimits::ReadTiming(bounds));
     access_.SetLimits({bounds.apply, bounds.revocation});
     core_.SetChangeBound(EdgeLimits::ChangeBound(bounds));
+    quotas_.SetRule({bounds.quota_window, bounds.quota_overage, bounds.quota_slack},
+                    EdgeLimits::ChangeBound(bounds));
   }
 
   auto OnReload(EdgeSettings& settings) -> void {
@@ -513,8 +536,10 @@
   bool announced_reach_ = true;
   bool announced_reduced_ = false;
   LoopLateness lateness_{kTickInterval};
-  AccessControl access_;
+  QuotaLink<Quotas> quota_link_;
   TeamQuotaGate quotas_;
+  bool has_state_ = false;  ///< Of the store, its own or another VM's.
+  AccessControl access_;
   HarmMonitor<Messages> harm_;
   RequestRelay<Messages> relay_;
   RequestForwarder<Messages> forwarder_;
