net: callers who don't take their answers give way

Cause: answers that wait for callers who read slowly were held for 30 s each, up to 8 on one connection, with no bound on their sum.

Change: a large answer that is being written draws on the account like a body that arrives, so that slow callers lose their connection when the room is needed; answers behind one that isn't taken are counted, and cost the connection if there is no room. HttpConnection had become too long: its read buffer, deadlines, exchanges and what it takes of the account are classes of their own.

Tests: HostileClients.SlowReaders, 24 clients that ask for 8 answers of 6 MiB and read none, and TrailersWithoutEnd. The ordinary request of SlowReaders is repeated until it is served, because the crowd asks for more than its target can do. A failure shows the end of the process's log.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
@@ -11,9 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
-#include <cstdint>
 #include <deque>
-#include <limits>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -21,10 +19,15 @@
 #include <utility>
 #include <vector>
 
+#include "net/connection_deadlines.h"
+#include "net/connection_input.h"
+#include "net/connection_memory.h"
 #include "net/http_reader.h"
 #include "net/http_server_state.h"
 #include "net/http_text.h"
 #include "net/memory_account.h"
+#include "net/pending_response.h"
+#include "net/server_exchange.h"
 #include "net/worker_pool.h"
 
 namespace heatherspan {
@@ -36,27 +39,8 @@
 using ErrorCode = boost::system::error_code;
 using SteadyClock = std::chrono::steady_clock;
 
-// Holds the usual request in one read; larger ones let the buffer grow.
-constexpr std::size_t kInitialBufferBytes = std::size_t{4} * 1024;
-// Long bodies are read in pieces of this size.
-constexpr std::size_t kMaxPieceBytes = std::size_t{64} * 1024;
 // Bodies up to this size are copied behind the header, which is cheaper than a second buffer.
 constexpr std::size_t kMaxCopiedBodyBytes = std::size_t{16} * 1024;
-// What a connection takes beside its buffer.
-constexpr std::size_t kConnectionBytes = std::size_t{4} * 1024;
-// After this time, slow bodies have given way.
-constexpr std::string_view kRetryAfterSeconds = "1";
-
-/// A request that was handed over, or an error in the input, and its response. Responses leave in
-/// the order of the requests.
-struct Exchange {
-  bool keep_alive = true;
-  bool http_1_0 = false;
-  bool head = false;
-  std::shared_ptr<DisconnectHook> disconnect;
-  std::optional<HttpResponse> response;
-  HeldMemory held;  ///< By the response.
-};
 
 /// Private methods run on the strand.
 class Connection final : public HttpConnection, public std::enable_shared_from_this<Connection> {
@@ -68,12 +52,23 @@
         server_(std::move(server)),
         limits_(server_->limits.load()),
         reader_(limits_->max_header_bytes, limits_->max_body_bytes),
-        buffer_(kInitialBufferBytes),
-        held_(server_->memory, MemoryUse::kConnections, kConnectionBytes + kInitialBufferBytes) {}
+        memory_(
+            server_->memory, ConnectionInput::kInitialBytes,
+            [this] {
+              PostGiveWay([](Connection& self) {
+                if (self.memory_.request_gave_way()) self.RefuseForMemory();
+              });
+            },
+            [this] {
+              PostGiveWay([](Connection& self) {
+                if (self.memory_.answer_gave_way()) self.CloseForMemory();
+              });
+            }),
+        input_(memory_) {}
 
   auto Start() -> void override {
     Post([](Connection& self) {
-      self.SetReadDeadline(self.server_->limits.load()->idle_timeout);
+      self.deadlines_.SetRead(self.server_->limits.load()->idle_timeout);
       self.ReadMore();
     });
   }
@@ -93,14 +88,14 @@
   }
 
   auto Overdue(SteadyClock::time_point now) const -> bool override {
-    return deadline_.load(std::memory_order_relaxed) <= now.time_since_epoch().count();
+    return deadlines_.Overdue(now);
   }
 
   auto EndOverdue() -> void override {
     Post([](Connection& self) { self.OnOverdue(); });
   }
 
-  auto Respond(const std::shared_ptr<Exchange>& exchange, HttpResponse response) -> void {
+  auto Respond(const std::shared_ptr<ServerExchange>& exchange, HttpResponse response) -> void {
     asio::dispatch(strand_,
                    [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
                      self->OnResponse(*exchange, std::move(response));
@@ -115,17 +110,14 @@
     asio::post(strand_, [self = shared_from_this(), action] { action(*self); });
   }
 
-  auto SetReadDeadline(Duration delay) -> void {
-    read_deadline_ = SteadyClock::now() + delay;
-    PublishDeadline();
-  }
-  auto ClearReadDeadline() -> void {
-    read_deadline_ = SteadyClock::time_point::max();
-    PublishDeadline();
-  }
-  auto PublishDeadline() -> void {
-    deadline_.store(std::min(read_deadline_, write_deadline_).time_since_epoch().count(),
-                    std::memory_order_relaxed);
+  /// The account calls, perhaps while the connection is being destroyed.
+  template <class Action>
+  auto PostGiveWay(Action action) -> void {
+    auto self = weak_from_this().lock();
+    if (self == nullptr) return;
+    asio::post(strand_, [self = std::move(self), action] {
+      if (self->state_ == State::kOpen) action(*self);
+    });
   }
 
   auto CloseNow() -> void;
@@ -140,17 +132,13 @@
   auto OnIncompleteRequest() -> void;
   auto RefuseInput(HttpReadError error) -> void;
   auto RefuseForMemory() -> void;
-  /// Whether the account has room for what has come of the body, and for what is announced.
-  auto HasRoomForBody() -> bool;
-  auto OnGiveWay() -> void;
-  /// Counts the complete body. Nothing if there is no room for it.
-  auto HoldBody() -> std::optional<HeldMemory>;
-  auto GrowBuffer() -> void;
-  auto MakeRoom() -> void;
+  /// Closes the connection of a caller who does not take what it has asked for.
+  auto CloseForMemory() -> void;
   auto SendContinueIfDue() -> void;
   auto HandOver() -> void;
   auto Refuse(int status, std::vector<HeaderField> headers = {}) -> void;
-  auto OnResponse(Exchange& exchange, HttpResponse response) -> void;
+  auto OnResponse(ServerExchange& exchange, HttpResponse response) -> void;
+  auto HoldAnswer(ServerExchange& exchange) -> void;
   auto WriteNext() -> void;
   auto OnWritten(const ErrorCode& error, bool is_last) -> void;
   auto Linger() -> void;
@@ -161,65 +149,34 @@
   const std::shared_ptr<HttpServerState> server_;
   const std::shared_ptr<const HttpServer::Limits> limits_;  ///< In force when it was accepted.
   HttpRequestReader reader_;
-  std::vector<char> buffer_;
-  std::size_t begin_ = 0;  ///< Start of the bytes that are not read yet.
-  std::size_t end_ = 0;
-  HeldMemory held_;                       ///< By the connection and its buffer.
-  std::optional<ArrivingBody> arriving_;  ///< The body of which only a part has come.
+  ConnectionMemory memory_;
+  ConnectionInput input_;
   std::string output_;
   std::string body_;
   State state_ = State::kOpen;
   /// Requests without a complete response, in their order.
-  std::deque<std::shared_ptr<Exchange>> exchanges_;
+  std::deque<std::shared_ptr<ServerExchange>> exchanges_;
   bool reading_ = false;  ///< A read of the socket is pending.
   bool writing_ = false;  ///< A write to the socket is pending.
   bool request_started_ = false;
   bool continue_sent_ = false;
   /// No further request is handed over: the last response closes the connection.
   bool closing_ = false;
-  bool input_ended_ = false;  ///< The caller has closed its side.
-  SteadyClock::time_point read_deadline_ = SteadyClock::time_point::max();
-  SteadyClock::time_point write_deadline_ = SteadyClock::time_point::max();
-  std::atomic<std::int64_t> deadline_{std::numeric_limits<std::int64_t>::max()};
-};
-
-/// The right to answer one request, held by the copies of its responder.
-class PendingResponse {
- public:
-  PendingResponse(std::shared_ptr<Connection> connection, std::shared_ptr<Exchange> exchange)
-      : connection_(std::move(connection)), exchange_(std::move(exchange)) {}
-
-  ~PendingResponse() {
-    // A handler that drops its responder must not leave the caller without an answer.
-    HttpResponse response;
-    response.status = 500;
-    response.close = true;
-    Answer(std::move(response));
-  }
-
-  PendingResponse(const PendingResponse&) = delete;
-  auto operator=(const PendingResponse&) -> PendingResponse& = delete;
-
-  auto Answer(HttpResponse response) -> void {
-    if (!answered_.exchange(true)) connection_->Respond(exchange_, std::move(response));
-  }
-
- private:
-  const std::shared_ptr<Connection> connection_;
-  const std::shared_ptr<Exchange> exchange_;
-  std::atomic<bool> answered_{false};
+  bool input_ended_ = false;           ///< The caller has closed its side.
+  SteadyClock::time_point slow_at_{};  ///< A write that is pending then is slow.
+  ConnectionDeadlines deadlines_;
 };
 
 auto Connection::CloseNow() -> void {
   if (state_ == State::kClosed) return;
   state_ = State::kClosed;
-  read_deadline_ = write_deadline_ = SteadyClock::time_point::max();
-  PublishDeadline();
+  deadlines_.Clear();
   server_->active.fetch_sub(exchanges_.size());
   exchanges_.clear();
   // The connection may live on in handlers that are pending.
   reader_.Discard();
-  arriving_.reset();
+  memory_.DropRequest();
+  memory_.EndAnswer();
   ErrorCode ignored;
   socket_.close(ignored);
   const std::lock_guard lock(server_->mutex);
@@ -240,12 +197,12 @@
 
 auto Connection::OnOverdue() -> void {
   const auto now = SteadyClock::now();
-  if (write_deadline_ <= now) {
+  if (deadlines_.WriteOverdue(now)) {
     Abort();
-  } else if (read_deadline_ <= now && state_ == State::kOpen && request_started_) {
+  } else if (deadlines_.ReadOverdue(now) && state_ == State::kOpen && request_started_) {
     server_->request_timeout.fetch_add(1);
     Refuse(408);
-  } else if (read_deadline_ <= now) {
+  } else if (deadlines_.ReadOverdue(now)) {
     CloseNow();
   }
 }
@@ -264,42 +221,16 @@
 auto Connection::ReadMore() -> void {
   if (reading_ || state_ == State::kClosed || input_ended_) return;
   // Nothing that follows the last request is read.
-  if (closing_ || state_ == State::kLingering) begin_ = end_ = 0;
-  if (end_ - begin_ >= kMaxPieceBytes && !MayHandOver()) return;
-  MakeRoom();
+  if (closing_ || state_ == State::kLingering) input_.Clear();
+  if (input_.size() >= ConnectionInput::kMaxPieceBytes && !MayHandOver()) return;
+  const auto space = input_.Space(!request_started_);
   reading_ = true;
-  socket_.async_read_some(asio::buffer(buffer_.data() + end_, buffer_.size() - end_),
+  socket_.async_read_some(asio::buffer(space.data(), space.size()),
                           [self = shared_from_this()](const ErrorCode& error, std::size_t size) {
                             self->OnRead(error, size);
                           });
 }
 
-auto Connection::MakeRoom() -> void {
-  if (begin_ == end_) {
-    begin_ = end_ = 0;
-    if (!request_started_ && buffer_.size() > kInitialBufferBytes) {
-      buffer_ = std::vector<char>(kInitialBufferBytes);
-      held_.TryResize(kConnectionBytes + kInitialBufferBytes);
-    }
-  }
-  if (end_ < buffer_.size()) return;
-  if (begin_ > 0) {
-    std::copy(buffer_.begin() + static_cast<std::ptrdiff_t>(begin_), buffer_.end(),
-              buffer_.begin());
-    end_ -= begin_;
-    begin_ = 0;
-    return;
-  }
-  // A line that does not fit, which the limit of the header bounds.
-  buffer_.resize(buffer_.size() * 2);
-  held_.TryResize(kConnectionBytes + buffer_.size());
-}
-
-/// Lets the next piece be larger, if there is room for it.
-auto Connection::GrowBuffer() -> void {
-  if (held_.TryResize(kConnectionBytes + buffer_.size() * 2)) buffer_.resize(buffer_.size() * 2);
-}
-
 auto Connection::OnRead(const ErrorCode& error, std::size_t size) -> void {
   reading_ = false;
   if (state_ == State::kClosed) return;
@@ -307,8 +238,7 @@
     OnEndOfInput(error);
     return;
   }
-  end_ += size;
-  if (end_ == buffer_.size() && end_ < kMaxPieceBytes) GrowBuffer();
+  input_.OnRead(size);
   ParseInput();
 }
 
@@ -325,8 +255,8 @@
 }
 
 auto Connection::ParseInput() -> void {
-  while (begin_ < end_ && MayHandOver()) {
-    begin_ += reader_.Read({buffer_.data() + begin_, end_ - begin_});
+  while (!input_.empty() && MayHandOver()) {
+    input_.Use(reader_.Read(input_.unused()));
     if (reader_.error() != HttpReadError::kNone) {
       RefuseInput(reader_.error());
     } else if (reader_.done()) {
@@ -357,55 +287,25 @@
 
 auto Connection::OnIncompleteRequest() -> void {
   // The reader leaves only incomplete lines in the buffer, of a header or between chunks.
-  if (end_ - begin_ > limits_->max_header_bytes) {
+  if (input_.size() > limits_->max_header_bytes) {
     RefuseInput(HttpReadError::kHeaderTooLarge);
     return;
   }
   if (!request_started_) {
     request_started_ = true;
-    SetReadDeadline(server_->limits.load()->request_timeout);
+    deadlines_.SetRead(server_->limits.load()->request_timeout);
   }
-  if (!HasRoomForBody()) {
+  if (!memory_.OnRequestBytes(reader_.body_bytes(), reader_.announced_bytes())) {
     RefuseForMemory();
     return;
   }
   SendContinueIfDue();
 }
 
-auto Connection::HasRoomForBody() -> bool {
-  const auto received = reader_.body_bytes();
-  const auto announced = reader_.announced_bytes();
-  if (received == 0 && announced == 0) return true;
-  if (!arriving_.has_value()) {
-    arriving_.emplace(server_->memory, MemoryUse::kRequests, [this] {
-      auto self = weak_from_this().lock();
-      if (self == nullptr) return;
-      asio::post(strand_, [self = std::move(self)] { self->OnGiveWay(); });
-    });
-  }
-  return arriving_->OnBytes(received, announced, SystemClock().Now());
-}
-
-auto Connection::OnGiveWay() -> void {
-  if (state_ == State::kOpen && arriving_.has_value() && arriving_->gave_way()) RefuseForMemory();
-}
-
-auto Connection::HoldBody() -> std::optional<HeldMemory> {
-  const auto bytes = reader_.body_bytes();
-  if (bytes == 0) return HeldMemory();
-  if (!arriving_.has_value()) {
-    auto held = HeldMemory::Try(server_->memory, MemoryUse::kRequests, bytes);
-    if (held.has_value()) return held;
-  }
-  // Others may have to give way.
-  if (!HasRoomForBody()) return std::nullopt;
-  arriving_.reset();
-  return HeldMemory(server_->memory, MemoryUse::kRequests, bytes);
-}
-
 auto Connection::RefuseForMemory() -> void {
   server_->no_memory.fetch_add(1);
-  Refuse(503, {{"Retry-After", std::string(kRetryAfterSeconds)}});
+  // After 1 s, slow bodies have given way.
+  Refuse(503, {{"Retry-After", "1"}});
 }
 
 auto Connection::SendContinueIfDue() -> void {
@@ -433,15 +333,15 @@
     CloseNow();
     return;
   }
-  auto held = HoldBody();
+  auto held = memory_.HoldRequest(reader_.body_bytes());
   if (!held.has_value()) {
     RefuseForMemory();
     return;
   }
-  ClearReadDeadline();
+  deadlines_.ClearRead();
   request_started_ = false;
   continue_sent_ = false;
-  auto exchange = std::make_shared<Exchange>();
+  auto exchange = std::make_shared<ServerExchange>();
   exchange->keep_alive = reader_.keep_alive();
   exchange->http_1_0 = reader_.http_1_0();
   auto request = reader_.Take(*std::move(held));
@@ -454,7 +354,8 @@
   }
   exchanges_.push_back(exchange);
   server_->active.fetch_add(1);
-  auto pending = std::make_shared<PendingResponse>(shared_from_this(), std::move(exchange));
+  auto pending =
+      std::make_shared<PendingResponse<Connection>>(shared_from_this(), std::move(exchange));
   server_->handler(std::move(request), [pending = std::move(pending)](HttpResponse response) {
     pending->Answer(std::move(response));
   });
@@ -462,12 +363,12 @@
 
 auto Connection::Refuse(int status, std::vector<HeaderField> headers) -> void {
   if (state_ != State::kOpen) return;
-  ClearReadDeadline();
+  deadlines_.ClearRead();
   reader_.Discard();
-  arriving_.reset();
+  memory_.DropRequest();
   request_started_ = false;
   closing_ = true;
-  auto exchange = std::make_shared<Exchange>();
+  auto exchange = std::make_shared<ServerExchange>();
   exchange->keep_alive = false;
   exchanges_.push_back(exchange);
   server_->active.fetch_add(1);
@@ -477,16 +378,37 @@
   OnResponse(*exchange, std::move(response));
 }
 
-auto Connection::OnResponse(Exchange& exchange, HttpResponse response) -> void {
+auto Connection::OnResponse(ServerExchange& exchange, HttpResponse response) -> void {
   if (state_ != State::kOpen) return;
   exchange.disconnect = nullptr;
-  if (response.body.size() > kMaxCopiedBodyBytes) {
-    exchange.held = HeldMemory(server_->memory, MemoryUse::kAnswers, response.body.size());
+  const bool waits = writing_ || exchanges_.front().get() != &exchange;
+  const auto bytes = response.body.size();
+  if (waits || bytes > kMaxCopiedBodyBytes) {
+    auto held = HeldMemory::Try(server_->memory, MemoryUse::kAnswers, bytes);
+    if (!held.has_value() && writing_ && SteadyClock::now() >= slow_at_) {
+      CloseForMemory();
+      return;
+    }
+    exchange.held = held.has_value() ? *std::move(held)
+                                     : HeldMemory(server_->memory, MemoryUse::kAnswers, bytes);
   }
   exchange.response = std::move(response);
   WriteNext();
 }
 
+auto Connection::CloseForMemory() -> void {
+  server_->no_memory.fetch_add(1);
+  Abort();
+}
+
+/// Lets the account give up the answer while it is written, if the caller is slow to take it.
+auto Connection::HoldAnswer(ServerExchange& exchange) -> void {
+  if (body_.size() <= MemoryAccount::kSmallBytes) return;
+  exchange.held.Release();
+  if (memory_.BeginAnswer(body_.size())) return;
+  exchange.held = HeldMemory(server_->memory, MemoryUse::kAnswers, body_.size());
+}
+
 auto Connection::WriteNext() -> void {
   if (writing_ || exchanges_.empty() || !exchanges_.front()->response.has_value()) return;
   auto& exchange = *exchanges_.front();
@@ -504,14 +426,20 @@
       output_.append(response.body);
     } else {
       body_ = std::move(response.body);
+      HoldAnswer(exchange);
     }
   }
   writing_ = true;
-  write_deadline_ = SteadyClock::now() + server_->limits.load()->write_timeout;
-  PublishDeadline();
+  slow_at_ = SteadyClock::now() + MemoryAccount::kSlowAfter;
+  deadlines_.SetWrite(server_->limits.load()->write_timeout);
   const std::array buffers{asio::buffer(output_), asio::buffer(body_)};
+  // The handler keeps the connection alive.
+  const auto condition = [this](const ErrorCode& error, std::size_t size) {
+    memory_.OnAnswerBytes(size);
+    return asio::transfer_all()(error, size);
+  };
   asio::async_write(
-      socket_, buffers,
+      socket_, buffers, condition,
       [self = shared_from_this(), is_last](const ErrorCode& error, std::size_t /*size*/) {
         self->OnWritten(error, is_last);
       });
@@ -520,26 +448,26 @@
 auto Connection::OnWritten(const ErrorCode& error, bool is_last) -> void {
   writing_ = false;
   if (state_ != State::kOpen) return;
-  write_deadline_ = SteadyClock::time_point::max();
-  PublishDeadline();
+  deadlines_.ClearWrite();
   if (error) {
     Abort();
     return;
   }
   exchanges_.pop_front();
+  memory_.EndAnswer();
   server_->active.fetch_sub(1);
   if (body_.capacity() > kMaxCopiedBodyBytes) body_ = std::string();
   if (is_last) {
     Linger();
     return;
   }
-  const bool idle = exchanges_.empty() && !request_started_ && begin_ == end_;
+  const bool idle = exchanges_.empty() && !request_started_ && input_.empty();
   if (idle && (input_ended_ || server_->draining.load())) {
     CloseNow();
     return;
   }
   if (exchanges_.empty() && !request_started_) {
-    SetReadDeadline(server_->limits.load()->idle_timeout);
+    deadlines_.SetRead(server_->limits.load()->idle_timeout);
   }
   SendContinueIfDue();
   WriteNext();
@@ -552,7 +480,7 @@
     return;
   }
   state_ = State::kLingering;
-  SetReadDeadline(kLingerTime);
+  deadlines_.SetRead(kLingerTime);
   ErrorCode ignored;
   socket_.shutdown(Socket::shutdown_send, ignored);
   ReadMore();
--- /dev/null
+++ b/src/net/server_exchange.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "net/http_request.h"
+#include "net/http_response.h"
+#include "net/memory_account.h"
+
+namespace heatherspan {
+
+/// A request that a server's connection has handed over, or an error in the input, and its
+/// response. Responses leave in the order of the requests.
+struct ServerExchange {
+  bool keep_alive = true;
+  bool http_1_0 = false;
+  bool head = false;
+  std::shared_ptr<DisconnectHook> disconnect;
+  std::optional<HttpResponse> response;
+  HeldMemory held;  ///< By the response.
+};
+
+}  // namespace heatherspan
--- a/tests/hostile_clients/gateway_under_load.h
+++ b/tests/hostile_clients/gateway_under_load.h
@@ -19,6 +19,7 @@
     std::size_t memory_mb = 0;  ///< Of the gateway's machine.
     std::size_t max_body_bytes = 0;
     int descriptors = 400;
+    int target_slots = 3;
   };
 
   explicit GatewayUnderLoad(const Limits& limits);
@@ -32,10 +33,15 @@
   auto target() -> TargetStub& { return target_; }
   /// Sends one request and returns the status of the answer, 0 without one.
   auto Ask(std::string body) -> int;
+  /// Sends requests until one is served, as a caller does who is told to come back. False if that
+  /// takes so long that the process must hang.
+  auto AskUntilServed() -> bool;
   auto is_alive() -> bool;
   /// The largest resident memory so far.
   auto PeakBytes() const -> std::size_t;
   auto OpenDescriptors() const -> std::size_t;
+  /// The end of the process's log.
+  auto LogTail() const -> std::string;
 
  private:
   enum Number { kCallers = 1, kReadiness, kDirectory, kMetrics };
