--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -91,7 +91,8 @@
       .Add("answer_lifetime_s", Bound(&Bounds::answer_lifetime), kOptional, Seconds(0.1, 600),
            "How long callers may keep a directory answer.")
       .Add("revocation_s", Bound(&Bounds::revocation), kOptional, Seconds(0, 600),
-           "Time after which no request with a withdrawn access key runs. 0: no bound.")
+           "Time after which no request with a withdrawn access key runs. 0: no bound. Within less "
+           "than 1 s, entry VMs can't be sure and refuse requests with keys.")
       .Add("quota_window_s", Bound(&Bounds::quota_window), kOptional, Seconds(1, 600),
            "The window over which the requests of a team are counted.")
       .Add("quota_overage", Bound(&Bounds::quota_overage), kOptional, Number<double>(0, 1),
--- a/src/gateway/store_read_timing.h
+++ b/src/gateway/store_read_timing.h
@@ -31,7 +31,7 @@
 
   /// `bound`: the time within which all entry VMs have to know of a change. A second of it is left
   /// to find the change.
-  static auto For(Duration bound) -> StoreReadTiming {
+  static constexpr auto For(Duration bound) -> StoreReadTiming {
     constexpr Duration kSearchTime = std::chrono::seconds(1);
     constexpr Duration kReserve = std::chrono::milliseconds(500);
     const auto max_state_age = std::max(bound - kSearchTime, 2 * kReserve);
@@ -46,7 +46,7 @@
   /// watch is made when the one before is answered, beside the pause between two questions and the
   /// ways. That is kept to about a third of the limit, so that an outage of the store may last for
   /// most of it before callers notice.
-  auto ProvedWithin(Duration limit) const -> StoreReadTiming {
+  constexpr auto ProvedWithin(Duration limit) const -> StoreReadTiming {
     constexpr Duration kWays = std::chrono::milliseconds(450);
     constexpr Duration kMinInterval = std::chrono::milliseconds(100);
     auto timing = *this;
--- a/tests/gateway/state_proof_test.cc
+++ b/tests/gateway/state_proof_test.cc
@@ -114,7 +114,7 @@
   static constexpr std::size_t kVms = 4;
   static constexpr auto kStep = milliseconds(10);
   static constexpr Duration kLimit = seconds(5);
-  static inline const auto kTiming = StoreReadTiming::For(seconds(3)).ProvedWithin(kLimit);
+  static constexpr auto kTiming = StoreReadTiming::For(seconds(3)).ProvedWithin(kLimit);
 
   explicit ProofChain(unsigned seed) : random_(seed) {
     for (auto& vm : vms_) vm.state.OnPage(Page(0, now_, 0), MonotonicTime());
--- a/tests/gateway/team_access_test.cc
+++ b/tests/gateway/team_access_test.cc
@@ -42,7 +42,7 @@
   bool allow_anonymous = false;
   TeamAccess::Age age;
   Outcome outcome = Outcome::kAllowed;
-  std::string team = "";
+  std::string team = {};
 };
 
 auto operator<<(std::ostream& out, const Case& one) -> std::ostream& { return out << one.name; }
