net: large answers take at most half of the memory for others

Change: large answers, read and written, take at most half of the bound; of them the slowest and largest give way.

--- a/src/net/memory_account.cc
+++ b/src/net/memory_account.cc
@@ -8,6 +8,8 @@
 
 // The part of the bound that only small bodies may take.
 constexpr std::size_t kReservedPart = 8;
+// Large answers may take one part in so many of the bound, so that endless ones give way first.
+constexpr std::size_t kAnswersPart = 2;
 
 }  // namespace
 
@@ -46,7 +48,13 @@
   }
   const auto bytes = std::max(received, announced);
   if (bytes <= body.bytes_) return true;
-  while (!HasRoom(bytes - body.bytes_, bytes > kSmallBytes)) {
+  const auto has_room = [&] {
+    const auto more = bytes - body.bytes_;
+    const bool answers_full = body.use_ == MemoryUse::kAnswers &&
+                              this->bytes(MemoryUse::kAnswers) + more > max_bytes_ / kAnswersPart;
+    return !answers_full && HasRoom(more, bytes > kSmallBytes);
+  };
+  while (!has_room()) {
     auto* const victim = ChooseVictim(body, bytes, announced > 0, now);
     if (victim == nullptr) {
       refusals_.fetch_add(1);
@@ -67,17 +75,29 @@
 auto MemoryAccount::ChooseVictim(const ArrivingBody& asking, std::size_t wanted, bool announced,
                                  MonotonicTime now) const -> ArrivingBody* {
   const bool is_new = asking.bytes_ == 0;
+  const bool among_answers =
+      asking.use_ == MemoryUse::kAnswers && HasRoom(wanted - asking.bytes_, wanted > kSmallBytes);
+  const auto competes = [&](const ArrivingBody& body) {
+    return !among_answers || body.use_ == MemoryUse::kAnswers;
+  };
   std::size_t arriving = 0;
-  for (const auto* const body : arriving_) arriving += body->bytes_;
+  std::size_t count = is_new ? 1 : 0;
+  for (const auto* const body : arriving_) {
+    if (!competes(*body)) continue;
+    arriving += body->bytes_;
+    ++count;
+  }
   // What complete messages and connections hold is nobody's to divide.
-  const auto divided = largest_body() - std::min(largest_body(), total_.load() - arriving);
-  const auto equal_part = divided / (arriving_.size() + (is_new ? 1 : 0));
+  const auto held = among_answers ? bytes(MemoryUse::kAnswers) : total();
+  const auto limit = among_answers ? max_bytes_ / kAnswersPart : largest_body();
+  const auto equal_part =
+      (limit - std::min(limit, held - arriving)) / std::max<std::size_t>(1, count);
   const auto rank = [&](const ArrivingBody& body) {
     return std::tuple(body.IsSlow(now), body.bytes_, -body.progress_at_.time_since_epoch().count());
   };
   ArrivingBody* victim = nullptr;
   for (auto* const body : arriving_) {
-    if (body == &asking || body->bytes_ <= equal_part) continue;
+    if (body == &asking || !competes(*body) || body->bytes_ <= equal_part) continue;
     if (victim == nullptr || rank(*body) > rank(*victim)) victim = body;
   }
   if (victim == nullptr || victim->IsSlow(now)) return victim;
--- a/tests/net/memory_account_test.cc
+++ b/tests/net/memory_account_test.cc
@@ -81,6 +81,18 @@
   EXPECT_EQ(account_->total(), 40 * kMiB);
 }
 
+// Load: targets send answers without end.
+TEST_F(MemoryAccountTest, AnswersLeaveRoomForRequests) {
+  std::list<ArrivingBody> answers;
+  for (int i = 0; i < 12; ++i) answers.emplace_back(account_, MemoryUse::kAnswers, [] {});
+  for (std::size_t size = kMiB; size <= 7 * kMiB; size += kMiB) {
+    for (auto& answer : answers) answer.OnBytes(size, 0, now_);
+    ASSERT_LE(account_->total(), 24 * kMiB);
+  }
+  EXPECT_GT(account_->refusals(), 0U);
+  EXPECT_TRUE(NewBody().OnBytes(0, 8 * kMiB, now_));
+}
+
 // Guards against a deployment whose smallest machine can't serve the largest body.
 TEST_F(MemoryAccountTest, ASmallMachineHoldsOneBodyOfTheLargestSize) {
   const MemoryAccount account(MemoryAccount::BoundFor(160 * kMiB));
