--- a/src/net/memory_account.h
+++ b/src/net/memory_account.h
@@ -33,12 +33,9 @@
 
   explicit MemoryAccount(std::size_t max_bytes = std::numeric_limits<std::size_t>::max());
 
-  /// The bound for a process on a machine of the size: half of it, less a part for buffers that are
-  /// not counted. The other half is for the process itself, for what the allocator can't use, and
-  /// for the sockets.
-  static auto BoundFor(std::size_t machine_bytes) -> std::size_t {
-    return machine_bytes / 2 - machine_bytes / kUncountedPart;
-  }
+  /// The bound for a process on a machine of the size. The rest is for the process itself, for what
+  /// the allocator can't use, and for the sockets.
+  static auto BoundFor(std::size_t machine_bytes) -> std::size_t { return machine_bytes / 2; }
 
   auto max_bytes() const -> std::size_t { return max_bytes_; }
   /// The largest body that fits if nothing else is held.
@@ -57,8 +54,6 @@
  private:
   friend class ArrivingBody;
 
-  static constexpr std::size_t kUncountedPart = 32;
-
   static auto Index(MemoryUse use) -> std::size_t { return static_cast<std::size_t>(use); }
 
   /// Called by an ArrivingBody that changes what it holds.
