--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -340,7 +340,7 @@
       case PlacementFailure::kPaused:
         return Reason::kTargetPause;
       case PlacementFailure::kNoRetryBudget:
-        return Reason::kOverload;
+        return Reason::kRetryBudget;
     }
     return Reason::kInternal;
   }
