--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -376,6 +376,7 @@
     if (header.name == "Heatherspan-Request-Id") header.value = "id-a";
     if (header.name == "Heatherspan-Deadline-Ms") header.value = "1500";
   }
+  request.headers.push_back({"Heatherspan-Relay-Arrivals", "0"});
   const auto first = caller_.SendAndWait(settings_.peers, request, kTimeout).response;
   EXPECT_EQ(first.Header("Heatherspan-Relay-Verdict"), "out-of-reach");
   const auto second = caller_.SendAndWait(settings_.peers, request, kTimeout).response;
