quota: lint

Measured: hs_gateway_test 121 of 121; the quota model at 24 and 58 VMs, TeamQuotaGateTest, QuotaFormat, EdgeNodeTest.R* and EdgeSettings* pass.

--- a/src/experiment/team_quota_simulation.cc
+++ b/src/experiment/team_quota_simulation.cc
@@ -264,7 +264,7 @@
   messages_ += 2;
   bytes_ += 2 * kMessageBytes + 2 * kTeamBytes * static_cast<std::int64_t>(ask.teams.size());
   const auto reply = [this, index = vm.index, life = vm.life, number](
-                         Duration delay, std::optional<QuotaAnswer> answer,
+                         Duration delay, const std::optional<QuotaAnswer>& answer,
                          QuotaClient::Failure failure) {
     scheduler_.RunAfter(delay, [=, this] { Reply(index, life, number, answer, failure); });
   };
--- a/src/gateway/quota_client.cc
+++ b/src/gateway/quota_client.cc
@@ -148,9 +148,7 @@
     ask.fraction = fraction_;
   }
   ask.stamp = stamp_;
-  exchange_.emplace();
-  exchange_->sent_at = now;
-  exchange_->releases = is_releasing_;
+  exchange_ = Exchange{now, {}, is_releasing_};
   for (auto& [team, state] : teams_) {
     state.tokens.UpdateRates(now);
     if (ask.teams.size() >= QuotaAsk::kMaxTeams) continue;
@@ -229,11 +227,9 @@
   while (!state.waiting.empty()) {
     const auto& first = state.waiting.front();
     std::optional<TeamQuotaRuling> ruling;
-    if (budget == nullptr) {
-      ruling = Admit(MonotonicTime::min());
-    } else if (state.tokens.Take(now)) {
+    if (budget != nullptr && state.tokens.Take(now)) {
       ruling = Admit(state.tokens.usable_until());
-    } else if (local_.Take(team, *budget, now)) {
+    } else if (budget == nullptr || local_.Take(team, *budget, now)) {
       ruling = Admit(MonotonicTime::min());
     } else if (!MayWait(state, now) || now - first.since >= timing_.max_wait) {
       ruling = Refuse(state, now);
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -93,7 +93,7 @@
   struct Exchange {
     MonotonicTime sent_at;
     std::vector<TeamName> teams;
-    bool releases = false;  ///< The loan ends with it.
+    bool releases;  ///< The loan ends with it.
   };
 
   auto ChooseKeeper(MonotonicTime now) -> void;
--- a/tests/edge/team_quota_gate_test.cc
+++ b/tests/edge/team_quota_gate_test.cc
@@ -21,7 +21,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kTimeout = seconds(10);
-const TeamName kTeam("red");
+auto Red() -> TeamName { return TeamName("red"); }
 
 /// The quota gate of an entry VM, with its peers' address. One worker runs all of it.
 class GateVm {
@@ -60,12 +60,12 @@
   auto Acquire() -> TeamQuotaRuling {
     auto ruling = std::make_shared<std::promise<TeamQuotaRuling>>();
     workers_.Post([this, ruling] {
-      gate_.Acquire(kTeam, [ruling](const TeamQuotaRuling& value) { ruling->set_value(value); });
+      gate_.Acquire(Red(), [ruling](const TeamQuotaRuling& value) { ruling->set_value(value); });
     });
     return ruling->get_future().get();
   }
   auto GiveBack(const TeamQuotaRuling& ruling) -> void {
-    workers_.Post([this, ruling] { gate_.GiveBack(kTeam, ruling); });
+    workers_.Post([this, ruling] { gate_.GiveBack(Red(), ruling); });
   }
   auto AsksSent() const -> double {
     return metrics_.Value(Metric::kQuotaMessages, {{"end", "asked"}});
@@ -86,7 +86,7 @@
  protected:
   auto Start(double rate, double burst) -> void {
     const std::vector<EntryVm> announced = {one_.entry(), two_.entry()};
-    const std::vector<Team> teams = {{kTeam, {}, {}, {}, {RequestsPerSecond(rate), burst}}};
+    const std::vector<Team> teams = {{Red(), {}, {}, {}, {RequestsPerSecond(rate), burst}}};
     one_.Start(announced, teams);
     two_.Start(announced, teams);
   }
