--- a/src/ctl/admin_client.cc
+++ b/src/ctl/admin_client.cc
@@ -68,12 +68,12 @@
 }
 
 auto AdminClient::Write(const std::string& method, const std::string& path,
-                        std::vector<HeaderField> headers, std::string body) -> AdminResult {
+                        std::vector<HeaderField> headers, const std::string& body) -> AdminResult {
   HttpRequest request;
   request.method = method;
   request.target = path;
   request.headers = std::move(headers);
-  request.body = std::move(body);
+  request.body = body;
   return Send(Kind::kWrite, request);
 }
 
--- a/src/ctl/admin_client.h
+++ b/src/ctl/admin_client.h
@@ -18,7 +18,7 @@
   auto Read(const std::string& path) -> AdminResult;
   /// A change. Another server is tried only when it is sure that nothing was written.
   auto Write(const std::string& method, const std::string& path, std::vector<HeaderField> headers,
-             std::string body) -> AdminResult;
+             const std::string& body) -> AdminResult;
 
  private:
   enum class Kind { kRead, kWrite };
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -166,12 +166,6 @@
 
 auto GatewayCore::Place(ForwardedRequest& request, MonotonicTime now) -> PlacementResult {
   auto result = ChooseTarget(request, now);
-  const auto& best = result.placement.has_value() ? result.placement : result.late_placement;
-  if (best.has_value() && request.attempts() == 0) {
-    const auto& attributes = request.attributes();
-    late_work_.OnRequest(attributes.service, attributes.route.priority, best->processing_time,
-                         best->unqueued_time() <= request.ObjectiveLeft(now), now);
-  }
   if (!result.placement.has_value() || !request.NeedsRetryPermit()) return result;
   if (AcquireRetry(request.attributes().service, now)) {
     request.GrantRetryPermit();
@@ -193,7 +187,6 @@
   query.time_left = request.deadline() - now;
   query.objective_left = request.ObjectiveLeft(now);
   query.resubmitted = attributes.resubmitted;
-  query.preceding_share = late_work_.PrecedingShare(attributes.service, attributes.route.priority);
   query.attempted_targets = &request.attempted_targets();
   query.may_spill = spillover_.MaySpill(now);
   const int sender_count = ColdTargetSenderCount(attributes.service);
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -17,7 +17,6 @@
 #include "gateway/fleet.h"
 #include "gateway/forwarded_request.h"
 #include "gateway/known_limits.h"
-#include "gateway/late_work_limit.h"
 #include "gateway/limit_report.h"
 #include "gateway/placement.h"
 #include "gateway/primary_region_selector.h"
@@ -151,7 +150,6 @@
   SpilloverLimiter spillover_;
   VmStanding standing_;
   KnownLimits known_limits_;
-  LateWorkLimit late_work_;
   absl::flat_hash_set<TargetName> limited_targets_;
   EntryVmDirectory entry_vms_;
   absl::flat_hash_map<ServiceName, ServiceRetryBudget> retry_budgets_;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -4,7 +4,6 @@
 #include <limits>
 
 #include "base/stable_hash.h"
-#include "gateway/late_work_limit.h"
 
 namespace heatherspan {
 namespace {
@@ -52,8 +51,6 @@
 constexpr double kLateWaitPart = 0.5;
 /// Resubmitted requests have already paid for a refusal and may wait this much longer.
 constexpr double kResubmittedWaitPart = 1.5;
-/// Largest queue wait at a target whose queue is unknown, as a multiple of the mean one.
-constexpr double kMaxUnseenWaitPart = 2;
 /// Fraction of the remaining time that a prediction may use, because predictions are inexact.
 constexpr double kUsableTimePart = 0.85;
 /// A joined target that is primary for no requested object gets a request from its assigned entry
@@ -107,8 +104,6 @@
 struct Placer::Ranked {
   Placement placement;
   Duration cost{};
-  /// The target is not the object's primary one and has not got the object from this node.
-  bool is_spilled = false;
 };
 
 auto Placer::RoundTrip(const FleetTarget& target) const -> Duration {
@@ -205,8 +200,6 @@
   const bool at_most_once = query.route->retry_rule == RetryRule::kAtMostOnce;
   const double failure_cost = target.health().FailureRate(now) *
                               (at_most_once ? kFailureCostAtMostOnce : kFailureCostIdempotent);
-  ranked.is_spilled = query.route->session_affinity && role != Role::kPrimary &&
-                      state == CachedObjects::State::kUnknown;
   ranked.cost = ranked.placement.completion_time() + Scale(objective, failure_cost);
   if (query.route->session_affinity) {
     const double miss_factor =
@@ -294,37 +287,20 @@
   }
   const auto& placement = best->placement;
   // At high utilization, a late request that waits makes the requests behind it late.
-  const auto& region = placement.target->region();
-  const double utilization = primary_regions_.Utilization(query.service, region, now).value_or(0);
-  const double wait_scale =
-      std::min(1 - ExcessUtilization(query.service, region, kLateWaitMinUtilization, now),
-               LateWorkLimit::WaitFraction(utilization, query.preceding_share));
-  // With many nodes a target's last report is mostly too old to show its queue. The wait there is
-  // then taken from the usual one in the region. Because it is drawn anew each time, the nodes
-  // refuse in proportion to the shortage and don't all change their minds at the same moment.
-  const auto usual_wait = placement.target->load().UnseenWait(utilization, now);
-  const auto queue_wait =
-      usual_wait == Duration::zero()
-          ? placement.queue_wait
-          : std::max(placement.queue_wait, Scale(usual_wait, std::uniform_real_distribution<double>(
-                                                                 0, kMaxUnseenWaitPart)(random)));
+  const double wait_scale = 1 - ExcessUtilization(query.service, placement.target->region(),
+                                                  kLateWaitMinUtilization, now);
   const auto late_wait =
       Scale(query.route->objective,
             wait_scale * (query.resubmitted ? kResubmittedWaitPart : kLateWaitPart));
-  const bool in_time = placement.unqueued_time() + queue_wait <= query.objective_left;
-  // A late request that spills over evicts an object elsewhere, and takes several times as long.
-  const bool may_spill = in_time || !best->is_spilled || wait_scale >= 1 ||
-                         std::uniform_real_distribution<double>(0, 1)(random) < wait_scale;
-  const bool may_wait = in_time || (may_spill && queue_wait <= late_wait);
-  if (may_wait &&
-      placement.unqueued_time() + queue_wait <= Scale(query.time_left, kUsableTimePart)) {
+  const bool in_time = placement.completion_time() <= query.objective_left;
+  const bool may_wait = in_time || placement.queue_wait <= late_wait;
+  if (may_wait && placement.completion_time() <= Scale(query.time_left, kUsableTimePart)) {
     result.placement = placement;
     return result;
   }
   result.failure = PlacementFailure::kTooLate;
   result.late_placement = placement;
-  result.late_placement->queue_wait = queue_wait;
-  result.retry_after = RetryAfter(queue_wait - late_wait, query.time_left, random);
+  result.retry_after = RetryAfter(placement.queue_wait - late_wait, query.time_left, random);
   return result;
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -40,8 +40,6 @@
   bool may_spill = true;
   Apartness apartness = Apartness::kNone;
   RegionName primary_region;  ///< The region of the object's primary target.
-  /// The part of recent work to which the request gives way if it is late; see LateWorkLimit.
-  double preceding_share = 0;
 };
 
 /// A target and the predicted times of an attempt there.
@@ -53,8 +51,6 @@
   Duration round_trip{};
   double slowdown = 1;  ///< The part of the target's slowness that it has reported itself.
 
-  /// Until the response, if the request didn't have to wait.
-  auto unqueued_time() const -> Duration { return processing_time + round_trip; }
   auto completion_time() const -> Duration { return queue_wait + processing_time + round_trip; }
   auto max_completion_time() const -> Duration {
     return queue_wait + max_processing_time + round_trip;
--- a/src/gateway/target_load.cc
+++ b/src/gateway/target_load.cc
@@ -78,14 +78,6 @@
          FromSeconds(std::max(0.0, requests_ahead) * Seconds(mean_processing_time_) / slots_);
 }
 
-auto TargetLoad::UnseenWait(double utilization, MonotonicTime now) const -> Duration {
-  const double excess = std::max(0.0, utilization - 1);
-  if (excess == 0 || mean_processing_time_ == Duration::zero()) return Duration::zero();
-  const double age = std::max(0.0, Seconds(now - reported_at_) - kReportHoldSeconds);
-  const double unseen = 1 - std::exp(-age / Seconds(mean_processing_time_));
-  return FromSeconds(unseen * excess * Seconds(mean_processing_time_));
-}
-
 auto TargetLoad::OverdueRatio(MonotonicTime now) const -> double {
   double max_ratio = 1;
   for (const auto& attempt : attempts_) {
--- a/src/gateway/target_load.h
+++ b/src/gateway/target_load.h
@@ -39,9 +39,6 @@
   auto slots() const -> int { return slots_; }
   /// Returns the queue wait of a new request.
   auto QueueWait(MonotonicTime now) const -> Duration;
-  /// Returns the mean queue wait that the last report doesn't show any more, if the target has as
-  /// many requests per slot as the other targets of its service.
-  auto UnseenWait(double utilization, MonotonicTime now) const -> Duration;
   /// Returns the largest ratio of elapsed time to `max_duration` among the attempts in progress; at
   /// least 1.
   auto OverdueRatio(MonotonicTime now) const -> double;
