tests: lint of tests of bodies

Cause: the linter found copies and multiplications of narrow types in tests that part-memory touched.

Change: references, sizes of the right type; crowds, bounds and checks are the same.

--- a/tests/edge/target_trouble_test.cc
+++ b/tests/edge/target_trouble_test.cc
@@ -177,7 +177,7 @@
   constexpr std::size_t kBody = std::size_t{7} * 1024 * 1024;
   // The smallest machine of the deployments has 260 MB.
   constexpr std::size_t kMachine = std::size_t{260} * 1000 * 1000;
-  settings_.memory_mb = static_cast<int>(kMachine / (1024 * 1024));
+  settings_.memory_mb = static_cast<int>(kMachine / (std::size_t{1024} * 1024));
   std::list<EndlessTarget> targets;
   store_.Put("op/config", Policy(1));
   for (int i = 0; i < kTargets; ++i) {
--- a/tests/fleet_platform/exchange_order_test.cc
+++ b/tests/fleet_platform/exchange_order_test.cc
@@ -62,12 +62,12 @@
     peer_.reset();
   }
 
-  auto Send(const std::string& id, std::string body, Duration timeout)
+  auto Send(const std::string& id, const std::string& body, Duration timeout)
       -> std::shared_ptr<HttpClient::Exchange> {
     HttpRequest request;
     request.method = "POST";
     request.headers = {{"Host", "h.example"}, {RequestFormat::CorrelationHeader(), id}};
-    request.body = std::move(body);
+    request.body = body;
     peer_->ForgetEnd();
     return client_->Send(peer_->endpoint(), std::move(request), timeout, [this](HttpResult result) {
       peer_->NotifyEnd();
--- a/tests/hostile_clients/gateway_under_load.cc
+++ b/tests/hostile_clients/gateway_under_load.cc
@@ -93,14 +93,14 @@
   return false;
 }
 
-auto GatewayUnderLoad::Ask(std::string body) -> int {
+auto GatewayUnderLoad::Ask(const std::string& body) -> int {
   HttpRequest request;
   request.method = body.empty() ? "GET" : "POST";
   request.target = "/read/one";
   request.headers = {{"Host", "h.example"},
                      {"Heatherspan-Request-Id", "id-1"},
                      {"Heatherspan-Deadline-Ms", "30000"}};
-  request.body = std::move(body);
+  request.body = body;
   const auto result = client_.SendAndWait(callers(), request, kTimeout);
   return result.status.ok() ? result.response.status : 0;
 }
--- a/tests/hostile_clients/gateway_under_load.h
+++ b/tests/hostile_clients/gateway_under_load.h
@@ -32,7 +32,7 @@
   auto callers() const -> Endpoint { return Own(kCallers); }
   auto target() -> TargetStub& { return target_; }
   /// Sends one request and returns the status of the answer, 0 without one.
-  auto Ask(std::string body) -> int;
+  auto Ask(const std::string& body) -> int;
   /// Sends requests until one is served, as a caller does who is told to come back. False if that
   /// takes so long that the process must hang.
   auto AskUntilServed() -> bool;
--- a/tests/hostile_clients/hostile_clients_test.cc
+++ b/tests/hostile_clients/hostile_clients_test.cc
@@ -34,12 +34,14 @@
   return all;
 }
 
+constexpr std::size_t kLargePiece = std::size_t{64} * 1024;
+
 /// Bodies of the largest size that is allowed, announced.
 auto Announced() -> CrowdPlan {
   return {.clients = kClients,
           .head = Head(fmt::format("Content-Length: {}", kMaxBodyBytes)),
-          .piece = std::string(64 * 1024, 'x'),
-          .pieces = kMaxBodyBytes / (64 * 1024)};
+          .piece = std::string(kLargePiece, 'x'),
+          .pieces = kMaxBodyBytes / kLargePiece};
 }
 
 /// Bodies of the largest size that is allowed, in chunks.
@@ -79,12 +81,12 @@
   Play(std::move(plan));
 }
 
-TEST(HostileClients, LargeChunks) { Play(Chunked(64 * 1024)); }
+TEST(HostileClients, LargeChunks) { Play(Chunked(kLargePiece)); }
 
 TEST(HostileClients, TinyChunks) { Play(Chunked(8)); }
 
 TEST(HostileClients, BodiesFarOverTheLimitJustSent) {
-  auto plan = Chunked(64 * 1024);
+  auto plan = Chunked(kLargePiece);
   plan.pieces *= 8;
   Play(std::move(plan));
 }
@@ -125,7 +127,7 @@
 }
 
 TEST(HostileClients, TrailersWithoutEnd) {
-  auto plan = Chunked(64 * 1024);
+  auto plan = Chunked(kLargePiece);
   plan.head += Chunk(1) + "0\r\n";
   plan.piece = Repeat("field: value\r\n", 4096);
   plan.pieces = 64;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -238,11 +238,12 @@
 TEST_F(HttpClientTest, EachOfManyCallersGetsItsOwnAnswer) {
   constexpr int kCalls = 2000;
   constexpr int kAtOnce = 50;
-  HttpServer server(workers_, {}, [](HttpRequest request, const HttpServer::Responder& respond) {
-    HttpResponse response;
-    response.body = std::move(request.body);
-    respond(std::move(response));
-  });
+  HttpServer server(workers_, {},
+                    [](const HttpRequest& request, const HttpServer::Responder& respond) {
+                      HttpResponse response;
+                      response.body = request.body.text();
+                      respond(std::move(response));
+                    });
   const auto endpoint = *server.Listen({"127.0.0.1", 0});
   HttpClient client(workers_, {});
   BlockingQueue<std::pair<std::string, HttpResult>> answers;
