--- a/tests/gateway/loop_lateness_test.cc
+++ b/tests/gateway/loop_lateness_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace heatherspan {
 namespace {
 
--- a/tests/gateway/reported_slowdown_test.cc
+++ b/tests/gateway/reported_slowdown_test.cc
@@ -2,8 +2,6 @@
 
 #include <gtest/gtest.h>
 
-#include <optional>
-
 #include "gateway/gateway_core.h"
 
 namespace heatherspan {
--- a/tests/gateway/unequal_vms_test.cc
+++ b/tests/gateway/unequal_vms_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <string>
