review: an entry VM that starts in a drill accepts a withdrawn key

Shows that a process whose first listing is of a store that is back from an older copy takes the keys in it for proved, though the key was taken away 7 s before (revoke_s is 5). Code path: StoreSyncState::OnPage, StateProof, TeamAccess::IsStale.

--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -200,6 +200,17 @@
   buffer.erase(0, length);
   return true;
 }
+/// The same, but looks every 20 ms whether to stop before the message has begun.
+template <class Stop>
+bool ReadMessageOr(int fd, string& buffer, Message& m, double until, Stop stop) {
+  while (buffer.empty()) {
+    if (stop()) return false;
+    const auto n = ReadSome(fd, buffer, std::min(until, Now() + 0.02));
+    if (n == 0 || (n < 0 && (errno != ETIMEDOUT || Now() >= until))) return false;
+  }
+  if (stop()) return false;
+  return ReadMessage(fd, buffer, m, until);
+}
 inline string Answer(int status, const string& body,
                      const std::vector<std::pair<string, string>>& headers = {}) {
   string text = F("HTTP/1.1 %d Status\r\n", status);
@@ -207,6 +218,37 @@
   return text + F("Content-Length: %zu\r\n\r\n", body.size()) + body;
 }
 
+/// Which of the processes holds the other end of an accepted loopback connection; 0 if none.
+inline pid_t OwnerOf(int fd, const std::vector<pid_t>& processes) {
+  sockaddr_in peer{}, own{};
+  socklen_t n = sizeof peer;
+  getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &n);
+  n = sizeof own;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&own), &n);
+  const auto local = F("%08X:%04X", peer.sin_addr.s_addr, ntohs(peer.sin_port));
+  const auto remote = F("%08X:%04X", own.sin_addr.s_addr, ntohs(own.sin_port));
+  std::ifstream table("/proc/net/tcp");
+  string line, inode;
+  while (std::getline(table, line)) {
+    std::istringstream in(line);
+    string sl, l, r, st, queues, timers, retransmits, uid, timeout, i;
+    in >> sl >> l >> r >> st >> queues >> timers >> retransmits >> uid >> timeout >> i;
+    if (l == local && r == remote) inode = "socket:[" + i + "]";
+  }
+  if (inode.empty()) return 0;
+  for (auto pid : processes) {
+    std::error_code error;
+    for (auto& entry : std::filesystem::directory_iterator(F("/proc/%d/fd", pid), error))
+      if (std::filesystem::read_symlink(entry.path(), error) == inode) return pid;
+  }
+  return 0;
+}
+/// Closes with a reset.
+inline void Reset(int fd) {
+  linger l{1, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
+}
+
 // ---- a server: one thread a connection
 class Server {
  public:
@@ -622,6 +664,10 @@
   string state = "ready";
   Behaviour behaviour;
   std::vector<std::pair<string, string>> extra;  // fields in all answers
+  /// Whether the path between the target and the process at the other end is cut. Connections are reset.
+  static inline std::function<bool(pid_t)> is_cut;
+  static inline std::vector<pid_t> processes;
+  static inline std::atomic<bool> cuts{false};
   std::mutex mutex;
 
   std::vector<std::pair<string, string>> Fields(const Message& m, bool is_signed = true) {
@@ -644,7 +690,15 @@
   void Serve(int fd) {
     string buffer;
     Message m;
-    while (ReadMessage(fd, buffer, m, Now() + 10)) {
+    pid_t owner = 0;
+    if (is_cut) owner = OwnerOf(fd, processes);
+    const auto cut = [&] {
+      if (!is_cut || !cuts || !is_cut(owner)) return false;
+      Reset(fd);
+      return true;
+    };
+    if (cut()) return;
+    while (ReadMessageOr(fd, buffer, m, Now() + 10, cut)) {
       if (m.target == "/health") {
         auto fields = Fields(m, false);
         fields.emplace_back("Heatherspan-Instance-Id", name_);
@@ -677,9 +731,10 @@
       }
       Record(F("target %s got %s %s id=%s tenant=%s ran=%d status=%d", name_.c_str(), a.method.c_str(),
                a.path.c_str(), a.id.c_str(), a.tenant.c_str(), a.ran, a.status));
-      if (answer.empty()) return;
+      if (answer.empty() || cut()) return;
       if (!SendAll(fd, answer)) return;
     }
+    cut();
   }
   const string name_, service_, zone_;
   mutable uint64_t sequence_ = 0;
