review: a quota is exceeded while a zone is cut off and the others restart

Shows that the fractions of a tenant's quota sum up to more than one when entry VMs restart while another one is cut off: it keeps its fraction for 280 s, and the new processes don't count it. Code path: QuotaFraction::Update, value.

--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -411,10 +411,17 @@
     stopped_ = true;
     changed_.notify_all();
     expiry_.join();
+    for (auto& other : others_) other->Stop();
     server_.Stop();
   }
   bool Listen() { return server_.Listen(); }
   const Address& at() const { return server_.at(); }
+  /// Another address of the store. What is read there names the second text in place of the first: the
+  /// addresses by which one machine reaches the others, so that the path can be cut.
+  bool ListenFor(Address at, std::vector<std::pair<string, string>> paths) {
+    others_.push_back(std::make_unique<Server>(at, [this, paths](int fd) { Serve(fd, paths); }));
+    return others_.back()->Listen();
+  }
 
   uint64_t Put(const string& key, const string& value, uint64_t lease = 0) {
     std::lock_guard lock(mutex_);
@@ -503,13 +510,27 @@
       if (item.lease == id) keys.push_back(key);
     for (auto& key : keys) RemoveLocked(key);
   }
-  void Serve(int fd) {
+  using Paths = std::vector<std::pair<string, string>>;
+  static void Replace(Json& item, const Paths& paths) {
+    if (!item.contains("value")) return;
+    auto value = Decode64(item["value"].get<string>());
+    for (auto& [from, to] : paths)
+      if (auto at = value.find(from); at != string::npos) value.replace(at, from.size(), to);
+    item["value"] = Encode64(value);
+  }
+  void Serve(int fd, const Paths& paths = {}) {
     string buffer;
     Message m;
     while (ReadMessage(fd, buffer, m, Now() + 60)) {
       int status = 200;
       Json body;
       std::optional<string> answer = Handle(m, status, body);
+      if (answer && status == 200 && !paths.empty() && (body.contains("items") || body.contains("events"))) {
+        for (const char* list : {"items", "events"})
+          if (body.contains(list))
+            for (auto& item : body[list]) Replace(item, paths);
+        answer = Answer(200, body.dump(), {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(era_)}});
+      }
       if (on_call) on_call(m, answer ? status : 0);
       if (!answer) {  // silent: a connection on which a response is lost returns nothing further
         string rest;
@@ -613,6 +634,7 @@
   }
 
   Server server_;
+  std::vector<std::unique_ptr<Server>> others_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<string, Item> items_;
@@ -624,6 +646,43 @@
   std::thread expiry_;
 };
 
+// ---- a path between two machines: carries bytes, or, while it is cut, nothing
+class Path {
+ public:
+  Path(Address at, Address to) : server_(at, [this](int fd) { Carry(fd); }), to_(std::move(to)) {}
+  bool Listen() { return server_.Listen(); }
+  const Address& at() const { return server_.at(); }
+  std::atomic<bool> cut{false};
+
+ private:
+  void Carry(int fd) {
+    int other = -1;
+    if (!cut) other = Connect(to_);
+    // A connection that is opened during the cut hangs; one that lives on stays silent.
+    bool open = other >= 0 || cut;
+    while (open) {
+      if (cut) {
+        Sleep(0.01);
+        pollfd p{fd, 0, 0};
+        if (poll(&p, 1, 0) > 0 && (p.revents & (POLLHUP | POLLERR)) != 0) break;
+        continue;
+      }
+      if (other < 0) break;
+      pollfd p[2]{{fd, POLLIN, 0}, {other, POLLIN, 0}};
+      if (poll(p, 2, 10) <= 0) continue;
+      for (int i = 0; i < 2 && open; ++i) {
+        if (p[i].revents == 0) continue;
+        char buffer[65536];
+        const auto n = recv(p[i].fd, buffer, sizeof buffer, 0);
+        open = n > 0 && SendAll(p[1 - i].fd, string(buffer, static_cast<size_t>(n)));
+      }
+    }
+    if (other >= 0) close(other);
+  }
+  Server server_;
+  const Address to_;
+};
+
 // ---- a target (PROTOCOL.md, "Backends")
 struct Arrival {
   double at = 0;
@@ -803,7 +862,7 @@
 
 /// The settings file, as the platform fills it in from deploy/gateway-settings.toml.in.
 inline string Settings(const Node& n, const Address& store, const std::vector<Node>& all,
-                       const string& more_bounds = "") {
+                       const string& more_bounds = "", const std::vector<Address>& seeds = {}) {
   std::ostringstream s;
   s << "[node]\nname = \"" << n.name << "\"\nzone = \"" << n.zone << "\"\nregion = \"" << n.region
     << "\"\ndescriptors = " << n.fd_limit << "\nmemory_mb = " << n.memory_mb
@@ -812,7 +871,7 @@
     << "\"\nmetrics = \"" << n.metrics.Text() << "\"\n\n[store]\naddress = \"" << store.Text()
     << "\"\nheartbeat_s = 1.5\n\n[peers]\nlisten = \"" << n.control.Text() << "\"\nseeds = [";
   for (size_t i = 0; i < std::min<size_t>(3, all.size()); ++i)
-    s << (i ? "," : "") << '"' << all[i].control.Text() << '"';
+    s << (i ? "," : "") << '"' << (i < seeds.size() ? seeds[i] : all[i].control).Text() << '"';
   s << "]\n\n[bounds]\nretry_ratio = 0.2\nretry_window_s = 10\nretry_allowance = 58\nmax_shift = 0.15\n"
        "stop_grace_s = 6\ndrain_s = 2.5\napply_s = 2.5\n"
     << more_bounds << "\n[zones]\n";
@@ -901,6 +960,7 @@
 struct TenantSpec {
   string name;
   std::vector<string> keys;
+  double rate = 0, burst = 0;
 };
 inline string Configuration(int version, const std::vector<RouteSpec>& routes,
                             const std::vector<string>& services, const std::vector<TenantSpec>& tenants = {},
@@ -931,8 +991,8 @@
                     {"spec",
                      {{"api_keys", t.keys},
                       {"priority", 1},
-                      {"rate_per_s", 0},
-                      {"burst", 0},
+                      {"rate_per_s", t.rate},
+                      {"burst", t.burst},
                       {"allowed_regions", Json::array()}}}});
   list.push_back({{"type", "limits"},
                   {"metadata", Json::object()},
