net, edge: report input that a listener refuses itself

Refusals by the server (400, 408, 413, 431, 503) had no log line, and their counters were not exported, so that a proper message read as malformed, or by the limits of an older configuration, left no trace.

HttpServer tells an observer of each such refusal, with the reader's error in words, the bytes of the message, the limits in force for the connection and whether these are outdated. The gateway writes it as input-refused and exports all counters of its five listeners as rejected_input_total.

No decision changes.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -15,6 +15,7 @@
 #include "edge/edge_limits.h"
 #include "edge/edge_settings.h"
 #include "edge/harm_monitor.h"
+#include "edge/listener_monitor.h"
 #include "edge/memory_monitor.h"
 #include "edge/peer_reader.h"
 #include "edge/peer_sync.h"
@@ -130,7 +131,14 @@
               OnPeerRequest(request, respond);
             },
             memory_),
-        memory_monitor_(*memory_, log_, metrics_) {}
+        memory_monitor_(*memory_, log_, metrics_),
+        listener_monitor_(log_, metrics_) {
+    listener_monitor_.Watch("callers", callers_server_);
+    listener_monitor_.Watch("peers", peers_server_);
+    listener_monitor_.Watch("directory", directory_server_);
+    listener_monitor_.Watch("readiness", readiness_server_);
+    listener_monitor_.Watch("metrics", metrics_server_);
+  }
 
   ~EdgeNode() { workers_.Stop(); }
   EdgeNode(const EdgeNode&) = delete;
@@ -452,8 +460,7 @@
     access_.OnTick(now);
     AnnounceState(now);
     memory_monitor_.OnTick(now);
-    metrics_.Set(Metric::kRejectedInput, {{"listener", "callers"}, {"cause", "caller-gone"}},
-                 static_cast<double>(callers_server_.counters().caller_gone));
+    listener_monitor_.OnTick();
     metrics_.Set(Metric::kInputAgeSeconds, {{"source", "store"}},
                  std::chrono::duration<double>(core_.StoreAge(now)).count());
     metrics_.Set(Metric::kInFlight, {{"region", settings_.region.value()}},
@@ -550,6 +557,7 @@
   HttpServer metrics_server_;
   HttpServer peers_server_;
   MemoryMonitor memory_monitor_;
+  ListenerMonitor listener_monitor_;
   std::shared_ptr<WorkerPool::Timer> tick_;
   std::shared_ptr<WorkerPool::Timer>
       stop_timer_;  ///< Ends a stop whose requests outlast the grace.
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -25,6 +25,7 @@
 #include "net/http_reader.h"
 #include "net/http_server_state.h"
 #include "net/http_text.h"
+#include "net/input_refusal.h"
 #include "net/memory_account.h"
 #include "net/peer_socket.h"
 #include "net/pending_response.h"
@@ -75,7 +76,10 @@
   }
 
   auto StartRefused() -> void override {
-    Post([](Connection& self) { self.Refuse(503); });
+    Post([](Connection& self) {
+      self.Report(InputRefusal::Cause::kTooManyConnections, 503);
+      self.Refuse(503);
+    });
   }
 
   auto CloseIfIdle() -> void override {
@@ -132,10 +136,11 @@
   auto OnEndOfInput(const ErrorCode& error) -> void;
   auto ParseInput() -> void;
   auto OnIncompleteRequest() -> void;
-  auto RefuseInput(HttpReadError error) -> void;
+  auto RefuseInput(HttpReadError error, const std::string& text) -> void;
   auto RefuseForMemory() -> void;
   /// Closes the connection of a caller who does not take what it has asked for.
   auto CloseForMemory() -> void;
+  auto Report(InputRefusal::Cause cause, int status, std::string error = {}) const -> void;
   auto SendContinueIfDue() -> void;
   auto HandOver() -> void;
   auto Refuse(int status, std::vector<HeaderField> headers = {}) -> void;
@@ -158,6 +163,8 @@
   State state_ = State::kOpen;
   /// Requests without a complete response, in their order.
   std::deque<std::shared_ptr<ServerExchange>> exchanges_;
+  std::size_t used_bytes_ = 0;  ///< Of the message that is being read.
+  std::size_t handled_requests_ = 0;
   bool reading_ = false;  ///< A read of the socket is pending.
   bool writing_ = false;  ///< A write to the socket is pending.
   bool request_started_ = false;
@@ -203,6 +210,7 @@
     Abort();
   } else if (deadlines_.ReadOverdue(now) && state_ == State::kOpen && request_started_) {
     server_->request_timeout.fetch_add(1);
+    Report(InputRefusal::Cause::kRequestTimeout, 408);
     Refuse(408);
   } else if (deadlines_.ReadOverdue(now)) {
     CloseNow();
@@ -264,9 +272,11 @@
 
 auto Connection::ParseInput() -> void {
   while (!input_.empty() && MayHandOver()) {
-    input_.Use(reader_.Read(input_.unused()));
+    const auto used = reader_.Read(input_.unused());
+    input_.Use(used);
+    used_bytes_ += used;
     if (reader_.error() != HttpReadError::kNone) {
-      RefuseInput(reader_.error());
+      RefuseInput(reader_.error(), reader_.error_text());
     } else if (reader_.done()) {
       HandOver();
     } else {
@@ -277,18 +287,21 @@
   ReadMore();
 }
 
-auto Connection::RefuseInput(HttpReadError error) -> void {
+auto Connection::RefuseInput(HttpReadError error, const std::string& text) -> void {
   switch (error) {
     case HttpReadError::kHeaderTooLarge:
       server_->header_too_large.fetch_add(1);
+      Report(InputRefusal::Cause::kHeaderTooLarge, 431, text);
       Refuse(431);
       return;
     case HttpReadError::kBodyTooLarge:
       server_->body_too_large.fetch_add(1);
+      Report(InputRefusal::Cause::kBodyTooLarge, 413, text);
       Refuse(413);
       return;
     default:
       server_->bad_request.fetch_add(1);
+      Report(InputRefusal::Cause::kBadRequest, 400, text);
       Refuse(400);
   }
 }
@@ -296,7 +309,7 @@
 auto Connection::OnIncompleteRequest() -> void {
   // The reader leaves only incomplete lines in the buffer, of a header or between chunks.
   if (input_.size() > limits_->max_header_bytes) {
-    RefuseInput(HttpReadError::kHeaderTooLarge);
+    RefuseInput(HttpReadError::kHeaderTooLarge, "incomplete line beyond the limit of the header");
     return;
   }
   if (!request_started_) {
@@ -312,10 +325,29 @@
 
 auto Connection::RefuseForMemory() -> void {
   server_->no_memory.fetch_add(1);
+  Report(InputRefusal::Cause::kNoMemory, 503);
   // After 1 s, slow bodies have given way.
   Refuse(503, {{"Retry-After", "1"}});
 }
 
+auto Connection::Report(InputRefusal::Cause cause, int status, std::string error) const -> void {
+  if (!server_->on_refusal) return;
+  const auto now = server_->limits.load();
+  InputRefusal refusal;
+  refusal.cause = cause;
+  refusal.status = status;
+  refusal.remote = remote_;
+  refusal.error = std::move(error);
+  refusal.message_bytes = used_bytes_ + input_.size();
+  refusal.handled_requests = handled_requests_;
+  refusal.max_header_bytes = limits_->max_header_bytes;
+  refusal.max_body_bytes = limits_->max_body_bytes;
+  refusal.max_connections = limits_->max_connections;
+  refusal.limits_outdated = now->max_header_bytes != limits_->max_header_bytes ||
+                            now->max_body_bytes != limits_->max_body_bytes;
+  server_->on_refusal(refusal);
+}
+
 auto Connection::SendContinueIfDue() -> void {
   constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
   // The responses to earlier requests go first.
@@ -354,6 +386,8 @@
   deadlines_.ClearRead();
   request_started_ = false;
   continue_sent_ = false;
+  used_bytes_ = 0;
+  ++handled_requests_;
   auto exchange = std::make_shared<ServerExchange>();
   exchange->keep_alive = reader_.keep_alive();
   exchange->http_1_0 = reader_.http_1_0();
@@ -415,6 +449,7 @@
 
 auto Connection::CloseForMemory() -> void {
   server_->no_memory.fetch_add(1);
+  Report(InputRefusal::Cause::kNoMemory, 0);
   Abort();
 }
 
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -167,6 +167,7 @@
     parser_->body_limit(max_body_bytes_);
     header_bytes_ = 0;
     error_ = HttpReadError::kNone;
+    parser_error_ = {};
   }
 
   auto Read(std::string_view input) -> std::size_t {
@@ -174,12 +175,16 @@
     const bool in_header = !parser_->is_header_done();
     boost::beast::error_code error;
     const auto used = parser_->put(boost::asio::buffer(input.data(), input.size()), error);
-    if (error && error != http::error::need_more) error_ = ReadErrorOf(error);
+    if (error && error != http::error::need_more) {
+      error_ = ReadErrorOf(error);
+      parser_error_ = error;
+    }
     // Beast takes complete fields out of the input, so that its own limit sees only the rest.
     if (in_header && !parser_->is_header_done()) {
       header_bytes_ += used;
       if (header_bytes_ + (input.size() - used) > max_header_bytes_) {
         error_ = HttpReadError::kHeaderTooLarge;
+        parser_error_ = http::error::header_limit;
       }
     }
     return used;
@@ -187,6 +192,9 @@
 
   auto parser() -> Parser& { return *parser_; }
   auto error() const -> HttpReadError { return error_; }
+  auto error_text() const -> std::string {
+    return error_ == HttpReadError::kNone ? std::string() : parser_error_.message();
+  }
   auto SetError(HttpReadError error) -> void { error_ = error; }
   auto done() const -> bool { return error_ == HttpReadError::kNone && parser_->is_done(); }
 
@@ -202,6 +210,7 @@
   std::optional<Parser> parser_;
   std::size_t header_bytes_ = 0;
   HttpReadError error_ = HttpReadError::kNone;
+  boost::beast::error_code parser_error_;
 };
 
 }  // namespace
@@ -226,6 +235,7 @@
 auto HttpRequestReader::Read(std::string_view input) -> std::size_t { return impl_->Read(input); }
 auto HttpRequestReader::done() const -> bool { return impl_->done(); }
 auto HttpRequestReader::error() const -> HttpReadError { return impl_->error(); }
+auto HttpRequestReader::error_text() const -> std::string { return impl_->error_text(); }
 auto HttpRequestReader::keep_alive() const -> bool { return impl_->parser().keep_alive(); }
 auto HttpRequestReader::http_1_0() const -> bool { return impl_->parser().http_1_0; }
 
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "net/http_request.h"
@@ -31,6 +32,8 @@
 
   auto done() const -> bool;
   auto error() const -> HttpReadError;
+  /// The error in words, in more detail; empty if there is none.
+  auto error_text() const -> std::string;
   auto keep_alive() const -> bool;
   auto http_1_0() const -> bool;
   /// The sender waits for "100 Continue" before it sends the body.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -9,6 +9,7 @@
 
 #include "net/http_connection.h"
 #include "net/http_server_state.h"
+#include "net/input_refusal.h"
 #include "net/tcp_acceptor.h"
 #include "net/worker_pool.h"
 
@@ -20,9 +21,22 @@
 constexpr auto kMinSweepInterval = std::chrono::milliseconds(5);
 constexpr auto kMaxSweepInterval = std::chrono::milliseconds(500);
 
+auto ReportDropped(const HttpServerState& state, Endpoint remote) -> void {
+  if (!state.on_refusal) return;
+  const auto limits = state.limits.load();
+  InputRefusal refusal;
+  refusal.cause = InputRefusal::Cause::kTooManyConnections;
+  refusal.remote = std::move(remote);
+  refusal.max_header_bytes = limits->max_header_bytes;
+  refusal.max_body_bytes = limits->max_body_bytes;
+  refusal.max_connections = limits->max_connections;
+  state.on_refusal(refusal);
+}
+
 auto Open(WorkerPool& workers, const std::shared_ptr<HttpServerState>& state, AcceptedSocket socket)
     -> void {
   bool refused = false;
+  bool dropped = false;
   std::shared_ptr<HttpConnection> connection;
   {
     const std::lock_guard lock(state->mutex);
@@ -31,13 +45,17 @@
     refused = open >= limits->max_connections;
     if (refused) state->too_many_connections.fetch_add(1);
     // Stop empties the set under this mutex; a connection added later would stay open.
-    if (state->stopped.load() || open >= limits->max_connections + kMaxRefusedConnections) {
-      ::close(socket.descriptor);
-      return;
+    dropped = state->stopped.load() || open >= limits->max_connections + kMaxRefusedConnections;
+    if (!dropped) {
+      connection = HttpConnection::Create(workers, socket.descriptor, socket.is_v6,
+                                          std::move(socket.remote), state);
+      state->connections.insert(connection);
     }
-    connection = HttpConnection::Create(workers, socket.descriptor, socket.is_v6,
-                                        std::move(socket.remote), state);
-    state->connections.insert(connection);
+  }
+  if (dropped) {
+    ::close(socket.descriptor);
+    if (refused) ReportDropped(*state, std::move(socket.remote));
+    return;
   }
   refused ? connection->StartRefused() : connection->Start();
 }
@@ -71,6 +89,10 @@
     state_->handler = std::move(handler);
   }
 
+  auto SetRefusalObserver(RefusalObserver observer) -> void {
+    state_->on_refusal = std::move(observer);
+  }
+
   auto Listen(const Endpoint& endpoint) -> absl::StatusOr<Endpoint> {
     auto bound = acceptor_.Listen(endpoint);
     if (!bound.ok()) return bound;
@@ -120,6 +142,10 @@
 
 HttpServer::~HttpServer() { impl_->Stop(); }
 
+auto HttpServer::SetRefusalObserver(RefusalObserver observer) -> void {
+  impl_->SetRefusalObserver(std::move(observer));
+}
+
 auto HttpServer::Listen(const Endpoint& endpoint) -> absl::StatusOr<Endpoint> {
   return impl_->Listen(endpoint);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -12,6 +12,7 @@
 
 namespace heatherspan {
 
+struct InputRefusal;
 class MemoryAccount;
 class WorkerPool;
 
@@ -22,6 +23,8 @@
   /// Sends the response; may be called once, from any thread.
   using Responder = std::function<void(HttpResponse)>;
   using Handler = std::function<void(HttpRequest, Responder)>;
+  /// Called on any worker thread; must not call the server.
+  using RefusalObserver = std::function<void(const InputRefusal&)>;
 
   struct Limits {
     std::size_t max_header_bytes = std::size_t{16} * 1024;
@@ -54,6 +57,8 @@
   HttpServer(const HttpServer&) = delete;
   auto operator=(const HttpServer&) -> HttpServer& = delete;
 
+  /// Must be called before Listen.
+  auto SetRefusalObserver(RefusalObserver observer) -> void;
   /// Starts to accept. Port 0 takes a free port; the result names the port taken.
   auto Listen(const Endpoint& endpoint) -> absl::StatusOr<Endpoint>;
   /// Applies to connections that are accepted from now on, and to timeouts that start from now on.
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -21,8 +21,9 @@
   const std::shared_ptr<MemoryAccount> memory;
   std::atomic<std::shared_ptr<const HttpServer::Limits>> limits;
   HttpServer::Handler handler;
-  std::atomic<bool> closing{false};   ///< Each response closes its connection.
-  std::atomic<bool> draining{false};  ///< Idle connections are closed as well.
+  HttpServer::RefusalObserver on_refusal;  ///< May be empty.
+  std::atomic<bool> closing{false};        ///< Each response closes its connection.
+  std::atomic<bool> draining{false};       ///< Idle connections are closed as well.
   std::atomic<bool> stopped{false};
   std::atomic<std::size_t> active{0};
   std::atomic<std::size_t> bad_request{0};
