gateway: failing test of a soak's condemned request

Cause, by its logs: the request met two crashes of the plan and one of a harmful request. A gateway served it between the first two, before it heard of the first. The harmful request's loss was read 6 ms after the refused connection that showed the crash, so that the crash was never counted for it and explained nothing (CrashDetector::OnRefused judges only what is lost already; TargetProber::Check asks once an interval; the next process's answer drops the loss).

No product change.

--- a/tests/gateway/condemned_innocent_test.cc
+++ b/tests/gateway/condemned_innocent_test.cc
@@ -88,5 +88,87 @@
   EXPECT_EQ(serving.suspects().StandingOf(kInnocent, now), Standing::kClear);
 }
 
+// Guards against a harmful request that keeps none of the blame for a crash, since the VM had the
+// refused connection that shows the crash before it saw the loss.
+TEST(CondemnedInnocentTest, ALossThatIsSeenAfterTheRefusalCounts) {
+  HarmGuard guard(NodeName("edge-2"));
+  const auto lose = [&](const RequestDigest& request, MonotonicTime at) {
+    guard.OnLost({request, Crash(8), ServiceName("rota-view"), milliseconds(16), at, true});
+  };
+  lose(kInnocent, kNow);
+  guard.OnRefused(TargetName("i-8"), 12, kNow);
+  lose(kHarmful, kNow + milliseconds(6));
+  // The next process answers before its start is known.
+  guard.OnTargetAnswered(TargetName("i-8"), kNow + milliseconds(2190));
+  guard.OnStarted(TargetName("i-8"), 2, 12, kNow + milliseconds(2760));
+  EXPECT_EQ(guard.suspects().CrashesOf(kHarmful).size(), 1U);
+}
+
+/// Entry VMs that tell each other all that they know.
+class CondemnedInnocentTrace : public testing::Test {
+ protected:
+  auto Lose(HarmGuard& vm, const RequestDigest& request, int target, int at_target_ms, int at_ms)
+      -> void {
+    vm.OnLost({request, Crash(target), kService, milliseconds(at_target_ms), At(at_ms), true});
+  }
+  auto Refuse(HarmGuard& vm, int target, int at_ms) -> void {
+    vm.OnRefused(Crash(target).target, 12, At(at_ms));
+    Exchange(at_ms);
+  }
+  auto Exchange(int at_ms) -> void {
+    for (auto* teller : {&edge_0_, &edge_1_, &edge_2_, &edge_4_}) {
+      for (auto* other : {&edge_0_, &edge_1_, &edge_2_, &edge_4_}) {
+        if (other != teller) Tell(*other, teller->Reports(At(at_ms)), At(at_ms));
+      }
+    }
+  }
+  static auto At(int ms) -> MonotonicTime { return kNow + milliseconds(ms); }
+  static auto Other(int number) -> RequestDigest {
+    return {9, static_cast<std::uint64_t>(number)};
+  }
+
+  const ServiceName kService{"rota-view"};
+  HarmGuard edge_0_{NodeName("edge-0")};
+  HarmGuard edge_1_{NodeName("edge-1")};
+  HarmGuard edge_2_{NodeName("edge-2")};
+  HarmGuard edge_4_{NodeName("edge-4")};
+};
+
+// Guards against a request that is condemned for two crashes of the targets' own, with an answer in
+// between, and one crash of a harmful request. The times are those of soak seed 7003.
+TEST_F(CondemnedInnocentTrace, OfTwoCrashesByChanceAndOneOfAHarmfulRequest) {
+  Lose(edge_4_, Other(1), 3, 1350, 0);
+  Lose(edge_4_, Other(2), 3, 1142, 0);
+  Lose(edge_1_, Other(3), 3, 253, 0);
+  Lose(edge_1_, kInnocent, 3, 919, 1);
+  edge_1_.OnRequestUnanswered(kInnocent, At(1));
+  Lose(edge_1_, Other(4), 3, 451, 1);
+  Refuse(edge_4_, 3, 2);
+  edge_0_.OnRequestAnswered(kInnocent, At(729));
+  Lose(edge_0_, kInnocent, 6, 31, 769);
+  Refuse(edge_0_, 6, 769);
+  Lose(edge_0_, Other(5), 6, 724, 770);
+  Lose(edge_0_, Other(1), 6, 112, 770);
+  Refuse(edge_1_, 3, 1132);
+  Lose(edge_0_, kInnocent, 8, 755, 1323);
+  Refuse(edge_0_, 8, 1324);
+  Lose(edge_2_, Other(6), 8, 156, 1324);
+  Refuse(edge_2_, 8, 1324);
+  Lose(edge_2_, kHarmful, 8, 16, 1330);
+  Lose(edge_1_, kHarmful, 2, 7, 1460);
+  Lose(edge_2_, kHarmful, 10, 1, 2068);
+  Refuse(edge_2_, 10, 2070);
+  Lose(edge_2_, kHarmful, 4, 22, 2094);
+  Refuse(edge_2_, 4, 2095);
+  Refuse(edge_1_, 2, 2140);
+  edge_2_.OnTargetAnswered(Crash(8).target, At(3518));
+  edge_2_.OnStarted(Crash(8).target, 2, 12, At(4084));
+  Exchange(4084);
+  for (const auto* vm : {&edge_0_, &edge_1_, &edge_2_, &edge_4_}) {
+    EXPECT_EQ(vm->suspects().StandingOf(kHarmful, At(4084)), Standing::kCondemned);
+    EXPECT_NE(vm->suspects().StandingOf(kInnocent, At(4084)), Standing::kCondemned);
+  }
+}
+
 }  // namespace
 }  // namespace heatherspan
