net: a body beyond its limit is answered with 413, also behind its header

Callers saw: 431 for a body that is announced beyond the limit and comes in one piece with its header; the counter of large headers rose. Cause: the reader's own check of the header's size also ran after Beast had found the body too large, and took the body's bytes for the header's. Change: the check runs only if there is no error yet. Result: RequestLimitsTest.ATooLargeBodyIsNoTooLargeHeader failed before ("HTTP/1.1 431 Request Header Fields Too Large" in place of 413) and passes.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -176,7 +176,7 @@
     const auto used = parser_->put(boost::asio::buffer(input.data(), input.size()), error);
     if (error && error != http::error::need_more) error_ = ReadErrorOf(error);
     // Beast takes complete fields out of the input, so that its own limit sees only the rest.
-    if (in_header && !parser_->is_header_done()) {
+    if (error_ == HttpReadError::kNone && in_header && !parser_->is_header_done()) {
       header_bytes_ += used;
       if (header_bytes_ + (input.size() - used) > max_header_bytes_) {
         error_ = HttpReadError::kHeaderTooLarge;
