net: a kept connection follows the limits in force

Callers saw: 413 for a body and 431 for a header that the configuration allows, on connections that were accepted before it was in force; such callers send nothing again. Cause: a connection kept the limits of the moment at which it was accepted for its life; only timeouts followed. Change: a request's limits are those in force when its first byte is read. A request that has begun keeps its limits. Result: RequestLimitsTest.KeptConnectionsFollowHigherLimits failed before ("HTTP/1.1 431 Request Header Fields Too Large" in place of "HTTP/1.1 200 OK", 413 for bodies), so did KeptConnectionsFollowLowerLimits ("200" in place of "431" and "413"), and at the gateway CallerLimitsTest.HoldOnConnectionsFromBeforeTheConfiguration ("413" and "431" in place of "503").

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -131,6 +131,7 @@
   auto OnRead(const ErrorCode& error, std::size_t size) -> void;
   auto OnEndOfInput(const ErrorCode& error) -> void;
   auto ParseInput() -> void;
+  auto FollowLimits() -> void;
   auto OnIncompleteRequest() -> void;
   auto RefuseInput(HttpReadError error) -> void;
   auto RefuseForMemory() -> void;
@@ -149,7 +150,8 @@
   Socket socket_;
   const Endpoint remote_;
   const std::shared_ptr<HttpServerState> server_;
-  const std::shared_ptr<const HttpServer::Limits> limits_;  ///< In force when it was accepted.
+  /// In force when the present request began.
+  std::shared_ptr<const HttpServer::Limits> limits_;
   HttpRequestReader reader_;
   ConnectionMemory memory_;
   ConnectionInput input_;
@@ -264,6 +266,7 @@
 
 auto Connection::ParseInput() -> void {
   while (!input_.empty() && MayHandOver()) {
+    if (!request_started_) FollowLimits();
     input_.Use(reader_.Read(input_.unused()));
     if (reader_.error() != HttpReadError::kNone) {
       RefuseInput(reader_.error());
@@ -277,6 +280,13 @@
   ReadMore();
 }
 
+auto Connection::FollowLimits() -> void {
+  auto limits = server_->limits.load();
+  if (limits == limits_) return;
+  limits_ = std::move(limits);
+  reader_.SetLimits(limits_->max_header_bytes, limits_->max_body_bytes);
+}
+
 auto Connection::RefuseInput(HttpReadError error) -> void {
   switch (error) {
     case HttpReadError::kHeaderTooLarge:
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -154,9 +154,13 @@
   using Parser = MessageParser<is_request, Message>;
 
   Reader(std::size_t max_header_bytes, std::size_t max_body_bytes)
-      : max_header_bytes_(
-            std::min<std::size_t>(max_header_bytes, std::numeric_limits<std::uint32_t>::max())),
-        max_body_bytes_(max_body_bytes) {
+      : max_header_bytes_(HeaderLimit(max_header_bytes)), max_body_bytes_(max_body_bytes) {
+    Restart();
+  }
+
+  auto SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes) -> void {
+    max_header_bytes_ = HeaderLimit(max_header_bytes);
+    max_body_bytes_ = max_body_bytes;
     Restart();
   }
 
@@ -197,6 +201,10 @@
   }
 
  private:
+  static auto HeaderLimit(std::size_t bytes) -> std::size_t {
+    return std::min<std::size_t>(bytes, std::numeric_limits<std::uint32_t>::max());
+  }
+
   std::size_t max_header_bytes_;
   std::size_t max_body_bytes_;
   std::optional<Parser> parser_;
@@ -223,6 +231,11 @@
 
 HttpRequestReader::~HttpRequestReader() = default;
 
+auto HttpRequestReader::SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes)
+    -> void {
+  impl_->SetLimits(max_header_bytes, max_body_bytes);
+}
+
 auto HttpRequestReader::Read(std::string_view input) -> std::size_t { return impl_->Read(input); }
 auto HttpRequestReader::done() const -> bool { return impl_->done(); }
 auto HttpRequestReader::error() const -> HttpReadError { return impl_->error(); }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -25,6 +25,9 @@
   HttpRequestReader(const HttpRequestReader&) = delete;
   auto operator=(const HttpRequestReader&) -> HttpRequestReader& = delete;
 
+  /// May be called between two requests.
+  auto SetLimits(std::size_t max_header_bytes, std::size_t max_body_bytes) -> void;
+
   /// Returns how many bytes of the input were used; the rest has to be passed again together with
   /// the bytes that follow.
   auto Read(std::string_view input) -> std::size_t;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -56,7 +56,8 @@
 
   /// Starts to accept. Port 0 takes a free port; the result names the port taken.
   auto Listen(const Endpoint& endpoint) -> absl::StatusOr<Endpoint>;
-  /// Applies to connections that are accepted from now on, and to timeouts that start from now on.
+  /// Applies to connections that are accepted, requests that begin and timeouts that start from now
+  /// on.
   auto SetLimits(const Limits& limits) -> void;
   /// Closes the listening socket; open connections go on.
   auto StopListening() -> void;
