--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -135,6 +135,7 @@
   auto OnRead(const ErrorCode& error, std::size_t size) -> void;
   auto OnEndOfInput(const ErrorCode& error) -> void;
   auto ParseInput() -> void;
+  auto FollowLimits() -> void;
   auto OnIncompleteRequest() -> void;
   auto RefuseInput(HttpReadError error, const std::string& text) -> void;
   auto RefuseForMemory() -> void;
@@ -154,7 +155,8 @@
   Socket socket_;
   const Endpoint remote_;
   const std::shared_ptr<HttpServerState> server_;
-  const std::shared_ptr<const HttpServer::Limits> limits_;  ///< In force when it was accepted.
+  /// In force when the present request began.
+  std::shared_ptr<const HttpServer::Limits> limits_;
   HttpRequestReader reader_;
   ConnectionMemory memory_;
   ConnectionInput input_;
@@ -272,6 +274,7 @@
 
 auto Connection::ParseInput() -> void {
   while (!input_.empty() && MayHandOver()) {
+    if (!request_started_) FollowLimits();
     const auto used = reader_.Read(input_.unused());
     input_.Use(used);
     used_bytes_ += used;
@@ -287,6 +290,13 @@
   ReadMore();
 }
 
+auto Connection::FollowLimits() -> void {
+  auto limits = server_->limits.load();
+  if (limits == limits_) return;
+  limits_ = std::move(limits);
+  reader_.SetLimits(limits_->max_header_bytes, limits_->max_body_bytes);
+}
+
 auto Connection::RefuseInput(HttpReadError error, const std::string& text) -> void {
   switch (error) {
     case HttpReadError::kHeaderTooLarge:
