experiment: model of harmful requests with few attempts, callers' retries and flapping targets

The model sent each innocent request once, with four attempts at one VM, and counted those condemned. Requests of a site have two attempts at a VM and a retry of their caller at another one, some callers send copies at once, and targets flap. New options play these, and innocent requests that are refused are counted. Without the options the model draws what it drew before.

--- a/src/experiment/harmful_request_simulation.cc
+++ b/src/experiment/harmful_request_simulation.cc
@@ -24,7 +24,9 @@
 constexpr Duration kSpreadBound = milliseconds(1500);
 /// What is sent later is not under way when the third target ends.
 constexpr Duration kUnderWay = milliseconds(300);
-constexpr int kMaxAttempts = 4;
+constexpr Duration kFlapInterval = kDownTime + seconds(1);
+constexpr Duration kCallersPause = milliseconds(200);
+
 auto ServiceOf(const TargetName& /*target*/) -> std::optional<ServiceName> {
   return ServiceName("s");
 }
@@ -61,6 +63,8 @@
     NextQuestion(i);
   }
   if (options_.crash_share > 0) NextCrashes();
+  const auto flapping = static_cast<double>(targets_.size()) * options_.flapping_share;
+  for (std::size_t i = 0; static_cast<double>(i) < flapping; ++i) NextFlap(i);
 }
 
 auto HarmfulRequestSimulation::RunFor(Duration duration) -> void {
@@ -104,7 +108,9 @@
   scheduler_.RunAfter(std::chrono::duration_cast<Duration>(gap), [this, vm] {
     NextInnocent(vm);
     ++outcome_.innocent_sent;
-    Send(vm, {RequestDigest(random_(), random_()), std::nullopt, 0});
+    const Request request{RequestDigest(random_(), random_()), std::nullopt, 0};
+    Send(vm, request);
+    for (int i = 1; i < options_.copies; ++i) Send(random_() % vms_.size(), request);
   });
 }
 
@@ -148,6 +154,13 @@
   });
 }
 
+auto HarmfulRequestSimulation::NextFlap(std::size_t target) -> void {
+  scheduler_.RunAfter(kFlapInterval, [this, target] {
+    NextFlap(target);
+    Crash(target);
+  });
+}
+
 auto HarmfulRequestSimulation::ChooseTarget(const Vm& vm, Apartness apartness)
     -> std::optional<std::size_t> {
   const auto first = random_() % targets_.size();
@@ -172,7 +185,7 @@
 auto HarmfulRequestSimulation::Send(std::size_t vm, Request request) -> void {
   auto& state = vms_[vm];
   if (now() < state.back_at) return;
-  if (request.attempts == kMaxAttempts) {
+  if (request.attempts == options_.max_attempts) {
     OnUnanswered(vm, request);
     return;
   }
@@ -188,7 +201,11 @@
         apartness = Apartness::kRequired;
         break;
       case HarmGuard::Ruling::kWait:
+        OnUnanswered(vm, request);
+        return;
       case HarmGuard::Ruling::kRefuse:
+        if (!request.harmful.has_value()) ++outcome_.innocent_refused;
+        request.callers_retries = options_.callers_retries;
         OnUnanswered(vm, request);
         return;
     }
@@ -297,6 +314,11 @@
 auto HarmfulRequestSimulation::OnUnanswered(std::size_t vm, const Request& request) -> void {
   vms_[vm].guard->OnRequestUnanswered(request.digest, now());
   Publish(vm);
+  if (request.harmful.has_value() || request.callers_retries == options_.callers_retries) return;
+  auto again = request;
+  again.attempts = 0;
+  ++again.callers_retries;
+  scheduler_.RunAfter(kCallersPause, [this, again] { Send(random_() % vms_.size(), again); });
 }
 
 auto HarmfulRequestSimulation::OnRefused(std::size_t target, const Run& run) -> void {
--- a/src/experiment/harmful_request_simulation.h
+++ b/src/experiment/harmful_request_simulation.h
@@ -29,6 +29,10 @@
     bool idempotent = true;         ///< Whether a VM repeats a lost request.
     double crash_share = 0;         ///< Of the targets, every four seconds, by themselves.
     bool guarded = true;            ///< False: without the cure.
+    int max_attempts = 4;           ///< Of a request at one VM.
+    int callers_retries = 0;        ///< Of an innocent request without an answer, at other VMs.
+    int copies = 1;                 ///< Of each innocent request, sent to other VMs at once.
+    double flapping_share = 0;      ///< Of the targets, which end a second after each start.
     std::uint64_t seed = 1;
   };
 
@@ -41,6 +45,7 @@
     int sent_after_news = 0;     ///< Those sent over 0.3 s after it, by any VM.
     int innocent_condemned = 0;  ///< By VMs that hear the others; they may have heard a lone one.
     int innocent_held = 0;       ///< Those that are still condemned there 1.5 s later.
+    int innocent_refused = 0;    ///< Refused for good, by any VM.
     int innocent_sent = 0;
     int innocent_served = 0;
     Duration slowest_spread{};  ///< From a third crash until all VMs in touch refuse.
@@ -64,6 +69,7 @@
     RequestDigest digest;
     std::optional<std::size_t> harmful;  ///< Its number.
     int attempts = 0;
+    int callers_retries = 0;
   };
   struct Run {
     std::size_t vm = 0;
@@ -113,6 +119,7 @@
   auto NextHarmful(std::size_t number) -> void;
   auto NextQuestion(std::size_t vm) -> void;
   auto NextCrashes() -> void;
+  auto NextFlap(std::size_t target) -> void;
   auto Send(std::size_t vm, Request request) -> void;
   auto ChooseTarget(const Vm& vm, Apartness apartness) -> std::optional<std::size_t>;
   auto OnArrival(std::size_t target, const Run& run) -> void;
