gateway: tell each harmful request before the further crashes of one

Cause: Reports() ended at the first request whose crashes didn't fit into 24 reports. A request keeps up to 12 crashes, so that two of them filled a message, and neither a third harmful request nor an answer that clears an innocent one reached other VMs until the crashes were forgotten.

A message has at most 32 reports now, of which 8 are answers, newest first. Crashes go in turns of three a request, those last heard of first, and requests of the last 2 s before older ones. OnReport() looks for what can be forgotten at most every 100 ms, since it looks through all requests for each report of a message.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -7,6 +7,14 @@
 #include "base/stable_hash.h"
 
 namespace heatherspan {
+namespace {
+
+/// What was heard of longer ago has been told to all VMs in touch.
+constexpr auto kNewsTime = CrashSuspects::kAnswerRetention;
+/// A message has many reports, and all requests are looked through.
+constexpr Duration kForgetInterval = std::chrono::milliseconds(100);
+
+}  // namespace
 
 auto CrashSuspects::OnReport(const CrashReport& report, MonotonicTime now) -> bool {
   Forget(now);
@@ -114,29 +122,58 @@
   return crashes;
 }
 
-auto CrashSuspects::Reports(MonotonicTime now) const -> std::vector<CrashReport> {
-  std::vector<std::pair<const RequestDigest*, const Suspect*>> order;
-  order.reserve(suspects_.size());
+auto CrashSuspects::AnswerReports(MonotonicTime now) const -> std::vector<CrashReport> {
+  std::vector<CrashReport> reports;
   for (const auto& [request, suspect] : suspects_) {
-    if (suspect.is_shared) order.emplace_back(&request, &suspect);
+    if (!suspect.is_shared || !suspect.answered_at.has_value()) continue;
+    const auto age = now - *suspect.answered_at;
+    if (age > kAnswerRetention) continue;
+    reports.push_back({request, std::nullopt, age, Duration::zero(), 1, suspect.answered_by});
   }
-  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    return std::tuple(a.second->crashes.size(), a.second->heard_at, *a.first) >
-           std::tuple(b.second->crashes.size(), b.second->heard_at, *b.first);
+  std::sort(reports.begin(), reports.end(), [](const CrashReport& a, const CrashReport& b) {
+    return std::tie(a.age, a.request) < std::tie(b.age, b.request);
   });
-  std::vector<CrashReport> reports;
-  for (const auto& [request, suspect] : order) {
-    if (reports.size() + suspect->crashes.size() >= kMaxReports) break;
-    if (suspect->answered_at.has_value() && now - *suspect->answered_at <= kAnswerRetention) {
-      reports.push_back({*request, std::nullopt, now - *suspect->answered_at, Duration::zero(), 1,
-                         suspect->answered_by});
-    }
-    const bool condemned = IsCondemned(*suspect);
-    for (const auto& seen : suspect->crashes) {
+  if (reports.size() > kMaxAnswers) reports.resize(kMaxAnswers);
+  return reports;
+}
+
+auto CrashSuspects::Reports(MonotonicTime now) const -> std::vector<CrashReport> {
+  struct Turn {
+    const RequestDigest* request;
+    const Suspect* suspect;
+    std::vector<const Seen*> crashes;  ///< Those last heard of first.
+  };
+  std::vector<Turn> turns;
+  for (const auto& [request, suspect] : suspects_) {
+    if (!suspect.is_shared) continue;
+    std::optional<bool> condemned;
+    Turn turn{&request, &suspect, {}};
+    for (auto seen = suspect.crashes.rbegin(); seen != suspect.crashes.rend(); ++seen) {
       // Only condemned requests outlive the retention; others would be told in circles.
-      if (!condemned && now - seen.at > kRetention) continue;
-      reports.push_back(
-          {*request, seen.crash, now - seen.at, seen.at_target, seen.chance, seen.observer});
+      if (now - seen->at > kRetention) {
+        if (!condemned.has_value()) condemned = IsCondemned(suspect);
+        if (!*condemned) continue;
+      }
+      turn.crashes.push_back(&*seen);
+    }
+    if (!turn.crashes.empty()) turns.push_back(std::move(turn));
+  }
+  std::sort(turns.begin(), turns.end(), [now](const Turn& a, const Turn& b) {
+    const auto rank = [now](const Turn& turn) {
+      return std::tuple(now - turn.suspect->heard_at <= kNewsTime, turn.suspect->crashes.size(),
+                        turn.suspect->heard_at, *turn.request);
+    };
+    return rank(a) > rank(b);
+  });
+  auto reports = AnswerReports(now);
+  for (std::size_t first = 0; first < kMaxCrashesKept; first += kMinCrashes) {
+    for (const auto& turn : turns) {
+      for (auto i = first; i < std::min(first + kMinCrashes, turn.crashes.size()); ++i) {
+        if (reports.size() == kMaxReports) return reports;
+        const auto& seen = *turn.crashes[i];
+        reports.push_back(
+            {*turn.request, seen.crash, now - seen.at, seen.at_target, seen.chance, seen.observer});
+      }
     }
   }
   return reports;
@@ -152,6 +189,8 @@
 }
 
 auto CrashSuspects::Forget(MonotonicTime now) -> void {
+  if (forgot_at_.has_value() && now - *forgot_at_ < kForgetInterval) return;
+  forgot_at_ = now;
   absl::erase_if(suspects_, [this, now](auto& entry) {
     auto& suspect = entry.second;
     if (IsCondemned(suspect)) return now > TrialAt(suspect) + kMaxTrialPause;
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -49,7 +49,9 @@
   static constexpr Duration kMaxTrialPause = std::chrono::minutes(16);
   static constexpr std::size_t kMaxRequests = 512;
   static constexpr std::size_t kMaxCrashesKept = 12;
-  static constexpr std::size_t kMaxReports = 24;
+  /// Of one message, of which at most kMaxAnswers are answers.
+  static constexpr std::size_t kMaxReports = 32;
+  static constexpr std::size_t kMaxAnswers = 8;
   /// An answer is told for so long; whoever does not hear of it hears of it with the next one.
   static constexpr Duration kAnswerRetention = std::chrono::seconds(2);
 
@@ -73,7 +75,9 @@
   auto StandingOf(const RequestDigest& request, MonotonicTime now) const -> Standing;
   auto CrashesOf(const RequestDigest& request) const -> std::vector<TargetCrash>;
   /// Returns what others have to know: the crashes of requests that are more than suspected or that
-  /// other VMs may get next, and recent answers. The requests with the most crashes go first.
+  /// other VMs may get next, and recent answers. Requests that were heard of lately go first, then
+  /// those with the most crashes. Each is told with enough crashes to condemn it before any is told
+  /// with more.
   auto Reports(MonotonicTime now) const -> std::vector<CrashReport>;
   /// Returns a number that differs if the reported crashes do.
   auto Checksum() const -> std::uint64_t;
@@ -104,6 +108,7 @@
   /// Whether another request that has met at least as many crashes was at this one. Between two
   /// that have met the same, the next crash or answer decides.
   auto IsExplained(const TargetCrash& crash, const Suspect& suspect) const -> bool;
+  auto AnswerReports(MonotonicTime now) const -> std::vector<CrashReport>;
   static auto TrialAt(const Suspect& suspect) -> MonotonicTime;
   auto StandingOf(const Suspect& suspect, MonotonicTime now) const -> Standing;
   auto Forget(MonotonicTime now) -> void;
@@ -112,6 +117,7 @@
 
   NodeName self_;
   absl::flat_hash_map<RequestDigest, Suspect> suspects_;
+  std::optional<MonotonicTime> forgot_at_;
 };
 
 /// The standing as it stands in logs.
--- a/tests/experiment/harmful_request_test.cc
+++ b/tests/experiment/harmful_request_test.cc
@@ -101,5 +101,28 @@
   }
 }
 
+/// Four kinds of harmful requests that all come at once, each with some 0.05 of all requests,
+/// beside innocent ones with two attempts and one retry of their caller.
+auto Storm(std::size_t vm_count, std::uint64_t seed) -> Simulation::Options {
+  return {.vm_count = vm_count,
+          .targets_per_vm = 4,
+          .requests_per_vm = 20,
+          .harmful_requests = 4,
+          .harmful_per_second = 0.86 * static_cast<double>(vm_count),
+          .max_attempts = 2,
+          .callers_retries = 1,
+          .seed = seed};
+}
+
+// Guards against harmful requests that some VMs never hear of, as others fill the messages.
+TEST(HarmfulRequestStorm, EndsWithinSecondsAtAllVms) {
+  for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+    Simulation model(Storm(58, seed));
+    model.RunFor(seconds(3));
+    EXPECT_EQ(model.outcome().sent_late, 0) << "seed " << seed;
+    EXPECT_EQ(model.outcome().innocent_condemned, 0) << "seed " << seed;
+  }
+}
+
 }  // namespace
 }  // namespace heatherspan
--- a/tests/gateway/crash_suspects_test.cc
+++ b/tests/gateway/crash_suspects_test.cc
@@ -122,6 +122,30 @@
   EXPECT_EQ(suspects_.StandingOf(kRequest, kNow), Standing::kCondemned);
 }
 
+// Guards against harmful requests that other VMs never hear of, as one with many crashes fills the
+// message.
+TEST_F(CrashSuspectsTest, ARequestWithManyCrashesKeepsNoOtherFromBeingTold) {
+  for (std::uint64_t harmful = 1; harmful <= 4; ++harmful) {
+    for (int i = 0; i < 12; ++i) {
+      const auto number = static_cast<int>(harmful) * 20 + i;
+      suspects_.OnReport(Report(Crash(number), "vm", 1e-4, RequestDigest(7, harmful)), kNow);
+    }
+  }
+  suspects_.OnReport(Report(Crash(1), "vm-b"), kNow);
+  suspects_.OnReport(Answered(), kNow + milliseconds(1));
+  suspects_.OnReport(Report(Crash(2), "vm-b"), kNow + milliseconds(2));
+  CrashSuspects other(NodeName("vm-c"));
+  other.OnReport(Report(Crash(1), "vm-b"), kNow);
+  for (const auto& report : suspects_.Reports(kNow + milliseconds(2))) {
+    other.OnReport(report, kNow + milliseconds(2));
+  }
+  for (std::uint64_t harmful = 1; harmful <= 4; ++harmful) {
+    EXPECT_EQ(other.StandingOf(RequestDigest(7, harmful), kNow), Standing::kCondemned) << harmful;
+  }
+  // One crash was before the answer.
+  EXPECT_EQ(other.CrashesOf(kRequest), std::vector{Crash(2)});
+}
+
 // Guards against a trial at each VM.
 TEST(HarmGuardTest, OneVmTriesACondemnedRequest) {
   std::vector<EntryVm> vms;
