gateway: a loss that is seen after the refusal counts for the crash

Cause: a refused connection judges the losses that are known already. A loss that is read some milliseconds later waited for a probe, which is not made again within 1 s, and the next process's answer then dropped it. Change: a refusal is remembered for 500 ms, and a loss at its target counts at once.

--- a/src/gateway/crash_detector.cc
+++ b/src/gateway/crash_detector.cc
@@ -5,17 +5,26 @@
 
 namespace heatherspan {
 
-auto CrashDetector::OnLost(LostRequest lost) -> void {
+auto CrashDetector::OnLost(LostRequest lost) -> std::optional<LateLoss> {
   Forget(lost.lost_at);
-  if (size_ == kMaxLost) return;
+  if (const auto refusal = refusals_.find(lost.at.target); refusal != refusals_.end()) {
+    return LateLoss{std::move(lost), refusal->second.target_count};
+  }
+  if (size_ == kMaxLost) return std::nullopt;
   ++size_;
   auto& list = lost_[lost.at.target];
   list.push_back(std::move(lost));
+  return std::nullopt;
 }
 
-auto CrashDetector::OnRefused(const TargetName& target, MonotonicTime now)
+auto CrashDetector::OnRefused(const TargetName& target, std::size_t target_count, MonotonicTime now)
     -> std::vector<LostRequest> {
   Forget(now);
+  refusals_[target] = {now, target_count};
+  return TakeLost(target);
+}
+
+auto CrashDetector::TakeLost(const TargetName& target) -> std::vector<LostRequest> {
   const auto found = lost_.find(target);
   if (found == lost_.end()) return {};
   auto lost = std::move(found->second);
@@ -28,7 +37,8 @@
     -> std::vector<LostRequest> {
   const auto found = lost_.find(target);
   if (found == lost_.end() || found->second.front().at.start_id == start_id) return {};
-  return OnRefused(target, now);
+  Forget(now);
+  return TakeLost(target);
 }
 
 auto CrashDetector::OnUnanswered(const RequestDigest& request) -> void {
@@ -40,6 +50,8 @@
 }
 
 auto CrashDetector::OnAnswered(const TargetName& target, MonotonicTime sent_at) -> void {
+  const auto refusal = refusals_.find(target);
+  if (refusal != refusals_.end() && refusal->second.at <= sent_at) refusals_.erase(refusal);
   const auto found = lost_.find(target);
   if (found == lost_.end()) return;
   auto& list = found->second;
@@ -61,6 +73,7 @@
         entry.second, [now](const LostRequest& lost) { return now - lost.lost_at > kMaxWait; });
     return entry.second.empty();
   });
+  absl::erase_if(refusals_, [now](const auto& entry) { return now - entry.second.at > kLateLoss; });
 }
 
 }  // namespace heatherspan
--- a/src/gateway/crash_detector.h
+++ b/src/gateway/crash_detector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -29,10 +30,22 @@
   /// A target that has shown neither by then is not judged.
   static constexpr Duration kMaxWait = std::chrono::seconds(5);
   static constexpr std::size_t kMaxLost = 512;
+  /// The losses of one crash are read one after the other, some of them after the refusal that
+  /// shows the crash.
+  static constexpr Duration kLateLoss = std::chrono::milliseconds(500);
 
-  auto OnLost(LostRequest lost) -> void;
-  /// The machine of the target has refused a connection. Returns what was lost by the crash.
-  auto OnRefused(const TargetName& target, MonotonicTime now) -> std::vector<LostRequest>;
+  /// A loss that is seen after the refusal which shows the crash.
+  struct LateLoss {
+    LostRequest lost;
+    std::size_t target_count = 1;  ///< As it was passed with the refusal.
+  };
+
+  /// Returns the loss if the target is known to have crashed.
+  auto OnLost(LostRequest lost) -> std::optional<LateLoss>;
+  /// The machine of the target has refused a connection. `target_count`: of the target's service.
+  /// Returns what was lost by the crash.
+  auto OnRefused(const TargetName& target, std::size_t target_count, MonotonicTime now)
+      -> std::vector<LostRequest>;
   /// The target has registered a start. Returns what was lost by the crash of an earlier one.
   auto OnStarted(const TargetName& target, std::int64_t start_id, MonotonicTime now)
       -> std::vector<LostRequest>;
@@ -45,9 +58,16 @@
   auto empty() const -> bool { return lost_.empty(); }
 
  private:
+  struct Refusal {
+    MonotonicTime at;
+    std::size_t target_count = 1;
+  };
+
+  auto TakeLost(const TargetName& target) -> std::vector<LostRequest>;
   auto Forget(MonotonicTime now) -> void;
 
   absl::flat_hash_map<TargetName, std::vector<LostRequest>> lost_;
+  absl::flat_hash_map<TargetName, Refusal> refusals_;  ///< Within kLateLoss.
   std::size_t size_ = 0;
 };
 
--- a/src/gateway/harm_guard.cc
+++ b/src/gateway/harm_guard.cc
@@ -56,9 +56,15 @@
   if (found != at_targets_.end() && --found->second == 0) at_targets_.erase(found);
 }
 
+auto HarmGuard::OnLost(LostRequest lost) -> void {
+  const auto now = lost.lost_at;
+  const auto late = detector_.OnLost(std::move(lost));
+  if (late.has_value()) OnCrash({late->lost}, late->target_count, now);
+}
+
 auto HarmGuard::OnRefused(const TargetName& target, std::size_t target_count, MonotonicTime now)
     -> void {
-  OnCrash(detector_.OnRefused(target, now), target_count, now);
+  OnCrash(detector_.OnRefused(target, target_count, now), target_count, now);
 }
 
 auto HarmGuard::OnStarted(const TargetName& target, std::int64_t start_id, std::size_t target_count,
--- a/src/gateway/harm_guard.h
+++ b/src/gateway/harm_guard.h
@@ -53,7 +53,7 @@
   auto OnAttemptOver(const RequestDigest& request) -> void;
 
   /// The target has closed the request's connection without an answer.
-  auto OnLost(LostRequest lost) -> void { detector_.OnLost(std::move(lost)); }
+  auto OnLost(LostRequest lost) -> void;
   /// The target's machine refuses connections. `target_count`: of the target's service.
   auto OnRefused(const TargetName& target, std::size_t target_count, MonotonicTime now) -> void;
   /// The target has registered a start.
