edge: request lines tell what a 4xx rests on

A 404 named neither the request nor the state that it was refused by, and a refusal of another VM could not be told from one of this VM.

RefusalEvidenceTest.UnknownRouteNamesTheRequestAndTheConfiguration and .ARefusalOfAnotherVmNamesIt pass. Also two faults of the linter in that test file. No decision changes.

--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -135,10 +135,12 @@
     std::optional<TeamName> team;          ///< That the request is served for.
     std::optional<TeamQuotaRuling> quota;  ///< By which the request was taken from the quota.
     std::string through;                   ///< The entry VM that has got the request for this one.
+    std::string refused_by;                ///< The entry VM whose refusal is delivered.
     bool for_peer = false;                 ///< Another entry VM has passed the request on.
     bool finished = false;
   };
   using ActivePtr = std::shared_ptr<Active>;
+  using CallerFields = typename Format::CallerFields;
 
   static auto Now() -> MonotonicTime { return SystemClock().Now(); }
 
@@ -150,23 +152,24 @@
     auto fields = Format::ReadCaller(request);
     const RequestId id = fields.id;
     if (core_.policy() == nullptr) {
-      RefuseUnadmitted(id, Format::Refused(kRetryAfterWithoutPolicy), Reason::kNoConfiguration,
-                       respond, for_peer);
+      RefuseUnadmitted(fields, request, Format::Refused(kRetryAfterWithoutPolicy),
+                       Reason::kNoConfiguration, respond, for_peer);
       return;
     }
     if (behind_ && !for_peer && core_.entry_vms().Announced(now).size() > 1) {
-      RefuseUnadmitted(id, Format::Refused(kRetryAfterOtherVm), Reason::kOverload, respond,
-                       for_peer);
+      RefuseUnadmitted(fields, request, Format::Refused(kRetryAfterOtherVm), Reason::kOverload,
+                       respond, for_peer);
       return;
     }
     const auto* route = core_.routes().Find(fields.host, request.target);
     if (route == nullptr) {
-      RefuseUnadmitted(id, Format::NoRoute(), Reason::kUnknownRoute, respond, for_peer);
+      RefuseUnadmitted(fields, request, Format::NoRoute(), Reason::kUnknownRoute, respond,
+                       for_peer);
       return;
     }
     auto access = access_.Rule(*route, fields.access_key, now);
     if (access.outcome != TeamAccess::Outcome::kAllowed) {
-      RefuseAccess(id, access, respond, for_peer);
+      RefuseAccess(fields, request, access, respond, for_peer);
       return;
     }
     const auto unread = lateness_.MaxWait(now);
@@ -191,17 +194,20 @@
     TakeFromQuota(active);
   }
 
-  auto RefuseAccess(const RequestId& id, const TeamAccess::Ruling& ruling,
-                    const HttpServer::Responder& respond, bool for_peer) -> void {
+  auto RefuseAccess(const CallerFields& fields, const HttpRequest& request,
+                    const TeamAccess::Ruling& ruling, const HttpServer::Responder& respond,
+                    bool for_peer) -> void {
     if (ruling.outcome == TeamAccess::Outcome::kUnknownKey) {
-      RefuseUnadmitted(id, Format::UnknownKey(), Reason::kUnknownAccessKey, respond, for_peer);
+      RefuseUnadmitted(fields, request, Format::UnknownKey(), Reason::kUnknownAccessKey, respond,
+                       for_peer);
       return;
     }
     const auto reason = ruling.outcome == TeamAccess::Outcome::kStaleKeys
                             ? Reason::kStaleConfiguration
                             : Reason::kNoTarget;
     if (!for_peer) request_log_.CountForTeam(ruling.team, reason);
-    RefuseUnadmitted(id, Format::Refused(kRetryAfterOtherVm), reason, respond, for_peer);
+    RefuseUnadmitted(fields, request, Format::Refused(kRetryAfterOtherVm), reason, respond,
+                     for_peer);
   }
 
   /// The entry VM that passes a request on has taken it from the quota.
@@ -229,11 +235,13 @@
     quotas_.GiveBack(*active.team, *ruling);
   }
 
-  auto RefuseUnadmitted(const RequestId& id, HttpResponse response, Reason reason,
-                        const HttpServer::Responder& respond, bool for_peer) -> void {
-    request_log_.OnUnadmitted(id, response.status, reason);
+  auto RefuseUnadmitted(const CallerFields& fields, const HttpRequest& request,
+                        HttpResponse response, Reason reason, const HttpServer::Responder& respond,
+                        bool for_peer) -> void {
+    request_log_.OnUnadmitted(
+        fields.id, {response.status, reason, fields.host, request.target, for_peer}, Now());
     // Another VM may have a newer configuration.
-    if (for_peer) Format::AddRelayVerdict(id, Verdict::kNotRun, 0, false, response);
+    if (for_peer) Format::AddRelayVerdict(fields.id, Verdict::kNotRun, 0, false, response);
     respond(std::move(response));
   }
 
@@ -352,6 +360,7 @@
       Place(active);
     } else if (step == RequestStep::kRefuse && outcome == AttemptOutcome::kRefused) {
       // The refusal says when to come back.
+      active->refused_by = active->through;
       Conclude(active, RequestStep::kDeliver, ReasonOf(outcome), Duration::zero(),
                std::move(result.response));
     } else {
@@ -549,10 +558,11 @@
     if (reason != Reason::kNone) harm_.OnRequestUnanswered(active->digest, Now());
     // The entry VM that passes a request on counts it.
     if (!active->for_peer) request_log_.CountForTeam(active->team, reason);
-    request_log_.OnEnd(active->forwarded,
-                       {outcome, status, reason, active->expected_queue_wait,
-                        active->expected_processing_time, active->through, active->team},
-                       Now());
+    request_log_.OnEnd(
+        active->forwarded,
+        {outcome, status, reason, active->expected_queue_wait, active->expected_processing_time,
+         active->through, active->refused_by, active->team, active->for_peer},
+        Now());
   }
 
   GatewayCore& core_;
--- a/src/edge/request_log.h
+++ b/src/edge/request_log.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,23 +28,40 @@
     Reason reason = Reason::kNone;
     Duration expected_queue_wait{};
     Duration expected_processing_time{};
-    std::string_view through;  ///< The entry VM that has served it for this one, if any.
+    std::string_view through;     ///< The entry VM that has served it for this one, if any.
+    std::string_view refused_by;  ///< The entry VM whose refusal was delivered, if any.
     std::optional<TeamName> team;
+    bool for_peer = false;
+  };
+
+  /// A request that was refused before it had a route.
+  struct Unadmitted {
+    int status = 0;
+    Reason reason = Reason::kNone;
+    std::string_view host;
+    std::string_view target;  ///< As in the request line.
+    bool for_peer = false;
   };
 
   RequestLog(const GatewayCore& core, EventLog& log, MetricsRegistry& metrics)
       : core_(core), log_(log), metrics_(metrics) {}
 
-  auto OnUnadmitted(const RequestId& id, int status, Reason reason) -> void {
-    metrics_.Increment(Metric::kRefusals, {{"reason", ReasonText(reason)},
+  auto OnUnadmitted(const RequestId& id, const Unadmitted& request, MonotonicTime now) -> void {
+    metrics_.Increment(Metric::kRefusals, {{"reason", ReasonText(request.reason)},
                                            {"verdict", VerdictText(Verdict::kNotRun)}});
     log_.Write(LogLevel::kWarning, "request",
                {{"id", id.value()},
                 {"outcome", "rejected"},
-                {"status", status},
-                {"reason", ReasonText(reason)},
+                {"status", request.status},
+                {"reason", ReasonText(request.reason)},
                 {"verdict", VerdictText(Verdict::kNotRun)},
-                {"config", ConfigVersionNumber()}});
+                {"host", request.host.substr(0, kMaxTextBytes)},
+                {"path", FirstSegment(request.target)},
+                {"for_peer", request.for_peer ? 1 : 0},
+                {"config", ConfigVersionNumber()},
+                {"store_revision", core_.store_revision()},
+                {"store_age_ms", Milliseconds(core_.StoreAge(now))},
+                {"uptime_ms", Milliseconds(now - started_at_)}});
   }
 
   /// Counts a request of a team, as served without a reason.
@@ -70,6 +90,8 @@
                 {"object", attributes.object},
                 {"target", targets.empty() ? "" : targets.back().value()},
                 {"through", end.through},
+                {"refused_by", end.refused_by},
+                {"for_peer", end.for_peer ? 1 : 0},
                 {"attempts", forwarded.attempts()},
                 {"outcome", end.outcome},
                 {"status", end.status},
@@ -84,10 +106,20 @@
                 {"route_config", attributes.config.value()},
                 {"config", ConfigVersionNumber()},
                 {"store_revision", core_.store_revision()},
-                {"store_age_ms", Milliseconds(core_.StoreAge(now))}});
+                {"store_age_ms", Milliseconds(core_.StoreAge(now))},
+                {"uptime_ms", Milliseconds(now - started_at_)}});
   }
 
  private:
+  /// Longer texts of callers are cut in the log.
+  static constexpr std::size_t kMaxTextBytes = 64;
+
+  /// The rest of a path may name what callers keep private.
+  static auto FirstSegment(std::string_view target) -> std::string_view {
+    const auto end = target.find_first_of("/?", 1);
+    return target.substr(0, std::min(end, kMaxTextBytes));
+  }
+
   static auto Milliseconds(Duration duration) -> std::int64_t {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
   }
@@ -99,6 +131,7 @@
   const GatewayCore& core_;
   EventLog& log_;
   MetricsRegistry& metrics_;
+  const MonotonicTime started_at_ = SystemClock().Now();
 };
 
 }  // namespace heatherspan
--- a/tests/edge/refusal_evidence_test.cc
+++ b/tests/edge/refusal_evidence_test.cc
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <string>
 
 #include "edge_node_fixture.h"
 #include "raw_socket.h"
+#include "scripted_peer.h"
 
 namespace heatherspan {
 namespace {
@@ -14,7 +16,7 @@
     const auto text = log_capture_.Text();
     for (std::size_t begin = 0; begin < text.size();) {
       const auto end = std::min(text.find('\n', begin), text.size());
-      const auto line = text.substr(begin, end - begin);
+      auto line = text.substr(begin, end - begin);
       if (line.find("event=" + event + " ") != std::string::npos &&
           line.find(part) != std::string::npos) {
         return line;
@@ -33,9 +35,8 @@
 TEST_F(RefusalEvidenceTest, MalformedInputIsLoggedAndCounted) {
   store_.Put("op/config", Policy(1));
   Start();
-  for (const auto& [listener, endpoint] :
-       {std::pair{std::string("callers"), settings_.callers}, {"peers", settings_.peers}}) {
-    auto socket = RawSocket::Connect(endpoint);
+  for (const std::string listener : {"callers", "peers"}) {
+    auto socket = RawSocket::Connect(listener == "callers" ? settings_.callers : settings_.peers);
     socket.Send("PUT /read/x HTTP/1.1\r\nContent-Length: -1\r\n\r\n");
     EXPECT_EQ(socket.ReadUntilClosed().substr(0, 12), "HTTP/1.1 400");
     const auto line = Line("input-refused", "listener=" + listener);
@@ -50,5 +51,36 @@
   }
 }
 
+// Guards against a refusal that can't be traced to the configuration that it rests on.
+TEST_F(RefusalEvidenceTest, UnknownRouteNamesTheRequestAndTheConfiguration) {
+  store_.Put("op/config", Policy(7));
+  Start();
+  EXPECT_EQ(Send("/secrets/of/callers?a=1").response.status, 404);
+  const auto line = Line("request", "reason=unknown-route");
+  for (const auto* field : {"status=404", "host=h.example", "path=/secrets ", "config=7",
+                            "for_peer=0", "store_age_ms=", "uptime_ms="}) {
+    EXPECT_NE(line.find(field), std::string::npos) << field << " in " << line;
+  }
+  EXPECT_EQ(line.find("callers"), std::string::npos) << line;
+}
+
+// Guards against the refusal of another VM that passes for one of this VM.
+TEST_F(RefusalEvidenceTest, ARefusalOfAnotherVmNamesIt) {
+  constexpr int kUnreachable = 6;
+  const ScriptedPeer peer([](const std::string& id) {
+    return "HTTP/1.1 400 Bad Request\r\nHeatherspan-Relay-Verdict: not-run\r\n"
+           "Heatherspan-Relay-Arrivals: 0\r\nContent-Length: 0\r\nHeatherspan-Request-Id: " +
+           id + "\r\n\r\n";
+  });
+  store_.Put("op/config", Policy(1));
+  RegisterUnreachable(kUnreachable);
+  store_.Put("entry/n-3", peer.Announcement());
+  Start();
+  ASSERT_TRUE(Eventually([&] { return Send("/book/x", "POST").response.status == 400; }));
+  const auto line = Line("request", "status=400");
+  EXPECT_NE(line.find("through=n-3 refused_by=n-3 for_peer=0"), std::string::npos) << line;
+  EXPECT_NE(line.find("verdict=not-run"), std::string::npos) << line;
+}
+
 }  // namespace
 }  // namespace heatherspan
