edge: log the evidence for a condemned request

A refusal with harmful-request told only how many crashes the request had met, not which, by whose reports and with what probability, so that an innocent request could not be told from a harmful one afterwards.

request-condemned is written once when a request becomes condemned, also if that shows only at a refusal, because no other request explains its crashes any more. CrashSuspects::EvidenceOf is a const accessor; no decision changes.

HarmfulRequestTest.TheLogHoldsTheEvidence and CrashSuspectsTest.EvidenceTellsWhatAnotherRequestExplains pass.

--- a/src/edge/harm_monitor.h
+++ b/src/edge/harm_monitor.h
@@ -1,12 +1,17 @@
 #pragma once
 
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "absl/container/flat_hash_set.h"
 #include "base/ids.h"
+#include "base/time.h"
 #include "edge/platform_ports.h"
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
@@ -48,7 +53,11 @@
       -> Ruling {
     if (guard_.IsIdle()) return Ruling::kSend;
     if (!digest.has_value()) digest = DigestOf(request);
-    return guard_.Rule(*digest, core_.entry_vms().Announced(now), now);
+    const auto ruling = guard_.Rule(*digest, core_.entry_vms().Announced(now), now);
+    // A request is also condemned without a report of its own, once no other request explains its
+    // crashes any more.
+    if (ruling == Ruling::kRefuse && !reported_.contains(*digest)) WriteEvidence(*digest, now);
+    return ruling;
   }
 
   auto OnSent(const std::optional<RequestDigest>& digest) -> void {
@@ -157,11 +166,48 @@
                   {"standing", standing},
                   {"crashes", change.crashes},
                   {"source", change.source.value()}});
+      if (change.standing == CrashSuspects::Standing::kCondemned) {
+        WriteEvidence(change.request, now);
+      } else if (change.standing != CrashSuspects::Standing::kOnTrial) {
+        reported_.erase(change.request);
+      }
     }
     const auto recipients = guard_.TakeRecipients(core_.entry_vms().Announced(now));
     if (!recipients.empty()) tell_(recipients);
   }
 
+  /// Writes what the condemnation of the request rests on.
+  auto WriteEvidence(const RequestDigest& request, MonotonicTime now) -> void {
+    if (reported_.size() >= CrashSuspects::kMaxRequests) reported_.clear();
+    reported_.insert(request);
+    const auto evidence = guard_.suspects().EvidenceOf(request);
+    std::string text;
+    std::size_t unexplained = 0;
+    double chance = 1;
+    for (const auto& item : evidence) {
+      if (!item.is_explained) {
+        ++unexplained;
+        chance *= item.chance;
+      }
+      text += fmt::format(
+          "{}target={} start={} endpoint={} age_ms={} at_target_ms={} chance={:.1e} observer={} "
+          "explained={}",
+          text.empty() ? "" : "; ", item.crash.target.value(), item.crash.start_id,
+          item.crash.endpoint.Text(), Milliseconds(now - item.at), Milliseconds(item.at_target),
+          item.chance, item.observer.value(), item.is_explained ? 1 : 0);
+    }
+    log_.Write(LogLevel::kWarning, "request-condemned",
+               {{"request", request.Text()},
+                {"crashes", evidence.size()},
+                {"unexplained", unexplained},
+                {"chance", fmt::format("{:.1e}", chance)},
+                {"evidence", text}});
+  }
+
+  static auto Milliseconds(Duration duration) -> std::int64_t {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  }
+
   GatewayCore& core_;
   EventLog& log_;
   MetricsRegistry& metrics_;
@@ -169,6 +215,7 @@
   const TellCallback tell_;
   const CheckCallback check_;
   HarmGuard guard_;
+  absl::flat_hash_set<RequestDigest> reported_;  ///< Condemned; their evidence is in the log.
 };
 
 }  // namespace heatherspan
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -114,6 +114,17 @@
   return crashes;
 }
 
+auto CrashSuspects::EvidenceOf(const RequestDigest& request) const -> std::vector<Evidence> {
+  std::vector<Evidence> evidence;
+  const auto found = suspects_.find(request);
+  if (found == suspects_.end()) return evidence;
+  for (const auto& seen : found->second.crashes) {
+    evidence.push_back({seen.crash, seen.at, seen.at_target, seen.chance, seen.observer,
+                        IsExplained(seen.crash, found->second)});
+  }
+  return evidence;
+}
+
 auto CrashSuspects::Reports(MonotonicTime now) const -> std::vector<CrashReport> {
   std::vector<std::pair<const RequestDigest*, const Suspect*>> order;
   order.reserve(suspects_.size());
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -37,6 +37,16 @@
     double chance = 1;  ///< The probability that it has met all of them by chance.
   };
 
+  /// A crash that counts against a request.
+  struct Evidence {
+    TargetCrash crash;
+    MonotonicTime at;
+    Duration at_target{};
+    double chance = 1;
+    NodeName observer;
+    bool is_explained = false;  ///< By another request.
+  };
+
   static constexpr std::size_t kMinCrashes = 3;
   /// Requests that meet so many crashes in a row are not sent again, whatever the rate of crashes.
   static constexpr std::size_t kCertainCrashes = 6;
@@ -72,6 +82,7 @@
 
   auto StandingOf(const RequestDigest& request, MonotonicTime now) const -> Standing;
   auto CrashesOf(const RequestDigest& request) const -> std::vector<TargetCrash>;
+  auto EvidenceOf(const RequestDigest& request) const -> std::vector<Evidence>;
   /// Returns what others have to know: the crashes of requests that are more than suspected or that
   /// other VMs may get next, and recent answers. The requests with the most crashes go first.
   auto Reports(MonotonicTime now) const -> std::vector<CrashReport>;
--- a/tests/edge/harmful_request_test.cc
+++ b/tests/edge/harmful_request_test.cc
@@ -83,6 +83,29 @@
   EXPECT_TRUE(Eventually([&] { return log_capture_.Contains("standing=condemned"); }));
 }
 
+// Guards against a condemned request that nobody can judge afterwards.
+TEST_F(HarmfulRequestTest, TheLogHoldsTheEvidence) {
+  StartTargets();
+  for (int i = 0; i < kTargets; ++i) Send(kHarmfulPath);
+  const auto text = log_capture_.Text();
+  const auto begin = text.find("event=request-condemned ");
+  ASSERT_NE(begin, std::string::npos) << text;
+  const auto line = text.substr(begin, text.find('\n', begin) - begin);
+  EXPECT_NE(line.find("crashes=3 unexplained=3 chance="), std::string::npos) << line;
+  std::size_t crashes = 0;
+  for (auto at = line.find("target=i-"); at != std::string::npos;
+       at = line.find("target=i-", at + 1)) {
+    ++crashes;
+  }
+  EXPECT_EQ(crashes, 3U) << line;
+  for (const auto* field :
+       {" start=", " endpoint=127.", " age_ms=", " at_target_ms=", " observer=n explained=0"}) {
+    EXPECT_NE(line.find(field), std::string::npos) << field << " in " << line;
+  }
+  // Once, however often the request is refused.
+  EXPECT_EQ(text.find("event=request-condemned ", begin + 1), std::string::npos) << text;
+}
+
 // Guards against VMs that reach the store by different addresses and name a harmful request
 // differently.
 TEST_F(HarmfulRequestTest, VmsWithDifferentStoreAddressesAgreeOnIt) {
--- a/tests/gateway/crash_suspects_test.cc
+++ b/tests/gateway/crash_suspects_test.cc
@@ -55,6 +55,23 @@
   EXPECT_EQ(suspects_.StandingOf(kRequest, kNow), Standing::kCondemned);
 }
 
+TEST_F(CrashSuspectsTest, EvidenceTellsWhatAnotherRequestExplains) {
+  const RequestDigest harmful(3, 4);
+  for (int i = 0; i < 3; ++i) suspects_.OnReport(Report(Crash(i), "vm-b", 1e-3), kNow);
+  for (int i = 2; i < 6; ++i) suspects_.OnReport(Report(Crash(i), "vm", 1e-4, harmful), kNow);
+  const auto evidence = suspects_.EvidenceOf(kRequest);
+  ASSERT_EQ(evidence.size(), 3U);
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(evidence[i].crash, Crash(i));
+    EXPECT_EQ(evidence[i].at, kNow);
+    EXPECT_EQ(evidence[i].at_target, milliseconds(50));
+    EXPECT_EQ(evidence[i].chance, 1e-3);
+    EXPECT_EQ(evidence[i].observer, NodeName("vm-b"));
+    EXPECT_EQ(evidence[i].is_explained, i == 2) << i;
+  }
+  EXPECT_TRUE(suspects_.EvidenceOf(RequestDigest(5, 6)).empty());
+}
+
 // Guards against a target that closes connections on purpose and so takes requests away.
 TEST_F(CrashSuspectsTest, ASingleMachineCondemnsNothing) {
   for (int start = 1; start < 9; ++start) suspects_.OnReport(Report(Crash(1, start)), kNow);
