--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -122,6 +122,17 @@
   return crashes;
 }
 
+auto CrashSuspects::EvidenceOf(const RequestDigest& request) const -> std::vector<Evidence> {
+  std::vector<Evidence> evidence;
+  const auto found = suspects_.find(request);
+  if (found == suspects_.end()) return evidence;
+  for (const auto& seen : found->second.crashes) {
+    evidence.push_back({seen.crash, seen.at, seen.at_target, seen.chance, seen.observer,
+                        IsExplained(seen.crash, found->second)});
+  }
+  return evidence;
+}
+
 auto CrashSuspects::AnswerReports(MonotonicTime now) const -> std::vector<CrashReport> {
   std::vector<CrashReport> reports;
   for (const auto& [request, suspect] : suspects_) {
