soak: count gateways' own rejections by status

A seed that holds did not show how many 3xx and 4xx its gateways gave themselves, so that near misses of DENIED were in the logs only. The last line now names them by status.

--- a/tests/soak/promise_ledger.cc
+++ b/tests/soak/promise_ledger.cc
@@ -141,6 +141,7 @@
     -> void {
   const auto& request = entry.request;
   if (IsHarmful(request.target)) return;
+  ++rejected_[answer.status];
   const auto allows = [&](const PolicyFacts& facts) {
     return facts.services.contains(request.route);
   };
--- a/tests/soak/promise_ledger.h
+++ b/tests/soak/promise_ledger.h
@@ -152,6 +152,9 @@
   auto sent() const -> std::size_t { return requests_.size(); }
   auto served() const -> std::size_t { return served_; }
   auto refused() const -> std::size_t { return refused_; }
+  /// Answers by status, 3xx and 4xx of gateways themselves that are no refusals. Harmful requests
+  /// are left out.
+  auto rejected() const -> const std::map<int, int>& { return rejected_; }
 
   /// The end of the path of the request that ends each target that begins to run it.
   static constexpr std::string_view kHarmfulPath = "/harmful/20";
@@ -263,6 +266,7 @@
   int over_deadline_ = 0;
   int gone_arrivals_ = 0;
   int dead_named_ = 0;
+  std::map<int, int> rejected_;
   std::optional<MonotonicTime> recovered_;
   std::vector<Violation> violations_;
 };
--- a/tests/soak/promise_ledger_test.cc
+++ b/tests/soak/promise_ledger_test.cc
@@ -12,6 +12,7 @@
 using std::chrono::seconds;
 using testing::ElementsAre;
 using testing::IsEmpty;
+using testing::Pair;
 
 constexpr MonotonicTime kStart = MonotonicTime(seconds(1000));
 
@@ -171,6 +172,25 @@
   EXPECT_THAT(Broken(), ElementsAre("DENIED", "DENIED"));
 }
 
+// Guards against near misses that a seed which holds does not show.
+TEST_F(PromiseLedgerTest, CountsRejectionsByStatus) {
+  ledger_.troubles().Add(TroubleLog::kStore, TroubleLog::Kind::kUnplanned, kStart - seconds(30),
+                         kStart + seconds(1));
+  for (const auto* id : {"1", "2"}) {
+    Send(id, "extra");
+    Answer(id, 404);
+  }
+  Send("3");
+  Answer("3", 400);
+  Send("4");
+  Answer("4", 400, milliseconds(100), "i-1");
+  Send("5");
+  Answer("5", 429);
+  Send("6", "read", {}, [](SentRequest& request) { request.target = kHarmfulTarget; });
+  Answer("6", 400);
+  EXPECT_THAT(ledger_.rejected(), ElementsAre(Pair(400, 1), Pair(404, 2)));
+}
+
 TEST_F(PromiseLedgerTest, SeesAServiceThatNoConfigurationAllows) {
   Send("1", "read");
   change_ = [](SeenArrival& arrival) { arrival.service = "beta"; };
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <iostream>
+#include <string>
 
 #include "fmt/format.h"
 #include "soak/soak_run.h"
@@ -20,9 +21,13 @@
       std::cout << fmt::format("  {}: {}\n", violation.promise, violation.text);
     }
     const bool held = ledger.violations().empty();
+    std::string rejected;
+    for (const auto& [status, count] : ledger.rejected()) {
+      rejected += fmt::format(", {} times {}", count, status);
+    }
     std::cout << fmt::format(
-        "seed {}: {}, {} requests, {} served, {} refused, {} broken promises\n", options.seed,
-        held ? "held" : "FAILED", ledger.sent(), ledger.served(), ledger.refused(),
+        "seed {}: {}, {} requests, {} served, {} refused{}, {} broken promises\n", options.seed,
+        held ? "held" : "FAILED", ledger.sent(), ledger.served(), ledger.refused(), rejected,
         ledger.violations().size());
     return held ? 0 : 1;
   });
