platform: another VM's 4xx does not end a request that this VM allows

Callers saw: 400, and by reading 403, 405, 413 or 431, for a request that their VM had passed on and allows itself; they send nothing again after these. A 4xx or 2xx that claims to be a target's was delivered without a target's signature. Cause: a refusal of another VM was handed over whatever its status; only 404 and 401 were read as the sign of another configuration. Evidence of harm differs between VMs as configurations do. Result: RelayedRequestTest.AClientErrorOfThePeerIsNoFinalAnswer plays nine statuses with three verdicts and without one.

--- a/tests/edge/relayed_request_test.cc
+++ b/tests/edge/relayed_request_test.cc
@@ -199,6 +199,38 @@
   node_.reset();
 }
 
+// Guards against a caller that another VM's 4xx keeps from sending its request again, although the
+// configuration of its own VM allows it.
+TEST_F(RelayedRequestTest, AClientErrorOfThePeerIsNoFinalAnswer) {
+  constexpr const char* kBare = "Content-Length: 0\r\n\r\n";
+  const auto with_verdict = [](const std::string& id, const char* verdict) {
+    return "Heatherspan-Relay-Verdict: " + std::string(verdict) +
+           "\r\nHeatherspan-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+  };
+  // An id starts with the status of the answer, and ends with what follows the status.
+  ScriptedPeer peer([&](const std::string& id) {
+    if (id.size() < 4 || id[3] != '-') return ScriptedPeer::Served(id);
+    const auto kind = id.substr(4);
+    return "HTTP/1.1 " + id.substr(0, 3) + " Refused\r\n" +
+           (kind == "bare" ? kBare : with_verdict(id, kind.c_str()));
+  });
+  StartBeside(peer);
+  for (const char* status : {"400", "401", "403", "405", "408", "413", "421", "429", "431"}) {
+    for (const char* kind : {"not-run", "may-have-run", "ran", "bare"}) {
+      const auto id = std::string(status) + "-" + kind;
+      const auto answer = SendWithId(id);
+      EXPECT_EQ(peer.Requests(id).size(), 1U) << id;
+      if (std::string(kind) != "not-run") {
+        EXPECT_EQ(answer.status, 502) << id;
+        continue;
+      }
+      const bool promises = answer.status == 408 || answer.status == 421 || answer.status == 429;
+      EXPECT_TRUE(promises || answer.status == 503) << id << ": " << answer.status;
+    }
+  }
+  node_.reset();
+}
+
 // Guards against a caller who may not come back although no peer could be reached.
 TEST_F(RelayedRequestTest, HasNotRunIfNoPeerCanBeReached) {
   std::optional<ScriptedPeer> peer(std::in_place, &ScriptedPeer::Served);
