edge: a failure without header fields is no success

Callers saw: 200 without a body and a signature for a request that the target had answered with 500 or 503, if that answer had no header field at all. Cause: an answer without fields was taken for "no answer", and the answer of an earlier attempt, which there wasn't, has the status 200. Change: whether there is an answer is said by its presence. Result: BareAnswerTest.IsAFailureForTheCaller failed before for 500 and 503 ("Actual: false ... 200") and passes for nine statuses.

--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -107,7 +107,7 @@
     for (const auto& active : remaining) {
       const auto step = active->forwarded.OnDeadline();
       Abandon(active);
-      Conclude(active, step, Reason::kLeaving, kRetryAfterOtherVm, HttpResponse());
+      Conclude(active, step, Reason::kLeaving, kRetryAfterOtherVm, std::nullopt);
     }
   }
 
@@ -128,8 +128,8 @@
     std::optional<Attempt> attempt;
     std::shared_ptr<HttpClient::Exchange> exchange;
     std::shared_ptr<WorkerPool::Timer> deadline_timer;
-    HttpResponse last_response;      ///< A failure, delivered if no retry succeeds.
-    Duration expected_queue_wait{};  ///< Of the last attempt, or of the late placement.
+    std::optional<HttpResponse> last_response;  ///< A failure, delivered if no retry succeeds.
+    Duration expected_queue_wait{};             ///< Of the last attempt, or of the late placement.
     Duration expected_processing_time{};
     std::vector<Endpoint> endpoints;       ///< Of the targets that have got the request.
     std::optional<TeamName> team;          ///< That the request is served for.
@@ -217,8 +217,7 @@
       } else if (ruling.admitted) {
         Place(active);
       } else {
-        Conclude(active, RequestStep::kLimit, Reason::kTeamLimit, ruling.retry_after,
-                 HttpResponse());
+        Conclude(active, RequestStep::kLimit, Reason::kTeamLimit, ruling.retry_after, std::nullopt);
       }
     });
   }
@@ -245,14 +244,13 @@
       return;
     }
     if (now >= forwarded.deadline()) {
-      Conclude(active, forwarded.OnNoTarget(), Reason::kTimeout, kRetryAfterOtherVm,
-               HttpResponse());
+      Conclude(active, forwarded.OnNoTarget(), Reason::kTimeout, kRetryAfterOtherVm, std::nullopt);
       return;
     }
     if (!forwarded.MayRun()) {
       // The other VM's attempt may have run, and this VM's configuration has another retry rule.
       Conclude(active, RequestStep::kFail, Reason::kTargetConnectionLost, Duration::zero(),
-               HttpResponse());
+               std::nullopt);
       return;
     }
     if (!MaySend(active, now)) return;
@@ -262,7 +260,7 @@
       if (active->for_peer) {
         // The other VM finds one that reaches targets.
         Conclude(active, forwarded.OnNoTarget(), Reason::kNoTarget, kRetryAfterOtherVm,
-                 HttpResponse());
+                 std::nullopt);
         return;
       }
     }
@@ -276,12 +274,11 @@
         active->expected_processing_time = result.late_placement->processing_time;
       }
       Conclude(active, forwarded.OnNoTarget(), ReasonOfFailure(result.failure), result.retry_after,
-               HttpResponse());
+               std::nullopt);
       return;
     }
     if (now >= serve_until_ || now + result.placement->max_completion_time() > complete_by_) {
-      Conclude(active, forwarded.OnNoTarget(), Reason::kLeaving, kRetryAfterOtherVm,
-               HttpResponse());
+      Conclude(active, forwarded.OnNoTarget(), Reason::kLeaving, kRetryAfterOtherVm, std::nullopt);
       return;
     }
     Send(active, *result.placement, now);
@@ -304,11 +301,11 @@
     const auto step = forwarded.OnNoTarget();
     if (ruling == Ruling::kRefuse && step == RequestStep::kRefuse) {
       Conclude(active, RequestStep::kReject, Reason::kHarmfulRequest, Duration::zero(),
-               HttpResponse());
+               std::nullopt);
     } else {
       const auto reason =
           ruling == Ruling::kRefuse ? Reason::kHarmfulRequest : Reason::kSuspectedRequest;
-      Conclude(active, step, reason, kRetryAfterSuspected, HttpResponse());
+      Conclude(active, step, reason, kRetryAfterSuspected, std::nullopt);
     }
     return false;
   }
@@ -462,7 +459,7 @@
     if (active->finished) return;
     const auto step = active->forwarded.OnDeadline();
     Abandon(active);
-    Conclude(active, step, Reason::kTimeout, kRetryAfterOtherVm, HttpResponse());
+    Conclude(active, step, Reason::kTimeout, kRetryAfterOtherVm, std::nullopt);
   }
 
   auto OnCallerDisconnected(const ActivePtr& active) -> void {
@@ -482,14 +479,14 @@
   }
 
   auto Conclude(const ActivePtr& active, RequestStep step, Reason reason, Duration retry_after,
-                HttpResponse response) -> void {
+                std::optional<HttpResponse> response) -> void {
     HttpResponse answer;
     const char* outcome = "served";
     switch (step) {
       case RequestStep::kDeliver:
         // If a retry found no target, the answer is the failure response of the earlier attempt.
-        answer = Format::ForCaller(response.headers.empty() ? std::move(active->last_response)
-                                                            : std::move(response));
+        if (!response.has_value()) response = std::move(active->last_response);
+        answer = Format::ForCaller(*std::move(response));
         if (reason != Reason::kNone) outcome = "failed-at-target";
         WithdrawFalsePromise(*active, answer);
         break;
