edge: no 413 or 431 from a process that knows no configuration yet

Callers saw: 413 for a body over 1 MiB and 431 for a header over 16 KiB from a process that had just started, whatever the configuration allows; they send nothing again. Cause: such a process refuses by default sizes, as if these were the configuration's. Change: these limits are provisional: what exceeds them is refused with 503 and Retry-After, as everything else is then. Result: CallerLimitsTest.AreNotThoseOfAProcessWithoutAConfiguration failed before ("413" and "431" in place of "503") and passes.

--- a/src/edge/edge_limits.cc
+++ b/src/edge/edge_limits.cc
@@ -72,8 +72,11 @@
   return limits;
 }
 
-auto EdgeLimits::CallerServer(int descriptors, const CallerLimits& callers) -> HttpServer::Limits {
+auto EdgeLimits::CallerServer(int descriptors, const std::optional<CallerLimits>& configured)
+    -> HttpServer::Limits {
+  const auto callers = configured.value_or(CallerLimits());
   HttpServer::Limits limits;
+  limits.provisional = !configured.has_value();
   limits.max_connections = static_cast<std::size_t>(
       (descriptors - EdgeSettings::kReservedDescriptors) * kCallerFractionOfSockets);
   limits.max_header_bytes = callers.header_bytes;
--- a/src/edge/edge_limits.h
+++ b/src/edge/edge_limits.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -55,7 +56,9 @@
   static auto TargetClient(std::string correlation_header) -> HttpClient::Limits;
   static auto StoreClient() -> HttpClient::Limits;
   static auto StoreWatchClient() -> HttpClient::Limits;
-  static auto CallerServer(int descriptors, const CallerLimits& callers) -> HttpServer::Limits;
+  /// `configured`: empty as long as no configuration is known.
+  static auto CallerServer(int descriptors, const std::optional<CallerLimits>& configured)
+      -> HttpServer::Limits;
   static auto RelayClient(std::string correlation_header) -> HttpClient::Limits;
   /// The server also takes callers' requests that other entry VMs pass on.
   static auto PeerServer(const CallerLimits& callers) -> HttpServer::Limits;
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -116,7 +117,7 @@
                    lateness_),
         prober_(core_, target_client_, log_, metrics_, harm_, relay_),
         callers_server_(
-            workers_, EdgeLimits::CallerServer(settings_.descriptors, CallerLimits()),
+            workers_, EdgeLimits::CallerServer(settings_.descriptors, std::nullopt),
             [this](HttpRequest request, HttpServer::Responder respond) {
               forwarder_.Forward(std::move(request), std::move(respond));
             },
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -134,6 +134,7 @@
   auto FollowLimits() -> void;
   auto OnIncompleteRequest() -> void;
   auto RefuseInput(HttpReadError error) -> void;
+  auto RefuseTooLarge(int status) -> void;
   auto RefuseForMemory() -> void;
   /// Closes the connection of a caller who does not take what it has asked for.
   auto CloseForMemory() -> void;
@@ -291,11 +292,11 @@
   switch (error) {
     case HttpReadError::kHeaderTooLarge:
       server_->header_too_large.fetch_add(1);
-      Refuse(431);
+      RefuseTooLarge(431);
       return;
     case HttpReadError::kBodyTooLarge:
       server_->body_too_large.fetch_add(1);
-      Refuse(413);
+      RefuseTooLarge(413);
       return;
     default:
       server_->bad_request.fetch_add(1);
@@ -303,6 +304,14 @@
   }
 }
 
+auto Connection::RefuseTooLarge(int status) -> void {
+  if (limits_->provisional) {
+    Refuse(503, {{"Retry-After", "0.5"}});
+  } else {
+    Refuse(status);
+  }
+}
+
 auto Connection::OnIncompleteRequest() -> void {
   // The reader leaves only incomplete lines in the buffer, of a header or between chunks.
   if (input_.size() > limits_->max_header_bytes) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -32,6 +32,8 @@
     Duration request_timeout = std::chrono::seconds(10);  ///< To read one whole request.
     Duration idle_timeout = std::chrono::seconds(60);     ///< Between two requests.
     Duration write_timeout = std::chrono::seconds(30);
+    /// The sizes may be raised soon: larger requests may be sent again (503).
+    bool provisional = false;
     /// Watch for callers that close their connection while their request is handled.
     bool watch_disconnects = false;
   };
--- a/tests/edge/caller_limits_test.cc
+++ b/tests/edge/caller_limits_test.cc
@@ -57,5 +57,15 @@
   EXPECT_EQ(Exchange(other, LargeHeader()), "503");
 }
 
+// Guards against 413 and 431, after which callers send nothing again, from a process that does not
+// know the limits yet.
+TEST_F(CallerLimitsTest, AreNotThoseOfAProcessWithoutAConfiguration) {
+  node_.emplace(settings_, log_, [] {});
+  ASSERT_TRUE(node_->Start().ok());
+  for (const auto& input : {LargeBody(), LargeHeader()}) {
+    EXPECT_EQ(Exchange(RawSocket::Connect(settings_.callers), input), "503");
+  }
+}
+
 }  // namespace
 }  // namespace heatherspan
