--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -138,6 +138,7 @@
   auto FollowLimits() -> void;
   auto OnIncompleteRequest() -> void;
   auto RefuseInput(HttpReadError error, const std::string& text) -> void;
+  auto RefuseTooLarge(InputRefusal::Cause cause, int status, const std::string& text) -> void;
   auto RefuseForMemory() -> void;
   /// Closes the connection of a caller who does not take what it has asked for.
   auto CloseForMemory() -> void;
@@ -301,13 +302,11 @@
   switch (error) {
     case HttpReadError::kHeaderTooLarge:
       server_->header_too_large.fetch_add(1);
-      Report(InputRefusal::Cause::kHeaderTooLarge, 431, text);
-      Refuse(431);
+      RefuseTooLarge(InputRefusal::Cause::kHeaderTooLarge, 431, text);
       return;
     case HttpReadError::kBodyTooLarge:
       server_->body_too_large.fetch_add(1);
-      Report(InputRefusal::Cause::kBodyTooLarge, 413, text);
-      Refuse(413);
+      RefuseTooLarge(InputRefusal::Cause::kBodyTooLarge, 413, text);
       return;
     default:
       server_->bad_request.fetch_add(1);
@@ -316,6 +315,16 @@
   }
 }
 
+auto Connection::RefuseTooLarge(InputRefusal::Cause cause, int status, const std::string& text)
+    -> void {
+  Report(cause, limits_->provisional ? 503 : status, text);
+  if (limits_->provisional) {
+    Refuse(503, {{"Retry-After", "0.5"}});
+  } else {
+    Refuse(status);
+  }
+}
+
 auto Connection::OnIncompleteRequest() -> void {
   // The reader leaves only incomplete lines in the buffer, of a header or between chunks.
   if (input_.size() > limits_->max_header_bytes) {
