net: tests of proper requests that are sent ahead, and of bytes behind a refused one

400 requests of a seeded stream, with headers and bodies that just keep to the limits, chunks, extensions and trailers, sent ahead in pieces of up to 96 KiB, with one, two and eight handled at once: all served, none refused. Nothing behind a refused message is read.

--- a/tests/net/request_limits_test.cc
+++ b/tests/net/request_limits_test.cc
@@ -1,9 +1,14 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
+#include <random>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
+#include "fmt/format.h"
 #include "net/http_server.h"
 #include "net/worker_pool.h"
 #include "raw_socket.h"
@@ -81,6 +86,79 @@
   }
 }
 
+// Guards against a proper request that is refused because of what comes before or behind it, or
+// that just keeps to the limits.
+TEST_F(RequestLimitsTest, ProperRequestsAreServedHoweverManyAreSentAhead) {
+  constexpr unsigned kSeed = 20261207;
+  constexpr int kRequests = 400;
+  const auto hex = [](std::size_t number) { return fmt::format("{:x}", number); };
+  for (const std::size_t max_pipelined : {1, 2, 8}) {
+    auto limits = kLow;
+    limits.max_pipelined = max_pipelined;
+    limits.max_body_bytes = std::size_t{64} * 1024;
+    Start(limits);
+    std::mt19937 random(kSeed);
+    std::string input;
+    std::vector<std::size_t> sizes;
+    for (int i = 0; i < kRequests; ++i) {
+      const auto size = i % 7 == 0 ? limits.max_body_bytes : random() % 2048;
+      const std::string body(size, 'b');
+      const auto kind = random() % 4;
+      sizes.push_back(kind == 0 ? 0 : size);
+      if (kind == 0) {
+        const auto empty = Get("A: \r\n").size();
+        input += Get("A: " + std::string(limits.max_header_bytes - empty, 'h') + "\r\n");
+      } else if (kind == 1) {
+        input += Post(body);
+      } else if (kind == 2) {
+        input += size == 0 ? Post("") : PostChunked(hex(size), body);
+      } else {
+        std::string chunks;
+        for (std::size_t at = 0; at < size;) {
+          const auto part = std::min<std::size_t>(size - at, 1 + random() % 64);
+          chunks += hex(part) + ";ext=1\r\n" + body.substr(0, part) + "\r\n";
+          at += part;
+        }
+        input += "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks +
+                 "0\r\nA-Trailer: " + std::string(random() % 400, 't') + "\r\n\r\n";
+      }
+    }
+    const auto socket = RawSocket::Connect(endpoint_);
+    std::thread sender([&] {
+      for (std::size_t at = 0; at < input.size();) {
+        const auto piece = 1 + random() % (std::size_t{96} * 1024);
+        if (!socket.Send(std::string_view(input).substr(at, piece))) return;
+        at += piece;
+      }
+    });
+    for (int i = 0; i < kRequests; ++i) {
+      const auto answer = socket.ReadUntil(" bytes");
+      const auto size = std::to_string(sizes[static_cast<std::size_t>(i)]);
+      EXPECT_TRUE(answer.starts_with("HTTP/1.1 200") && answer.ends_with("\r\n" + size + " bytes"))
+          << "seed " << kSeed << " request " << i << ": " << answer;
+      if (HasFailure()) break;
+    }
+    sender.join();
+  }
+}
+
+// Guards against bytes behind a refused message that are taken for a request.
+TEST_F(RequestLimitsTest, NothingIsReadBehindARefusedMessage) {
+  Start(kLow);
+  const auto refused = {std::string("nonsense\r\n\r\n"), Post(std::string(65, 'b')),
+                        Get("A: " + std::string(512, 'h') + "\r\n"),
+                        "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n" + Get()};
+  for (const auto& input : refused) {
+    const auto socket = RawSocket::Connect(endpoint_);
+    socket.Send(Get() + input + Get());
+    const auto output = socket.ReadUntilClosed();
+    EXPECT_TRUE(output.starts_with("HTTP/1.1 200")) << output;
+    const auto second = output.find("HTTP/1.1 4");
+    ASSERT_NE(second, std::string::npos) << output;
+    EXPECT_EQ(output.find("HTTP/1.1 ", second + 1), std::string::npos) << output;
+  }
+}
+
 // Guards against requests beyond the limits in force on connections from before them.
 TEST_F(RequestLimitsTest, KeptConnectionsFollowLowerLimits) {
   const std::string body(2048, 'b');
