gateway: weigh a failure of many targets by all that a VM and its peers see

Cause: the chance of a crash followed from the crashes that one VM had lost requests to or was told of by then, and was not renewed. A VM that lost one request to a simultaneous crash of many targets took crashes for rare, and three such VMs condemned.

When 16 targets of a service crash or refuse connections within 1 s, refused connections count as crashes, also where the VM has lost nothing; each VM renews the chance of all requests at two crashes and more, and takes the higher of its own estimate and the one told. A VM that was restarted keeps the told chance of what it saw before. The text of reports is as it was.

With OnDown() doing nothing both new tests fail.

--- a/src/edge/harm_monitor.h
+++ b/src/edge/harm_monitor.h
@@ -96,6 +96,11 @@
   /// The target's machine has refused a connection.
   auto OnRefused(const TargetName& target, MonotonicTime now) -> void {
     guard_.OnRefused(target, TargetCount(target), now);
+    if (const auto* known = core_.fleet().Find(target); known != nullptr) {
+      const auto& entry = known->entry();
+      guard_.OnDown(entry.service, {entry.name, entry.start_id, entry.endpoint},
+                    TargetCount(target), now);
+    }
     Publish(now);
   }
   /// The target has answered a question for its health that was sent at the given time.
--- a/src/experiment/harmful_request_simulation.cc
+++ b/src/experiment/harmful_request_simulation.cc
@@ -305,6 +305,7 @@
     auto& state = vms_[vm];
     if (state.start != vm_start || targets_[target].up) return;
     state.guard->OnRefused(start.target, targets_.size(), now());
+    state.guard->OnDown(ServiceName("s"), start, targets_.size(), now());
     state.blocked[target] = now() + kBlock;
     Publish(vm);
   });
@@ -326,6 +327,7 @@
   if (vm == nullptr) return;
   vm->blocked[target] = now() + kBlock;
   vm->guard->OnRefused(targets_[target].start.target, targets_.size(), now());
+  vm->guard->OnDown(ServiceName("s"), targets_[target].start, targets_.size(), now());
   Publish(run.vm);
   Send(run.vm, run.request);
 }
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -37,12 +37,17 @@
                                  [&](const Seen& seen) { return seen.crash == *report.crash; });
   if (same != suspect.crashes.end()) {
     // The observer may know more of this and of other requests meanwhile.
-    if (same->observer == report.observer && report.observer != self_) same->chance = report.chance;
+    if (same->observer == report.observer && report.observer != self_) {
+      // An estimate of this node that is higher stays.
+      const bool is_own = same->chance > same->told_chance;
+      same->chance = is_own ? std::max(same->chance, report.chance) : report.chance;
+      same->told_chance = report.chance;
+    }
     return false;
   }
   if (suspect.crashes.size() == kMaxCrashesKept) return false;
   suspect.crashes.push_back(
-      {*report.crash, at, report.at_target, report.chance, report.observer, now});
+      {*report.crash, at, report.at_target, report.chance, report.chance, report.observer, now});
   suspect.heard_at = now;
   suspect.is_shared = suspect.is_shared || suspect.crashes.size() > 1 || report.observer != self_;
   return true;
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -60,15 +60,19 @@
   /// Takes over a crash or an answer. A crash counts once, however many VMs tell of it. Returns
   /// whether it changes what is known.
   auto OnReport(const CrashReport& report, MonotonicTime now) -> bool;
-  /// Renews this node's estimates for the crashes of the request that it has seen itself, since
-  /// more is known of this and of other requests. `estimate`: returns the chance from the time at
-  /// the target and the time of the crash.
+  /// Renews this node's estimates for the crashes of the request, since more is known of this and
+  /// of other requests. What another VM has told of a crash that it has seen counts if it is more:
+  /// each knows a part of the crashes. `estimate`: returns the chance from the time at the target,
+  /// the time of the crash and whether this node has seen it. `has_lost`: whether the request was
+  /// lost by this process, not by one before a restart.
   template <class Estimate>
-  auto RenewChances(const RequestDigest& request, Estimate estimate) -> void {
+  auto RenewChances(const RequestDigest& request, bool has_lost, Estimate estimate) -> void {
     const auto found = suspects_.find(request);
     if (found == suspects_.end()) return;
     for (auto& seen : found->second.crashes) {
-      if (seen.observer == self_) seen.chance = estimate(seen.at_target, seen.at);
+      const bool is_own = has_lost && seen.observer == self_;
+      seen.chance = estimate(seen.at_target, seen.at, is_own);
+      if (!is_own) seen.chance = std::max(seen.chance, seen.told_chance);
     }
   }
 
@@ -92,6 +96,7 @@
     MonotonicTime at;
     Duration at_target{};
     double chance = 1;
+    double told_chance = 1;  ///< By the observer.
     NodeName observer;
     MonotonicTime heard_at;
   };
--- a/src/gateway/harm_guard.cc
+++ b/src/gateway/harm_guard.cc
@@ -61,6 +61,12 @@
   OnCrash(detector_.OnRefused(target, now), target_count, now);
 }
 
+auto HarmGuard::OnDown(const ServiceName& service, const TargetCrash& crash,
+                       std::size_t target_count, MonotonicTime now) -> void {
+  target_counts_[service] = target_count;
+  if (rate_.OnDown(service, crash, now) && rate_.IsBurst(service, now)) RenewAllChances(now);
+}
+
 auto HarmGuard::OnStarted(const TargetName& target, std::int64_t start_id, std::size_t target_count,
                           MonotonicTime now) -> void {
   OnCrash(detector_.OnStarted(target, start_id, now), target_count, now);
@@ -68,11 +74,14 @@
 
 auto HarmGuard::OnCrash(const std::vector<LostRequest>& lost, std::size_t target_count,
                         MonotonicTime now) -> void {
-  for (const auto& request : lost) rate_.OnCrash(request.service, request.at, request.lost_at);
-  if (exposures_.size() > 2 * CrashSuspects::kMaxRequests) {
-    absl::erase_if(exposures_,
-                   [this](const auto& entry) { return suspects_.CrashesOf(entry.first).empty(); });
+  bool in_burst = false;
+  for (const auto& request : lost) {
+    target_counts_[request.service] = target_count;
+    const bool is_new = rate_.OnCrash(request.service, request.at, request.lost_at);
+    in_burst = in_burst || (is_new && rate_.IsBurst(request.service, request.lost_at));
   }
+  if (in_burst) RenewAllChances(now);
+  ForgetExposures();
   for (const auto& request : lost) {
     const CrashReport report{request.request,   request.at, now - request.lost_at,
                              request.at_target, 1,          self_};
@@ -94,10 +103,33 @@
   const auto found = exposures_.find(request);
   if (found == exposures_.end()) return;
   const auto& exposure = found->second;
+  auto target_count = exposure.target_count;
+  if (!target_count.has_value()) {
+    const auto told = target_counts_.find(exposure.service);
+    if (told == target_counts_.end()) return;
+    target_count = told->second;
+  }
   const auto own = suspects_.CrashesOf(request);
-  suspects_.RenewChances(request, [&](Duration at_target, MonotonicTime at) {
-    return rate_.Chance(exposure.service, exposure.target_count, at_target, own, at);
-  });
+  const auto estimate = [&](Duration at_target, MonotonicTime at, bool is_own) {
+    if (!is_own && !rate_.IsBurst(exposure.service, at)) return 0.0;
+    return rate_.Chance(exposure.service, *target_count, at_target, own, at);
+  };
+  suspects_.RenewChances(request, exposure.target_count.has_value(), estimate);
+}
+
+auto HarmGuard::RenewAllChances(MonotonicTime now) -> void {
+  for (const auto& [request, exposure] : exposures_) {
+    const auto before = suspects_.StandingOf(request, now);
+    if (before < Standing::kProbable) continue;
+    RenewChances(request);
+    Note({request, std::nullopt, {}, {}, 1, self_}, before, now);
+  }
+}
+
+auto HarmGuard::ForgetExposures() -> void {
+  if (exposures_.size() <= 2 * CrashSuspects::kMaxRequests) return;
+  absl::erase_if(exposures_,
+                 [this](const auto& entry) { return suspects_.CrashesOf(entry.first).empty(); });
 }
 
 auto HarmGuard::OnRequestAnswered(const RequestDigest& request, MonotonicTime now) -> void {
@@ -130,6 +162,7 @@
     const auto known = suspects_.CrashesOf(report.request).size();
     if (known > 1 && known > told[report.request]) for_all_ = true;
   }
+  ForgetExposures();
 }
 
 auto HarmGuard::Note(const CrashReport& report, Standing before, MonotonicTime now) -> void {
--- a/src/gateway/harm_guard.h
+++ b/src/gateway/harm_guard.h
@@ -56,6 +56,9 @@
   auto OnLost(LostRequest lost) -> void { detector_.OnLost(std::move(lost)); }
   /// The target's machine refuses connections. `target_count`: of the target's service.
   auto OnRefused(const TargetName& target, std::size_t target_count, MonotonicTime now) -> void;
+  /// The target refuses connections, whether this node has lost a request there or not.
+  auto OnDown(const ServiceName& service, const TargetCrash& crash, std::size_t target_count,
+              MonotonicTime now) -> void;
   /// The target has registered a start.
   auto OnStarted(const TargetName& target, std::int64_t start_id, std::size_t target_count,
                  MonotonicTime now) -> void;
@@ -72,12 +75,19 @@
   template <class ServiceOf>
   auto OnReports(const std::vector<CrashReport>& reports, const ServiceOf& service_of,
                  MonotonicTime now) -> void {
+    bool in_burst = false;
     for (const auto& report : reports) {
-      if (!report.crash.has_value() || report.age > CrashRate::kBurstWindow) continue;
+      if (!report.crash.has_value()) continue;
       const std::optional<ServiceName> service = service_of(report.crash->target);
-      if (service.has_value()) rate_.OnCrash(*service, *report.crash, now - report.age);
+      if (!service.has_value()) continue;
+      exposures_.try_emplace(report.request, Exposure{*service, std::nullopt});
+      if (report.age <= CrashRate::kBurstWindow) {
+        rate_.OnCrash(*service, *report.crash, now - report.age);
+        in_burst = in_burst || rate_.IsBurst(*service, now - report.age);
+      }
     }
     TakeOver(reports, now);
+    if (in_burst) RenewAllChances(now);
   }
   auto Reports(MonotonicTime now) const -> std::vector<CrashReport> {
     return suspects_.Reports(now);
@@ -95,21 +105,25 @@
       -> void;
   auto TakeOver(const std::vector<CrashReport>& reports, MonotonicTime now) -> void;
   auto RenewChances(const RequestDigest& request) -> void;
+  /// Renews those of the requests that may be condemned.
+  auto RenewAllChances(MonotonicTime now) -> void;
+  auto ForgetExposures() -> void;
   auto Note(const CrashReport& report, CrashSuspects::Standing before, MonotonicTime now) -> void;
   auto IsTrialVm(const RequestDigest& request, const std::vector<EntryVm>& vms) const -> bool;
 
   /// What a request's chance to meet a crash depends on.
   struct Exposure {
     ServiceName service;
-    std::size_t target_count = 1;
+    std::optional<std::size_t> target_count;  ///< Empty if this node has not lost the request.
   };
 
   NodeName self_;
   CrashDetector detector_;
   CrashRate rate_;
   CrashSuspects suspects_;
-  absl::flat_hash_map<RequestDigest, Exposure> exposures_;  ///< Of requests lost by this node.
-  absl::flat_hash_map<RequestDigest, int> at_targets_;      ///< Attempts that are not over.
+  absl::flat_hash_map<RequestDigest, Exposure> exposures_;
+  absl::flat_hash_map<ServiceName, std::size_t> target_counts_;  ///< As last told.
+  absl::flat_hash_map<RequestDigest, int> at_targets_;           ///< Attempts that are not over.
   std::vector<Change> changes_;
   std::vector<RequestDigest> for_keepers_;
   bool for_all_ = false;
--- a/tests/gateway/crash_suspects_test.cc
+++ b/tests/gateway/crash_suspects_test.cc
@@ -210,6 +210,49 @@
   EXPECT_EQ(guard.suspects().StandingOf(kRequest, kNow), Standing::kSuspected);
 }
 
+// Guards against a request that is condemned since each VM that lost it saw one crash of many.
+TEST(HarmGuardTest, ACrashOfManyTargetsAtOnceCondemnsNothing) {
+  constexpr std::size_t kTargets = 100;
+  const ServiceName service("s");
+  const auto service_of = [&](const TargetName&) { return std::optional(service); };
+  std::vector<HarmGuard> guards;
+  for (int vm = 0; vm < 3; ++vm) {
+    auto& guard = guards.emplace_back(NodeName("vm-" + std::to_string(vm)));
+    guard.OnLost({kRequest, Crash(vm), service, milliseconds(300), kNow, false});
+    guard.OnRefused(Crash(vm).target, kTargets, kNow + milliseconds(10));
+    // This VM has nothing at the others, but its probes are refused there.
+    for (int i = 20 * (vm + 1); i < 20 * (vm + 2); ++i) {
+      guard.OnDown(service, Crash(i), kTargets, kNow + milliseconds(200));
+    }
+  }
+  for (auto& to : guards) {
+    for (const auto& from : guards) {
+      to.OnReports(from.Reports(kNow + milliseconds(210)), service_of, kNow + milliseconds(220));
+    }
+  }
+  for (const auto& guard : guards) {
+    EXPECT_EQ(guard.suspects().CrashesOf(kRequest).size(), 3U);
+    EXPECT_EQ(guard.suspects().StandingOf(kRequest, kNow + milliseconds(220)), Standing::kProbable);
+  }
+}
+
+// Guards against a wrong belief of one VM that others take over though they know better.
+TEST(HarmGuardTest, AChanceIsTheHighestThatAnyVmKnowsOf) {
+  constexpr std::size_t kTargets = 100;
+  const ServiceName service("s");
+  const auto service_of = [&](const TargetName&) { return std::optional(service); };
+  HarmGuard guard(NodeName("vm"));
+  std::vector<CrashReport> reports;
+  for (int i = 0; i < 3; ++i) {
+    reports.push_back(Report(Crash(i), "vm-b", 1e-5));
+    reports.back().at_target = milliseconds(300);
+  }
+  guard.OnReports(reports, service_of, kNow);
+  EXPECT_EQ(guard.suspects().StandingOf(kRequest, kNow), Standing::kCondemned);
+  for (int i = 10; i < 30; ++i) guard.OnDown(service, Crash(i), kTargets, kNow + milliseconds(200));
+  EXPECT_EQ(guard.suspects().StandingOf(kRequest, kNow), Standing::kProbable);
+}
+
 TEST(CrashReportTest, MalformedTextIsLeftOut) {
   const auto digest = RequestDigest(1, 2).Text();
   for (const std::string text :
