gateway: keep 24 crashes of a request, so that its last targets are explained

Seen in a unit test: a harmful request that has met 16 crashes, and an innocent one that was at its last three targets; the innocent one is condemned.

Cause: a request keeps 12 crashes, and those beyond explain nothing.

It keeps 24, which takes some 3 MB at most for 512 requests. What a message has is as before.

--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -48,7 +48,7 @@
   static constexpr Duration kFirstTrialPause = std::chrono::seconds(60);
   static constexpr Duration kMaxTrialPause = std::chrono::minutes(16);
   static constexpr std::size_t kMaxRequests = 512;
-  static constexpr std::size_t kMaxCrashesKept = 12;
+  static constexpr std::size_t kMaxCrashesKept = 24;
   /// Of one message, of which at most kMaxAnswers are answers.
   static constexpr std::size_t kMaxReports = 32;
   static constexpr std::size_t kMaxAnswers = 8;
--- a/tests/gateway/crash_suspects_test.cc
+++ b/tests/gateway/crash_suspects_test.cc
@@ -74,6 +74,17 @@
   EXPECT_EQ(suspects_.StandingOf(harmful, kNow), Standing::kCondemned);
 }
 
+// Guards against crashes that nothing explains, since their harmful request has met so many.
+TEST_F(CrashSuspectsTest, TheLastTargetsOfAHarmfulRequestCondemnNoOther) {
+  constexpr int kTargets = 16;
+  const RequestDigest harmful(3, 4);
+  for (int i = 0; i < kTargets; ++i)
+    suspects_.OnReport(Report(Crash(i), "vm", 1e-4, harmful), kNow);
+  for (int i = kTargets - 3; i < kTargets; ++i) suspects_.OnReport(Report(Crash(i)), kNow);
+  EXPECT_EQ(suspects_.StandingOf(harmful, kNow), Standing::kCondemned);
+  EXPECT_EQ(suspects_.StandingOf(kRequest, kNow), Standing::kProbable);
+}
+
 TEST_F(CrashSuspectsTest, AnAnswerClears) {
   for (int i = 0; i < 4; ++i) suspects_.OnReport(Report(Crash(i)), kNow);
   EXPECT_TRUE(suspects_.OnReport(Answered(), kNow));
