gateway: suspects of one object go on to different targets, at all VMs

Cause: only suspects of one VM were kept apart; the next target of an object is the same at all VMs. Change: a request that has to be apart is placed by its own identity in place of its object's.

--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -302,9 +302,13 @@
     using Ruling = HarmGuard::Ruling;
     auto& forwarded = active->forwarded;
     const auto ruling = harm_.Rule(active->request, active->digest, now);
-    forwarded.SetApartness(ruling == Ruling::kSendApart       ? Apartness::kPreferred
+    const auto apartness = ruling == Ruling::kSendApart       ? Apartness::kPreferred
                            : ruling == Ruling::kSendOnlyApart ? Apartness::kRequired
-                                                              : Apartness::kNone);
+                                                              : Apartness::kNone;
+    // Requests that have lost a target together would meet again at the next target of their object.
+    const bool is_apart = apartness != Apartness::kNone && active->digest.has_value();
+    forwarded.SetApartness(apartness,
+                           is_apart ? std::optional(active->digest->hash()) : std::nullopt);
     if (ruling != Ruling::kRefuse && ruling != Ruling::kWait) return true;
     const auto step = forwarded.OnNoTarget();
     if (ruling == Ruling::kRefuse && step == RequestStep::kRefuse) {
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -82,9 +82,14 @@
   /// Whether the request may run, also if earlier attempts have run it.
   auto MayRun() const -> bool;
 
-  /// Whether the next attempt may share its target.
-  auto SetApartness(Apartness apartness) -> void { apartness_ = apartness; }
+  /// Whether the next attempt may share its target. `own_rank`: see PlacementQuery; the same at all
+  /// entry VMs.
+  auto SetApartness(Apartness apartness, std::optional<ObjectHash> own_rank) -> void {
+    apartness_ = apartness;
+    own_rank_ = own_rank;
+  }
   auto apartness() const -> Apartness { return apartness_; }
+  auto own_rank() const -> std::optional<ObjectHash> { return own_rank_; }
 
   /// How often the request has arrived at targets, from all entry VMs. An attempt without a known
   /// outcome counts as arrived.
@@ -135,6 +140,7 @@
   Verdict verdict_ = Verdict::kNotRun;
   Verdict earlier_verdict_ = Verdict::kNotRun;  ///< Of another entry VM's attempts.
   Apartness apartness_ = Apartness::kNone;
+  std::optional<ObjectHash> own_rank_;
   Reason last_reason_ = Reason::kNone;
   int possible_runs_ = 0;  ///< Attempts that may have run the request.
   int arrivals_ = 0;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -199,6 +199,7 @@
                           sender_count);
   };
   query.apartness = request.apartness();
+  query.own_rank = request.own_rank();
   auto result = placer_.Choose(query, sends_to_cold, now, random_);
   if (result.placement.has_value() || query.apartness != Apartness::kPreferred) return result;
   query.apartness = Apartness::kNone;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -180,8 +180,9 @@
                      MonotonicTime now) const -> Ranked {
   const auto estimate = estimates_.Estimate(*query.route, query.service);
   const auto state = target.cached_objects().Find(query.object);
-  const double hit_probability =
-      query.route->session_affinity ? CacheHitProbability(role, state) : 1;
+  double hit_probability = query.route->session_affinity ? CacheHitProbability(role, state) : 1;
+  // Ranked by the request itself, a target is not likely to have the object.
+  if (query.own_rank.has_value()) hit_probability = std::min(hit_probability, kCachedOther);
   auto processing_time =
       Scale(estimate.cached, hit_probability) + Scale(estimate.uncached, 1 - hit_probability);
   const auto queue_wait = target.QueueWait(now);
@@ -257,7 +258,9 @@
   };
   for (const auto* target : candidates) {
     best_of(target->region())
-        .Add(RendezvousScore(query.object, target->hash(), target->entry().slots), target);
+        .Add(RendezvousScore(query.own_rank.value_or(query.object), target->hash(),
+                             target->entry().slots),
+             target);
   }
   std::optional<Ranked> best;
   for (auto* target : candidates) {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -39,6 +39,9 @@
   const std::vector<TargetName>* attempted_targets = nullptr;
   bool may_spill = true;
   Apartness apartness = Apartness::kNone;
+  /// What the targets are ranked by in place of the object, if the request has to be apart from
+  /// others of its object, also from those of other nodes.
+  std::optional<ObjectHash> own_rank;
   RegionName primary_region;  ///< The region of the object's primary target.
 };
 
