gateway: a loss that was sent after the refusal is the next process's

Change: a late loss counts only if its attempt began before the refusal; an answer needs to clear nothing then. Result: CondemnedInnocentTest.ALossThatWasSentAfterTheRefusalIsAnotherOne failed before (1 crash) and passes.

--- a/src/gateway/crash_detector.cc
+++ b/src/gateway/crash_detector.cc
@@ -7,7 +7,9 @@
 
 auto CrashDetector::OnLost(LostRequest lost) -> std::optional<LateLoss> {
   Forget(lost.lost_at);
-  if (const auto refusal = refusals_.find(lost.at.target); refusal != refusals_.end()) {
+  // What was sent after the refusal was lost by the next process.
+  if (const auto refusal = refusals_.find(lost.at.target);
+      refusal != refusals_.end() && lost.lost_at - lost.at_target <= refusal->second.at) {
     return LateLoss{std::move(lost), refusal->second.target_count};
   }
   if (size_ == kMaxLost) return std::nullopt;
@@ -50,8 +52,6 @@
 }
 
 auto CrashDetector::OnAnswered(const TargetName& target, MonotonicTime sent_at) -> void {
-  const auto refusal = refusals_.find(target);
-  if (refusal != refusals_.end() && refusal->second.at <= sent_at) refusals_.erase(refusal);
   const auto found = lost_.find(target);
   if (found == lost_.end()) return;
   auto& list = found->second;
--- a/tests/gateway/condemned_innocent_test.cc
+++ b/tests/gateway/condemned_innocent_test.cc
@@ -104,6 +104,15 @@
   EXPECT_EQ(guard.suspects().CrashesOf(kHarmful).size(), 1U);
 }
 
+// Guards against a loss by the next process that counts for the crash of the one before.
+TEST(CondemnedInnocentTest, ALossThatWasSentAfterTheRefusalIsAnotherOne) {
+  HarmGuard guard(NodeName("edge-2"));
+  guard.OnRefused(TargetName("i-8"), 12, kNow);
+  guard.OnLost({kInnocent, Crash(8), ServiceName("rota-view"), milliseconds(16),
+                kNow + milliseconds(300), true});
+  EXPECT_EQ(guard.suspects().CrashesOf(kInnocent).size(), 0U);
+}
+
 /// Entry VMs that tell each other all that they know.
 class CondemnedInnocentTrace : public testing::Test {
  protected:
