gateway: let an answer clear crashes that are heard of after it

Seen in a unit test: a VM gets an answer of a request, and is told 100 ms later of three crashes before it; the request is condemned there, and nobody hears of the answer.

Cause: an answer was dropped unless the request was under suspicion by then. Copies of a request run at several VMs at once, so that an answer at one often comes before the others' report of a crash.

A guard keeps the last 512 answers for 5 s, and applies them to crashes that it learns of. Answers are noted only while some request is under suspicion, as before, so that a digest costs nothing in calm. An answer that those who tell of several crashes don't know goes to all VMs.

--- a/src/experiment/harmful_request_simulation.cc
+++ b/src/experiment/harmful_request_simulation.cc
@@ -276,7 +276,8 @@
   if (vm == nullptr) return;
   ++outcome_.innocent_served;
   vm->guard->OnTargetAnswered(targets_[target].start.target, run.sent_at);
-  vm->guard->OnRequestAnswered(run.request.digest, now());
+  // An idle guard is asked for nothing, which saves the digest.
+  if (!vm->guard->IsIdle()) vm->guard->OnRequestAnswered(run.request.digest, now());
   Publish(run.vm);
 }
 
--- a/src/gateway/harm_guard.cc
+++ b/src/gateway/harm_guard.cc
@@ -87,6 +87,7 @@
                              request.at_target, 1,          self_};
     const auto before = suspects_.StandingOf(request.request, now);
     if (!suspects_.OnReport(report, now)) continue;
+    ApplyAnswer(request.request, now);
     exposures_[request.request] = {request.service, target_count};
     RenewChances(request.request);
     Note(report, before, now);
@@ -134,13 +135,27 @@
 
 auto HarmGuard::OnRequestAnswered(const RequestDigest& request, MonotonicTime now) -> void {
   const auto before = suspects_.StandingOf(request, now);
-  if (before == Standing::kClear) return;
+  if (before == Standing::kClear) {
+    while (!answers_.empty() &&
+           (answers_.size() == kMaxAnswers || now - answers_.front().second > kAnswerRetention)) {
+      answers_.pop_front();
+    }
+    answers_.emplace_back(request, now);
+    return;
+  }
   const CrashReport report{request, std::nullopt, Duration::zero(), Duration::zero(), 1, self_};
   if (!suspects_.OnReport(report, now)) return;
   Note(report, before, now);
   if (before > Standing::kSuspected) for_all_ = true;
 }
 
+auto HarmGuard::ApplyAnswer(const RequestDigest& request, MonotonicTime now) -> void {
+  const auto found = std::find_if(answers_.rbegin(), answers_.rend(),
+                                  [&](const auto& answer) { return answer.first == request; });
+  if (found == answers_.rend()) return;
+  suspects_.OnReport({request, std::nullopt, now - found->second, Duration::zero(), 1, self_}, now);
+}
+
 auto HarmGuard::OnRequestUnanswered(const RequestDigest& request, MonotonicTime now) -> void {
   detector_.OnUnanswered(request);
   if (suspects_.StandingOf(request, now) != Standing::kSuspected) return;
@@ -156,11 +171,14 @@
   for (const auto& report : reports) {
     const auto before = suspects_.StandingOf(report.request, now);
     if (!suspects_.OnReport(report, now)) continue;
+    if (report.crash.has_value()) ApplyAnswer(report.request, now);
     RenewChances(report.request);
     Note(report, before, now);
     // The reports of several VMs have come together here.
     const auto known = suspects_.CrashesOf(report.request).size();
     if (known > 1 && known > told[report.request]) for_all_ = true;
+    // So does an answer that those who tell of several crashes don't know.
+    if (known == 0 && told[report.request] > 1) for_all_ = true;
   }
   ForgetExposures();
 }
--- a/src/gateway/harm_guard.h
+++ b/src/gateway/harm_guard.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -42,6 +43,10 @@
   /// The VMs that gather the reports of one request while it has met a single crash.
   static constexpr std::size_t kKeepers = 6;
 
+  /// Answers of requests that are not under suspicion, since a crash may become known later.
+  static constexpr std::size_t kMaxAnswers = 512;
+  static constexpr Duration kAnswerRetention = std::chrono::seconds(5);
+
   explicit HarmGuard(NodeName self) : self_(self), suspects_(std::move(self)) {}
 
   /// Whether no request is under suspicion, so that nothing has to be looked up.
@@ -108,6 +113,8 @@
   /// Renews those of the requests that may be condemned.
   auto RenewAllChances(MonotonicTime now) -> void;
   auto ForgetExposures() -> void;
+  /// Takes over an answer that this node has got before it knew of a crash of the request.
+  auto ApplyAnswer(const RequestDigest& request, MonotonicTime now) -> void;
   auto Note(const CrashReport& report, CrashSuspects::Standing before, MonotonicTime now) -> void;
   auto IsTrialVm(const RequestDigest& request, const std::vector<EntryVm>& vms) const -> bool;
 
@@ -124,6 +131,7 @@
   absl::flat_hash_map<RequestDigest, Exposure> exposures_;
   absl::flat_hash_map<ServiceName, std::size_t> target_counts_;  ///< As last told.
   absl::flat_hash_map<RequestDigest, int> at_targets_;           ///< Attempts that are not over.
+  std::deque<std::pair<RequestDigest, MonotonicTime>> answers_;
   std::vector<Change> changes_;
   std::vector<RequestDigest> for_keepers_;
   bool for_all_ = false;
--- a/tests/gateway/crash_suspects_test.cc
+++ b/tests/gateway/crash_suspects_test.cc
@@ -221,6 +221,30 @@
   EXPECT_EQ(guard.suspects().StandingOf(kRequest, kNow), Standing::kSuspected);
 }
 
+// Guards against an answer that clears nothing, as the VM that got it heard of the crash later.
+TEST(HarmGuardTest, AnAnswerClearsCrashesThatAreHeardOfLater) {
+  const auto no_service = [](const TargetName&) { return std::optional<ServiceName>(); };
+  HarmGuard guard(NodeName("vm"));
+  guard.OnRequestAnswered(kRequest, kNow);
+  std::vector<CrashReport> reports;
+  for (int i = 0; i < 3; ++i) {
+    reports.push_back(Report(Crash(i), "vm-b"));
+    reports.back().age = milliseconds(200);
+  }
+  guard.OnReports(reports, no_service, kNow + milliseconds(100));
+  EXPECT_EQ(guard.Rule(kRequest, {}, kNow + milliseconds(100)), HarmGuard::Ruling::kSend);
+  // Others hear of the answer.
+  const auto told = guard.Reports(kNow + milliseconds(100));
+  ASSERT_EQ(told.size(), 1U);
+  EXPECT_EQ(told[0].crash, std::nullopt);
+  EXPECT_EQ(told[0].age, milliseconds(100));
+  // What crashes after the answer counts.
+  HarmGuard later(NodeName("vm"));
+  later.OnRequestAnswered(kRequest, kNow - milliseconds(300));
+  later.OnReports(reports, no_service, kNow + milliseconds(100));
+  EXPECT_EQ(later.Rule(kRequest, {}, kNow + milliseconds(100)), HarmGuard::Ruling::kRefuse);
+}
+
 // Guards against a request that is condemned since each VM that lost it saw one crash of many.
 TEST(HarmGuardTest, ACrashOfManyTargetsAtOnceCondemnsNothing) {
   constexpr std::size_t kTargets = 100;
