--- a/tests/hostile_clients/gateway_under_load.cc
+++ b/tests/hostile_clients/gateway_under_load.cc
@@ -61,36 +61,27 @@
   std::ofstream(folder_ + "/gateway.toml") << fmt::format(
       "[node]\nname = \"n\"\nzone = \"a\"\nregion = \"r\"\ndescriptors = {}\nmemory_mb = {}\n"
       "[listen]\ncallers = \"{}\"\nreadiness = \"{}\"\ndirectory = \"{}\"\nmetrics = \"{}\"\n"
-      "[store]\naddress = \"{}\"\n[zones]\na = \"r\"\n",
-      limits_.descriptors, limits_.memory_mb, Own(kCallers).Text(), Own(kReadiness).Text(),
-      Own(kDirectory).Text(), Own(kMetrics).Text(), store_.endpoint().Text());
+      "[peers]\nlisten = \"{}\"\n[store]\naddress = \"{}\"\n[zones]\na = \"r\"\n",
+      limits_.descriptors, limits_.memory_mb, callers().Text(), readiness().Text(),
+      directory().Text(), metrics().Text(), peers().Text(), store_.endpoint().Text());
 }
 
 auto GatewayUnderLoad::Configuration() const -> std::string {
-  // Times beyond those of the test: a verdict must not depend on how fast the machine is.
   return fmt::format(
       R"({{"version":"r1","resources":[)"
       R"({{"type":"limits","metadata":{{"name":"limits"}},"spec":{{"header_bytes":16384,)"
-      R"("max_body_bytes":{},"header_timeout_s":100,"idle_timeout_s":100}}}},)"
+      R"("max_body_bytes":{},"header_timeout_s":{},"idle_timeout_s":{}}}}},)"
       R"({{"type":"routes","metadata":{{"name":"read"}},"spec":{{"host":"h.example",)"
       R"("path_prefix":"/read/","kind":"safe","timeout_s":30,"latency_slo_s":10,"priority":1,)"
       R"("service":"s","max_attempts":2}}}},)"
       R"({{"type":"services","metadata":{{"name":"s"}},"spec":{{"health_path":"/health",)"
       R"("max_conns":{},"cold_s":0,"cold_per_s":100}}}}]}})",
-      limits_.max_body_bytes, 3 * limits_.target_slots);
+      limits_.max_body_bytes, limits_.header_timeout_s, limits_.idle_timeout_s,
+      3 * limits_.target_slots);
 }
 
 auto GatewayUnderLoad::Start() -> bool {
-  if (!process_.Start()) return false;
-  const auto end = std::chrono::steady_clock::now() + kTimeout;
-  HttpRequest query;
-  query.target = "/heatherspan/ready";
-  while (std::chrono::steady_clock::now() < end) {
-    const auto result = client_.SendAndWait(Own(kReadiness), query, kTimeout);
-    if (result.status.ok() && result.response.status == 200) return true;
-    std::this_thread::yield();
-  }
-  return false;
+  return process_.Start() && AskUntilAnswered(readiness(), "/heatherspan/ready");
 }
 
 auto GatewayUnderLoad::Ask(const std::string& body) -> int {
@@ -105,6 +96,23 @@
   return result.status.ok() ? result.response.status : 0;
 }
 
+auto GatewayUnderLoad::AskAt(const Endpoint& listener, const std::string& target) -> int {
+  HttpRequest request;
+  request.target = target;
+  const auto result = client_.SendAndWait(listener, request, kTimeout);
+  return result.status.ok() ? result.response.status : 0;
+}
+
+auto GatewayUnderLoad::AskUntilAnswered(const Endpoint& listener, const std::string& target)
+    -> bool {
+  const auto end = std::chrono::steady_clock::now() + kTimeout;
+  while (std::chrono::steady_clock::now() < end) {
+    if (AskAt(listener, target) == 200) return true;
+    std::this_thread::yield();
+  }
+  return false;
+}
+
 auto GatewayUnderLoad::AskUntilServed() -> bool {
   const auto end = std::chrono::steady_clock::now() + kTimeout;
   while (std::chrono::steady_clock::now() < end) {
--- a/tests/hostile_clients/gateway_under_load.h
+++ b/tests/hostile_clients/gateway_under_load.h
@@ -20,6 +20,9 @@
     std::size_t max_body_bytes = 0;
     int descriptors = 400;
     int target_slots = 3;
+    /// Times beyond those of a test: a verdict must not depend on how fast the machine is.
+    int header_timeout_s = 100;
+    int idle_timeout_s = 100;
   };
 
   explicit GatewayUnderLoad(const Limits& limits);
@@ -30,9 +33,18 @@
   /// Starts the process and waits until it is ready.
   auto Start() -> bool;
   auto callers() const -> Endpoint { return Own(kCallers); }
+  auto readiness() const -> Endpoint { return Own(kReadiness); }
+  auto directory() const -> Endpoint { return Own(kDirectory); }
+  auto metrics() const -> Endpoint { return Own(kMetrics); }
+  auto peers() const -> Endpoint { return Own(kPeers); }
   auto target() -> TargetStub& { return target_; }
   /// Sends one request and returns the status of the answer, 0 without one.
   auto Ask(const std::string& body) -> int;
+  /// Sends one request without a body to any listener.
+  auto AskAt(const Endpoint& listener, const std::string& target) -> int;
+  /// Sends such requests until one is answered with 200. False if that takes so long that the
+  /// process must hang.
+  auto AskUntilAnswered(const Endpoint& listener, const std::string& target) -> bool;
   /// Sends requests until one is served, as a caller does who is told to come back. False if that
   /// takes so long that the process must hang.
   auto AskUntilServed() -> bool;
@@ -44,7 +56,7 @@
   auto LogTail() const -> std::string;
 
  private:
-  enum Number { kCallers = 1, kReadiness, kDirectory, kMetrics };
+  enum Number { kCallers = 1, kReadiness, kDirectory, kMetrics, kPeers };
 
   static auto Own(Number number) -> Endpoint;
   auto WriteSettings() const -> void;
--- a/tests/net/raw_socket.cc
+++ b/tests/net/raw_socket.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -43,13 +44,27 @@
 
 auto RawSocket::Connect(const Endpoint& endpoint) -> RawSocket {
   RawSocket own(::socket(AF_INET, SOCK_STREAM, 0));
+  own.ConnectTo(endpoint);
+  return own;
+}
+
+auto RawSocket::ConnectWithSmallWindow(const Endpoint& endpoint) -> RawSocket {
+  constexpr int kWindowBytes = 4096;
+  // The peer's kernel sizes its send buffer by the size of a segment.
+  constexpr int kSegmentBytes = 536;
+  RawSocket own(::socket(AF_INET, SOCK_STREAM, 0));
+  ::setsockopt(own.descriptor_, SOL_SOCKET, SO_RCVBUF, &kWindowBytes, sizeof(kWindowBytes));
+  ::setsockopt(own.descriptor_, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof(kSegmentBytes));
+  own.ConnectTo(endpoint);
+  return own;
+}
+
+auto RawSocket::ConnectTo(const Endpoint& endpoint) -> void {
   auto address = LoopbackAddress(endpoint.port);
   ::inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
-  if (::connect(own.descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
-      0) {
-    own.Close();
+  if (::connect(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    Close();
   }
-  return own;
 }
 
 RawSocket::~RawSocket() { Close(); }
--- a/tests/net/raw_socket.h
+++ b/tests/net/raw_socket.h
@@ -14,6 +14,8 @@
 class RawSocket {
  public:
   static auto Connect(const Endpoint& endpoint) -> RawSocket;
+  /// Also has the kernels of both sides hold few bytes that are not read.
+  static auto ConnectWithSmallWindow(const Endpoint& endpoint) -> RawSocket;
 
   explicit RawSocket(int descriptor) : descriptor_(descriptor) {}
   ~RawSocket();
@@ -38,6 +40,7 @@
   auto descriptor() const -> int { return descriptor_; }
 
  private:
+  auto ConnectTo(const Endpoint& endpoint) -> void;
   auto ReadSome(std::string& out, std::size_t limit) const -> bool;
 
   int descriptor_;
