edge: the directory's, readiness and metrics listeners draw on the account

A crowd that nobody controls could end a gateway through these listeners: they had the default limits and no memory account, so that 150 bodies of 1 MB that stop short took 151 to 162 MiB on a machine of 96 MiB, and the process would have been killed with all its callers' requests.

They now draw on the process's account and take bodies up to 16 KiB; their queries have none. A larger body is refused with 413 before it is read.

--- a/src/edge/edge_limits.cc
+++ b/src/edge/edge_limits.cc
@@ -95,6 +95,12 @@
   return limits;
 }
 
+auto EdgeLimits::QueryServer() -> HttpServer::Limits {
+  HttpServer::Limits limits;
+  limits.max_body_bytes = kMaxQueryBodyBytes;
+  return limits;
+}
+
 auto EdgeLimits::PeerServer(const CallerLimits& callers) -> HttpServer::Limits {
   HttpServer::Limits limits;
   limits.max_header_bytes = kPeerHeaderBytes + callers.header_bytes;
--- a/src/edge/edge_limits.h
+++ b/src/edge/edge_limits.h
@@ -41,6 +41,8 @@
   /// Each request in flight also needs one connection to a target, but some caller connections are
   /// idle. The store, peers and the other listeners need a few sockets.
   static constexpr double kCallerFractionOfSockets = 2.0 / 3;
+  /// Queries to the listeners for the directory, readiness and metrics need no body.
+  static constexpr std::size_t kMaxQueryBodyBytes = std::size_t{16} * 1024;
   /// Callers send a few requests ahead. Each may hold a body of the largest size that is allowed.
   static constexpr std::size_t kMaxPipelinedRequests = 8;
 
@@ -57,6 +59,8 @@
   static auto StoreWatchClient() -> HttpClient::Limits;
   static auto CallerServer(int descriptors, const CallerLimits& callers) -> HttpServer::Limits;
   static auto RelayClient(std::string correlation_header) -> HttpClient::Limits;
+  /// For the directory, readiness and metrics.
+  static auto QueryServer() -> HttpServer::Limits;
   /// The server also takes callers' requests that other entry VMs pass on.
   static auto PeerServer(const CallerLimits& callers) -> HttpServer::Limits;
 };
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -121,9 +121,11 @@
               forwarder_.Forward(std::move(request), std::move(respond));
             },
             memory_),
-        readiness_server_(workers_, {}, Handler(&EdgeNode::Readiness)),
-        directory_server_(workers_, {}, Handler(&EdgeNode::Directory)),
-        metrics_server_(workers_, {}, Handler(&EdgeNode::Metrics)),
+        readiness_server_(workers_, EdgeLimits::QueryServer(), Handler(&EdgeNode::Readiness),
+                          memory_),
+        directory_server_(workers_, EdgeLimits::QueryServer(), Handler(&EdgeNode::Directory),
+                          memory_),
+        metrics_server_(workers_, EdgeLimits::QueryServer(), Handler(&EdgeNode::Metrics), memory_),
         peers_server_(
             workers_, EdgeLimits::PeerServer(CallerLimits()),
             [this](const HttpRequest& request, const HttpServer::Responder& respond) {
