edge: each listener has a part of the descriptors

450 clients that connected to the directory's, the readiness or the metrics listener and sent nothing, or half a head, took 465 to 467 descriptors of a process that has 400: its callers and targets would get none. These listeners had the default of 10,000 connections each, the peers' 256 whatever the process has, and each 64 more for refusals.

Each listener now has a part of the descriptors; the parts leave an eighth for targets and the store when all are full. With the usual 4,100 the directory has 243 and the readiness and metrics listeners 30 each.

Measured: IdleConnectionsAtTheDirectory, AtTheReadinessListener, AtTheMetricsListener and HalfHeadsAtTheDirectory failed before and hold now.

--- a/src/edge/edge_limits.cc
+++ b/src/edge/edge_limits.cc
@@ -6,6 +6,14 @@
 #include "base/process_memory.h"
 
 namespace heatherspan {
+namespace {
+
+auto ConnectionsOf(int descriptors, double fraction) -> std::size_t {
+  const auto sockets = descriptors - EdgeSettings::kReservedDescriptors;
+  return std::max(EdgeLimits::kMinConnections, static_cast<std::size_t>(sockets * fraction));
+}
+
+}  // namespace
 
 auto EdgeLimits::Retries(const EdgeSettings::Bounds& bounds) -> ServiceRetryBudget::Limits {
   return {bounds.retry_window, bounds.retry_ratio, bounds.retry_allowance};
@@ -95,18 +103,26 @@
   return limits;
 }
 
-auto EdgeLimits::QueryServer() -> HttpServer::Limits {
+auto EdgeLimits::DirectoryServer(int descriptors) -> HttpServer::Limits {
+  auto limits = QueryServer(descriptors);
+  limits.max_connections = ConnectionsOf(descriptors, kDirectoryFractionOfSockets);
+  return limits;
+}
+
+auto EdgeLimits::QueryServer(int descriptors) -> HttpServer::Limits {
   HttpServer::Limits limits;
+  limits.max_connections = ConnectionsOf(descriptors, kQueryFractionOfSockets);
   limits.max_body_bytes = kMaxQueryBodyBytes;
   return limits;
 }
 
-auto EdgeLimits::PeerServer(const CallerLimits& callers) -> HttpServer::Limits {
+auto EdgeLimits::PeerServer(int descriptors, const CallerLimits& callers) -> HttpServer::Limits {
   HttpServer::Limits limits;
   limits.max_header_bytes = kPeerHeaderBytes + callers.header_bytes;
   limits.max_body_bytes = std::max(limits.max_body_bytes, callers.body_bytes);
   limits.watch_disconnects = true;
-  limits.max_connections = kMaxPeerConnections;
+  limits.max_connections =
+      std::min(kMaxPeerConnections, ConnectionsOf(descriptors, kPeerFractionOfSockets));
   limits.idle_timeout = 2 * kPeerIdleTimeout;
   return limits;
 }
--- a/src/edge/edge_limits.h
+++ b/src/edge/edge_limits.h
@@ -41,6 +41,13 @@
   /// Each request in flight also needs one connection to a target, but some caller connections are
   /// idle. The store, peers and the other listeners need a few sockets.
   static constexpr double kCallerFractionOfSockets = 2.0 / 3;
+  /// The other listeners' parts. With the callers' they leave an eighth for targets and the store
+  /// even when all listeners are full.
+  static constexpr double kPeerFractionOfSockets = 1.0 / 8;
+  static constexpr double kDirectoryFractionOfSockets = 1.0 / 16;
+  static constexpr double kQueryFractionOfSockets = 1.0 / 128;
+  /// A listener with a small part still serves a few at a time.
+  static constexpr std::size_t kMinConnections = 8;
   /// Queries to the listeners for the directory, readiness and metrics need no body.
   static constexpr std::size_t kMaxQueryBodyBytes = std::size_t{16} * 1024;
   /// Callers send a few requests ahead. Each may hold a body of the largest size that is allowed.
@@ -59,10 +66,11 @@
   static auto StoreWatchClient() -> HttpClient::Limits;
   static auto CallerServer(int descriptors, const CallerLimits& callers) -> HttpServer::Limits;
   static auto RelayClient(std::string correlation_header) -> HttpClient::Limits;
-  /// For the directory, readiness and metrics.
-  static auto QueryServer() -> HttpServer::Limits;
+  static auto DirectoryServer(int descriptors) -> HttpServer::Limits;
+  /// For readiness and metrics.
+  static auto QueryServer(int descriptors) -> HttpServer::Limits;
   /// The server also takes callers' requests that other entry VMs pass on.
-  static auto PeerServer(const CallerLimits& callers) -> HttpServer::Limits;
+  static auto PeerServer(int descriptors, const CallerLimits& callers) -> HttpServer::Limits;
 };
 
 }  // namespace heatherspan
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -121,13 +121,14 @@
               forwarder_.Forward(std::move(request), std::move(respond));
             },
             memory_),
-        readiness_server_(workers_, EdgeLimits::QueryServer(), Handler(&EdgeNode::Readiness),
-                          memory_),
-        directory_server_(workers_, EdgeLimits::QueryServer(), Handler(&EdgeNode::Directory),
-                          memory_),
-        metrics_server_(workers_, EdgeLimits::QueryServer(), Handler(&EdgeNode::Metrics), memory_),
+        readiness_server_(workers_, EdgeLimits::QueryServer(settings_.descriptors),
+                          Handler(&EdgeNode::Readiness), memory_),
+        directory_server_(workers_, EdgeLimits::DirectoryServer(settings_.descriptors),
+                          Handler(&EdgeNode::Directory), memory_),
+        metrics_server_(workers_, EdgeLimits::QueryServer(settings_.descriptors),
+                        Handler(&EdgeNode::Metrics), memory_),
         peers_server_(
-            workers_, EdgeLimits::PeerServer(CallerLimits()),
+            workers_, EdgeLimits::PeerServer(settings_.descriptors, CallerLimits()),
             [this](const HttpRequest& request, const HttpServer::Responder& respond) {
               OnPeerRequest(request, respond);
             },
@@ -246,7 +247,7 @@
 
   auto OnPolicyApplied(const TrafficPolicy& policy) -> void {
     callers_server_.SetLimits(EdgeLimits::CallerServer(settings_.descriptors, policy.limits));
-    peers_server_.SetLimits(EdgeLimits::PeerServer(policy.limits));
+    peers_server_.SetLimits(EdgeLimits::PeerServer(settings_.descriptors, policy.limits));
     access_.Apply(policy);
     quotas_.Apply(policy.teams);
     forwarder_.OnPolicyApplied();
--- a/src/edge/edge_settings.cc
+++ b/src/edge/edge_settings.cc
@@ -29,7 +29,9 @@
           "descriptors", &EdgeSettings::descriptors, kOptional,
           WholeNumber<int>(kReservedDescriptors + 3, 10'000'000),
           "Files and sockets that the process may open. Without the 200 for files, callers get two "
-          "thirds; further connections are refused.")
+          "thirds, peers an eighth and at most 256, the directory a sixteenth, readiness and "
+          "metrics "
+          "a 128th each, and none less than 8.")
       .Add("memory_mb", &EdgeSettings::memory_mb, kOptional, WholeNumber<int>(0, 1'000'000, "MiB"),
            "Memory that the process may use. 0: the memory of the machine.")
       .Add("cpu_share", &EdgeSettings::cpu_share, kOptional, Number<double>(0.01, 1024),
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -15,11 +15,18 @@
 namespace heatherspan {
 namespace {
 
-// Connections beyond the limit that may still be open to read their 503.
+// Connections beyond the limit that may still be open to read their 503: one for so many, and at
+// most so many.
+constexpr std::size_t kConnectionsForOneRefused = 16;
 constexpr std::size_t kMaxRefusedConnections = 64;
 constexpr auto kMinSweepInterval = std::chrono::milliseconds(5);
 constexpr auto kMaxSweepInterval = std::chrono::milliseconds(500);
 
+auto MaxRefused(const HttpServer::Limits& limits) -> std::size_t {
+  return std::clamp<std::size_t>(limits.max_connections / kConnectionsForOneRefused, 1,
+                                 kMaxRefusedConnections);
+}
+
 auto Open(WorkerPool& workers, const std::shared_ptr<HttpServerState>& state, AcceptedSocket socket)
     -> void {
   bool refused = false;
@@ -31,7 +38,7 @@
     refused = open >= limits->max_connections;
     if (refused) state->too_many_connections.fetch_add(1);
     // Stop empties the set under this mutex; a connection added later would stay open.
-    if (state->stopped.load() || open >= limits->max_connections + kMaxRefusedConnections) {
+    if (state->stopped.load() || open >= limits->max_connections + MaxRefused(*limits)) {
       ::close(socket.descriptor);
       return;
     }
