net: on a full server, connections that wait give way to new ones

450 clients that connect to the callers' listener and send nothing, or half a head, had every ordinary caller refused until their timeouts passed: a full server refused whoever came next, whatever the others did.

One whose requests are handled never gives way. Idle connections are closed only while the server is full, where new connections were refused before.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -386,6 +386,7 @@
     set("body-too-large", counters.body_too_large);
     set("request-timeout", counters.request_timeout);
     set("too-many-connections", counters.too_many_connections);
+    set("evicted", counters.evicted);
     set("no-memory", counters.no_memory);
   }
 
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/dispatch.hpp>
@@ -22,6 +23,7 @@
 #include "net/connection_deadlines.h"
 #include "net/connection_input.h"
 #include "net/connection_memory.h"
+#include "net/connection_use.h"
 #include "net/http_reader.h"
 #include "net/http_server_state.h"
 #include "net/http_text.h"
@@ -96,6 +98,14 @@
     Post([](Connection& self) { self.OnOverdue(); });
   }
 
+  auto use() const -> ConnectionUse override { return use_.load(std::memory_order_relaxed); }
+
+  auto GiveWay(ConnectionUse use) -> void override {
+    Post([use](Connection& self) {
+      if (self.use() == use) self.CloseNow();
+    });
+  }
+
   auto Respond(const std::shared_ptr<ServerExchange>& exchange, HttpResponse response) -> void {
     asio::dispatch(strand_,
                    [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
@@ -167,6 +177,7 @@
   bool input_ended_ = false;           ///< The caller has closed its side.
   SteadyClock::time_point slow_at_{};  ///< A write that is pending then is slow.
   ConnectionDeadlines deadlines_;
+  std::atomic<ConnectionUse> use_{ConnectionUse::NeverUsed(SteadyClock::now())};
 };
 
 auto Connection::CloseNow() -> void {
@@ -370,6 +381,7 @@
     request.disconnect = exchange->disconnect;
   }
   exchanges_.push_back(exchange);
+  use_ = ConnectionUse::Busy();
   server_->active.fetch_add(1);
   auto pending =
       std::make_shared<PendingResponse<Connection>>(shared_from_this(), std::move(exchange));
@@ -483,6 +495,7 @@
     CloseNow();
     return;
   }
+  if (exchanges_.empty()) use_ = ConnectionUse::IdleSince(SteadyClock::now());
   if (exchanges_.empty() && !request_started_) {
     deadlines_.SetRead(server_->limits.load()->idle_timeout);
   }
@@ -497,6 +510,7 @@
     return;
   }
   state_ = State::kLingering;
+  use_ = ConnectionUse::IdleSince(SteadyClock::now());
   deadlines_.SetRead(kLingerTime);
   ErrorCode ignored;
   socket_.shutdown(Socket::shutdown_send, ignored);
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "base/endpoint.h"
+#include "net/connection_use.h"
 
 namespace heatherspan {
 
@@ -36,6 +37,9 @@
   /// Whether the present step takes longer than its limit.
   virtual auto Overdue(std::chrono::steady_clock::time_point now) const -> bool = 0;
   virtual auto EndOverdue() -> void = 0;
+  virtual auto use() const -> ConnectionUse = 0;
+  /// Closes the connection if its use is still this one.
+  virtual auto GiveWay(ConnectionUse use) -> void = 0;
 };
 
 }  // namespace heatherspan
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -35,8 +35,11 @@
     const std::lock_guard lock(state->mutex);
     const auto open = state->connections.size();
     const auto limits = state->limits.load();
-    refused = open >= limits->max_connections;
-    if (refused) state->too_many_connections.fetch_add(1);
+    if (open >= limits->max_connections) {
+      refused = !state->evictions.EvictOne(state->connections, std::chrono::steady_clock::now());
+      auto& counter = refused ? state->too_many_connections : state->evicted;
+      counter.fetch_add(1);
+    }
     // Stop empties the set under this mutex; a connection added later would stay open.
     if (state->stopped.load() || open >= limits->max_connections + MaxRefused(*limits)) {
       ::close(socket.descriptor);
@@ -150,6 +153,7 @@
           .body_too_large = state.body_too_large.load(),
           .request_timeout = state.request_timeout.load(),
           .too_many_connections = state.too_many_connections.load(),
+          .evicted = state.evicted.load(),
           .caller_gone = state.caller_gone.load(),
           .no_memory = state.no_memory.load()};
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -26,6 +26,8 @@
   struct Limits {
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{1024} * 1024;
+    /// On a full server, connections that wait for a request give way to new ones; without these,
+    /// new ones are refused.
     std::size_t max_connections = 10'000;
     /// Requests of one connection that are handled at once. Further ones wait unread.
     std::size_t max_pipelined = 1;
@@ -43,6 +45,7 @@
     std::size_t body_too_large = 0;
     std::size_t request_timeout = 0;
     std::size_t too_many_connections = 0;
+    std::size_t evicted = 0;      ///< Connections that were closed to make room for new ones.
     std::size_t caller_gone = 0;  ///< The caller had closed the connection when it was read.
     std::size_t no_memory = 0;
   };
--- a/src/net/http_server_state.h
+++ b/src/net/http_server_state.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "net/eviction_queue.h"
 #include "net/http_server.h"
 #include "net/memory_account.h"
 
@@ -30,11 +31,14 @@
   std::atomic<std::size_t> body_too_large{0};
   std::atomic<std::size_t> request_timeout{0};
   std::atomic<std::size_t> too_many_connections{0};
+  std::atomic<std::size_t> evicted{0};
   std::atomic<std::size_t> caller_gone{0};
   std::atomic<std::size_t> no_memory{0};
 
   std::mutex mutex;
-  std::unordered_set<std::shared_ptr<HttpConnection>> connections;  ///< Guarded by the mutex.
+  // Guarded by the mutex.
+  std::unordered_set<std::shared_ptr<HttpConnection>> connections;
+  EvictionQueue evictions;
 };
 
 }  // namespace heatherspan
