net: a body may take as long as it goes on coming

A body within the limits that came slowly, such as 100 KB at 20 kB/s with a header timeout of 2 s, was answered with 408: the header timeout bounded the whole request, though the configuration has it for the header alone. Callers saw a 4xx for a proper request.

The timeout now bounds the header. Trailers are no progress. Slow bodies still give way to others when memory or connections run out.

--- a/src/daemon/daemon_limits.cc
+++ b/src/daemon/daemon_limits.cc
@@ -13,6 +13,7 @@
   limits.max_body_bytes = static_cast<std::size_t>(settings.limits.max_body_bytes);
   limits.max_connections = static_cast<std::size_t>(settings.limits.max_connections);
   limits.request_timeout = settings.limits.request_timeout;
+  limits.body_timeout = settings.limits.request_timeout;
   return limits;
 }
 
--- a/src/edge/edge_limits.cc
+++ b/src/edge/edge_limits.cc
@@ -87,6 +87,7 @@
   limits.max_header_bytes = callers.header_bytes;
   limits.max_body_bytes = callers.body_bytes;
   limits.request_timeout = callers.header_timeout;
+  limits.body_timeout = std::max(callers.header_timeout, callers.idle_timeout);
   limits.idle_timeout = callers.idle_timeout;
   limits.watch_disconnects = true;
   limits.max_pipelined = kMaxPipelinedRequests;
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -143,6 +143,7 @@
   auto ParseInput() -> void;
   auto OnIncompleteRequest() -> void;
   auto RefuseInput(HttpReadError error) -> void;
+  auto SetRequestDeadline() -> void;
   auto RefuseForMemory() -> void;
   /// Closes the connection of a caller who does not take what it has asked for.
   auto CloseForMemory() -> void;
@@ -171,6 +172,7 @@
   bool reading_ = false;  ///< A read of the socket is pending.
   bool writing_ = false;  ///< A write to the socket is pending.
   bool request_started_ = false;
+  std::size_t body_progress_ = 0;  ///< 0 until the head is complete.
   bool continue_sent_ = false;
   /// No further request is handed over: the last response closes the connection.
   bool closing_ = false;
@@ -310,10 +312,7 @@
     RefuseInput(HttpReadError::kHeaderTooLarge);
     return;
   }
-  if (!request_started_) {
-    request_started_ = true;
-    deadlines_.SetRead(server_->limits.load()->request_timeout);
-  }
+  SetRequestDeadline();
   if (!memory_.OnRequestBytes(reader_.body_bytes(), reader_.announced_bytes())) {
     RefuseForMemory();
     return;
@@ -321,6 +320,19 @@
   SendContinueIfDue();
 }
 
+/// The head has to come within a time, its body only has to go on coming.
+auto Connection::SetRequestDeadline() -> void {
+  const auto limits = server_->limits.load();
+  if (!request_started_) {
+    request_started_ = true;
+    body_progress_ = 0;
+    deadlines_.SetRead(limits->request_timeout);
+  }
+  const auto progress = reader_.body_bytes() + (reader_.header_done() ? 1 : 0);
+  if (progress == std::exchange(body_progress_, progress)) return;
+  deadlines_.SetRead(limits->body_timeout);
+}
+
 auto Connection::RefuseForMemory() -> void {
   server_->no_memory.fetch_add(1);
   // After 1 s, slow bodies have given way.
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -234,6 +234,8 @@
   return parser.is_header_done() && parser.expects_continue && !parser.is_done();
 }
 
+auto HttpRequestReader::header_done() const -> bool { return impl_->parser().is_header_done(); }
+
 auto HttpRequestReader::body_bytes() const -> std::size_t {
   return impl_->parser().request_body.size();
 }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -36,6 +36,7 @@
   /// The sender waits for "100 Continue" before it sends the body.
   auto expects_continue() const -> bool;
 
+  auto header_done() const -> bool;
   /// The size of the body that has come.
   auto body_bytes() const -> std::size_t;
   /// The size of the body as the header states it; 0 if it does not.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -61,8 +61,8 @@
 }
 
 auto SweepInterval(const HttpServer::Limits& limits) -> Duration {
-  const auto shortest = std::min({limits.request_timeout, limits.idle_timeout, limits.write_timeout,
-                                  Duration(HttpConnection::kLingerTime)});
+  const auto shortest = std::min({limits.request_timeout, limits.body_timeout, limits.idle_timeout,
+                                  limits.write_timeout, Duration(HttpConnection::kLingerTime)});
   return std::clamp<Duration>(shortest / 4, kMinSweepInterval, kMaxSweepInterval);
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -31,8 +31,10 @@
     std::size_t max_connections = 10'000;
     /// Requests of one connection that are handled at once. Further ones wait unread.
     std::size_t max_pipelined = 1;
-    Duration request_timeout = std::chrono::seconds(10);  ///< To read one whole request.
-    Duration idle_timeout = std::chrono::seconds(60);     ///< Between two requests.
+    Duration request_timeout = std::chrono::seconds(10);  ///< To read the head of a request.
+    /// In which nothing of a request's body comes.
+    Duration body_timeout = std::chrono::seconds(10);
+    Duration idle_timeout = std::chrono::seconds(60);  ///< Between two requests.
     Duration write_timeout = std::chrono::seconds(30);
     /// Watch for callers that close their connection while their request is handled.
     bool watch_disconnects = false;
--- a/src/settings/settings_keys.cc
+++ b/src/settings/settings_keys.cc
@@ -73,7 +73,8 @@
            WholeNumber<std::int64_t>(kKiB, 64 * kMiB, "bytes"),
            "Largest response of a target; a larger one is an error.")
       .Add("request_timeout_ms", Limit(&Limits::request_timeout), kOptional,
-           Milliseconds(100, 60000), "Longest time to read one whole request.")
+           Milliseconds(100, 60000),
+           "Longest time to read a request's header, and in which nothing of its body comes.")
       .Add("ticket_records", Limit(&Limits::ticket_records), kOptional,
            WholeNumber<int>(100, 10'000'000),
            "Most tickets whose results are kept; beyond it, tickets are refused as not run.");
