net: answers that wait for an earlier one's target are not given up

Since answers behind a written one can be given up, those that waited behind an answer still to come could go with them, though their caller could not take them. They count as held until a write is pending. A connection that begins another request counts as idle from then on.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -154,6 +154,7 @@
   auto OnResponse(ServerExchange& exchange, HttpResponse response) -> void;
   auto HoldAnswer(ServerExchange& exchange) -> void;
   auto HoldQueue() -> bool;
+  auto ReleaseQueue() -> void;
   auto WriteNext() -> void;
   auto OnWritten(const ErrorCode& error, bool is_last) -> void;
   auto Linger() -> void;
@@ -331,6 +332,7 @@
   if (!request_started_) {
     request_started_ = true;
     body_progress_ = 0;
+    if (use().was_used() && exchanges_.empty()) use_ = ConnectionUse::IdleSince(SteadyClock::now());
     deadlines_.SetRead(limits->request_timeout);
   }
   const auto progress = reader_.body_bytes() + (reader_.header_done() ? 1 : 0);
@@ -453,6 +455,15 @@
   return memory_.HoldQueue(bytes);
 }
 
+/// What waits for the answer to an earlier request is not given up: the caller can't take it.
+auto Connection::ReleaseQueue() -> void {
+  memory_.HoldQueue(0);
+  for (const auto& exchange : exchanges_) {
+    if (!exchange->response.has_value()) continue;
+    exchange->held = HeldMemory(server_->memory, MemoryUse::kAnswers, exchange->response_bytes);
+  }
+}
+
 auto Connection::CloseForMemory() -> void {
   server_->no_memory.fetch_add(1);
   Abort();
@@ -470,7 +481,6 @@
   if (writing_ || exchanges_.empty() || !exchanges_.front()->response.has_value()) return;
   auto& exchange = *exchanges_.front();
   auto& response = *exchange.response;
-  exchange.held = HeldMemory(server_->memory, MemoryUse::kAnswers, exchange.response_bytes);
   if (!HoldQueue()) {
     CloseForMemory();
     return;
@@ -517,6 +527,7 @@
   }
   exchanges_.pop_front();
   memory_.EndAnswer();
+  ReleaseQueue();
   server_->active.fetch_sub(1);
   if (body_.capacity() > kMaxCopiedBodyBytes) body_ = std::string();
   if (is_last) {
