--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/dispatch.hpp>
@@ -22,6 +23,8 @@
 #include "net/connection_deadlines.h"
 #include "net/connection_input.h"
 #include "net/connection_memory.h"
+#include "net/connection_use.h"
+#include "net/header_lookup.h"
 #include "net/http_reader.h"
 #include "net/http_server_state.h"
 #include "net/http_text.h"
@@ -100,6 +103,14 @@
     Post([](Connection& self) { self.OnOverdue(); });
   }
 
+  auto use() const -> ConnectionUse override { return use_.load(std::memory_order_relaxed); }
+
+  auto GiveWay(ConnectionUse use) -> void override {
+    Post([use](Connection& self) {
+      if (self.use() == use) self.CloseNow();
+    });
+  }
+
   auto Respond(const std::shared_ptr<ServerExchange>& exchange, HttpResponse response) -> void {
     asio::dispatch(strand_,
                    [self = shared_from_this(), exchange, response = std::move(response)]() mutable {
@@ -137,6 +148,7 @@
   auto ParseInput() -> void;
   auto FollowLimits() -> void;
   auto OnIncompleteRequest() -> void;
+  auto SetRequestDeadline() -> void;
   auto RefuseInput(HttpReadError error, const std::string& text) -> void;
   auto RefuseTooLarge(InputRefusal::Cause cause, int status, const std::string& text) -> void;
   auto RefuseForMemory() -> void;
@@ -148,6 +160,8 @@
   auto Refuse(int status, std::vector<HeaderField> headers = {}) -> void;
   auto OnResponse(ServerExchange& exchange, HttpResponse response) -> void;
   auto HoldAnswer(ServerExchange& exchange) -> void;
+  auto HoldQueue() -> bool;
+  auto ReleaseQueue() -> void;
   auto WriteNext() -> void;
   auto OnWritten(const ErrorCode& error, bool is_last) -> void;
   auto Linger() -> void;
@@ -171,12 +185,13 @@
   bool reading_ = false;  ///< A read of the socket is pending.
   bool writing_ = false;  ///< A write to the socket is pending.
   bool request_started_ = false;
+  std::size_t body_progress_ = 0;  ///< 0 until the head is complete.
   bool continue_sent_ = false;
   /// No further request is handed over: the last response closes the connection.
   bool closing_ = false;
-  bool input_ended_ = false;           ///< The caller has closed its side.
-  SteadyClock::time_point slow_at_{};  ///< A write that is pending then is slow.
+  bool input_ended_ = false;  ///< The caller has closed its side.
   ConnectionDeadlines deadlines_;
+  std::atomic<ConnectionUse> use_{ConnectionUse::NeverUsed(SteadyClock::now())};
 };
 
 auto Connection::CloseNow() -> void {
@@ -189,6 +204,7 @@
   reader_.Discard();
   memory_.DropRequest();
   memory_.EndAnswer();
+  memory_.HoldQueue(0);
   ErrorCode ignored;
   socket_.close(ignored);
   const std::lock_guard lock(server_->mutex);
@@ -331,17 +347,31 @@
     RefuseInput(HttpReadError::kHeaderTooLarge, "incomplete line beyond the limit of the header");
     return;
   }
-  if (!request_started_) {
-    request_started_ = true;
-    deadlines_.SetRead(server_->limits.load()->request_timeout);
-  }
-  if (!memory_.OnRequestBytes(reader_.body_bytes(), reader_.announced_bytes())) {
+  SetRequestDeadline();
+  const auto header = reader_.header_bytes();
+  const auto announced = reader_.announced_bytes();
+  if (!memory_.OnRequestBytes(header + reader_.body_bytes(),
+                              announced > 0 ? header + announced : 0)) {
     RefuseForMemory();
     return;
   }
   SendContinueIfDue();
 }
 
+/// The head has to come within a time, its body only has to go on coming.
+auto Connection::SetRequestDeadline() -> void {
+  const auto limits = server_->limits.load();
+  if (!request_started_) {
+    request_started_ = true;
+    body_progress_ = 0;
+    if (use().was_used() && exchanges_.empty()) use_ = ConnectionUse::IdleSince(SteadyClock::now());
+    deadlines_.SetRead(limits->request_timeout);
+  }
+  const auto progress = reader_.body_bytes() + (reader_.header_done() ? 1 : 0);
+  if (progress == std::exchange(body_progress_, progress)) return;
+  deadlines_.SetRead(limits->body_timeout);
+}
+
 auto Connection::RefuseForMemory() -> void {
   server_->no_memory.fetch_add(1);
   Report(InputRefusal::Cause::kNoMemory, 503);
@@ -397,7 +427,9 @@
     Abort();
     return;
   }
-  auto held = memory_.HoldRequest(reader_.body_bytes());
+  // The header is copied for the request that is passed on.
+  const auto header = 2 * reader_.header_bytes();
+  auto held = memory_.HoldRequest(header + reader_.body_bytes());
   if (!held.has_value()) {
     RefuseForMemory();
     return;
@@ -408,6 +440,7 @@
   used_bytes_ = 0;
   ++handled_requests_;
   auto exchange = std::make_shared<ServerExchange>();
+  exchange->request_header = held->Split(header);
   exchange->keep_alive = reader_.keep_alive();
   exchange->http_1_0 = reader_.http_1_0();
   auto request = reader_.Take(*std::move(held));
@@ -423,6 +456,7 @@
     request.disconnect = exchange->disconnect;
   }
   exchanges_.push_back(exchange);
+  use_ = ConnectionUse::Busy();
   server_->active.fetch_add(1);
   auto pending =
       std::make_shared<PendingResponse<Connection>>(shared_from_this(), std::move(exchange));
@@ -451,21 +485,38 @@
 auto Connection::OnResponse(ServerExchange& exchange, HttpResponse response) -> void {
   if (state_ != State::kOpen) return;
   exchange.disconnect = nullptr;
-  const bool waits = writing_ || exchanges_.front().get() != &exchange;
-  const auto bytes = response.body.size();
-  if (waits || bytes > kMaxCopiedBodyBytes) {
-    auto held = HeldMemory::Try(server_->memory, MemoryUse::kAnswers, bytes);
-    if (!held.has_value() && writing_ && SteadyClock::now() >= slow_at_) {
-      CloseForMemory();
-      return;
-    }
-    exchange.held = held.has_value() ? *std::move(held)
-                                     : HeldMemory(server_->memory, MemoryUse::kAnswers, bytes);
-  }
+  exchange.response_bytes = response.body.size() + MemoryOf(response.headers);
+  exchange.held = HeldMemory(server_->memory, MemoryUse::kAnswers, exchange.response_bytes);
   exchange.response = std::move(response);
+  if (writing_ && !HoldQueue()) {
+    CloseForMemory();
+    return;
+  }
   WriteNext();
 }
 
+/// Lets the account give up the answers behind the one that is written, if the caller is slow to
+/// take that one. Returns false if there is no room for them.
+auto Connection::HoldQueue() -> bool {
+  std::size_t bytes = 0;
+  for (std::size_t i = 1; i < exchanges_.size(); ++i) {
+    auto& exchange = *exchanges_[i];
+    if (!exchange.response.has_value()) continue;
+    exchange.held.Release();
+    bytes += exchange.response_bytes;
+  }
+  return memory_.HoldQueue(bytes);
+}
+
+/// What waits for the answer to an earlier request is not given up: the caller can't take it.
+auto Connection::ReleaseQueue() -> void {
+  memory_.HoldQueue(0);
+  for (const auto& exchange : exchanges_) {
+    if (!exchange->response.has_value()) continue;
+    exchange->held = HeldMemory(server_->memory, MemoryUse::kAnswers, exchange->response_bytes);
+  }
+}
+
 auto Connection::CloseForMemory() -> void {
   server_->no_memory.fetch_add(1);
   Report(InputRefusal::Cause::kNoMemory, 0);
@@ -484,6 +535,10 @@
   if (writing_ || exchanges_.empty() || !exchanges_.front()->response.has_value()) return;
   auto& exchange = *exchanges_.front();
   auto& response = *exchange.response;
+  if (!HoldQueue()) {
+    CloseForMemory();
+    return;
+  }
   // Requests that were handed over are answered before the connection closes.
   closing_ = closing_ || response.close || server_->closing.load();
   const bool is_last = closing_ && exchanges_.size() == 1;
@@ -495,13 +550,13 @@
   if (!exchange.head && StatusHasBody(response.status)) {
     if (response.body.size() <= kMaxCopiedBodyBytes) {
       output_.append(response.body);
+      response.body = std::string();
     } else {
       body_ = std::move(response.body);
       HoldAnswer(exchange);
     }
   }
   writing_ = true;
-  slow_at_ = SteadyClock::now() + MemoryAccount::kSlowAfter;
   deadlines_.SetWrite(server_->limits.load()->write_timeout);
   const std::array buffers{asio::buffer(output_), asio::buffer(body_)};
   // The handler keeps the connection alive.
@@ -526,6 +581,7 @@
   }
   exchanges_.pop_front();
   memory_.EndAnswer();
+  ReleaseQueue();
   server_->active.fetch_sub(1);
   if (body_.capacity() > kMaxCopiedBodyBytes) body_ = std::string();
   if (is_last) {
@@ -537,6 +593,7 @@
     CloseNow();
     return;
   }
+  if (exchanges_.empty()) use_ = ConnectionUse::IdleSince(SteadyClock::now());
   if (exchanges_.empty() && !request_started_) {
     deadlines_.SetRead(server_->limits.load()->idle_timeout);
   }
@@ -551,6 +608,7 @@
     return;
   }
   state_ = State::kLingering;
+  use_ = ConnectionUse::IdleSince(SteadyClock::now());
   deadlines_.SetRead(kLingerTime);
   ErrorCode ignored;
   socket_.shutdown(Socket::shutdown_send, ignored);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -16,7 +16,9 @@
 namespace heatherspan {
 namespace {
 
-// Connections beyond the limit that may still be open to read their 503.
+// Connections beyond the limit that may still be open to read their 503: one for so many, and at
+// most so many.
+constexpr std::size_t kConnectionsForOneRefused = 16;
 constexpr std::size_t kMaxRefusedConnections = 64;
 constexpr auto kMinSweepInterval = std::chrono::milliseconds(5);
 constexpr auto kMaxSweepInterval = std::chrono::milliseconds(500);
@@ -33,6 +35,11 @@
   state.on_refusal(refusal);
 }
 
+auto MaxRefused(const HttpServer::Limits& limits) -> std::size_t {
+  return std::clamp<std::size_t>(limits.max_connections / kConnectionsForOneRefused, 1,
+                                 kMaxRefusedConnections);
+}
+
 auto Open(WorkerPool& workers, const std::shared_ptr<HttpServerState>& state, AcceptedSocket socket)
     -> void {
   bool refused = false;
@@ -42,10 +49,15 @@
     const std::lock_guard lock(state->mutex);
     const auto open = state->connections.size();
     const auto limits = state->limits.load();
-    refused = open >= limits->max_connections;
-    if (refused) state->too_many_connections.fetch_add(1);
+    const bool full = open >= limits->max_connections;
     // Stop empties the set under this mutex; a connection added later would stay open.
-    dropped = state->stopped.load() || open >= limits->max_connections + kMaxRefusedConnections;
+    dropped = state->stopped.load() || open >= limits->max_connections + MaxRefused(*limits);
+    if (full) {
+      refused = dropped ||
+                !state->evictions.EvictOne(state->connections, std::chrono::steady_clock::now());
+      auto& counter = refused ? state->too_many_connections : state->evicted;
+      counter.fetch_add(1);
+    }
     if (!dropped) {
       connection = HttpConnection::Create(workers, socket.descriptor, socket.is_v6,
                                           std::move(socket.remote), state);
@@ -69,8 +81,8 @@
 }
 
 auto SweepInterval(const HttpServer::Limits& limits) -> Duration {
-  const auto shortest = std::min({limits.request_timeout, limits.idle_timeout, limits.write_timeout,
-                                  Duration(HttpConnection::kLingerTime)});
+  const auto shortest = std::min({limits.request_timeout, limits.body_timeout, limits.idle_timeout,
+                                  limits.write_timeout, Duration(HttpConnection::kLingerTime)});
   return std::clamp<Duration>(shortest / 4, kMinSweepInterval, kMaxSweepInterval);
 }
 
@@ -169,6 +181,7 @@
           .body_too_large = state.body_too_large.load(),
           .request_timeout = state.request_timeout.load(),
           .too_many_connections = state.too_many_connections.load(),
+          .evicted = state.evicted.load(),
           .caller_gone = state.caller_gone.load(),
           .no_memory = state.no_memory.load()};
 }
--- a/src/net/server_exchange.h
+++ b/src/net/server_exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 
@@ -17,7 +18,9 @@
   bool head = false;
   std::shared_ptr<DisconnectHook> disconnect;
   std::optional<HttpResponse> response;
-  HeldMemory held;  ///< By the response.
+  HeldMemory request_header;  ///< And its copy that is passed on.
+  std::size_t response_bytes = 0;
+  HeldMemory held;  ///< By the response, unless it counts as part of a queue.
 };
 
 }  // namespace heatherspan
