gateway: only what may be condemned is weighed anew in a failure of many targets

Change: only requests with enough crashes to be condemned are renewed; one that gets a further crash is renewed by itself, as before.

--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -88,6 +88,10 @@
 
   auto StandingOf(const RequestDigest& request, MonotonicTime now) const -> Standing;
   auto CrashesOf(const RequestDigest& request) const -> std::vector<TargetCrash>;
+  auto CrashCountOf(const RequestDigest& request) const -> std::size_t {
+    const auto found = suspects_.find(request);
+    return found == suspects_.end() ? 0 : found->second.crashes.size();
+  }
   auto EvidenceOf(const RequestDigest& request) const -> std::vector<Evidence>;
   /// Returns what others have to know: the crashes of requests that are more than suspected or that
   /// other VMs may get next, and recent answers. Requests that were heard of lately go first, then
--- a/src/gateway/harm_guard.cc
+++ b/src/gateway/harm_guard.cc
@@ -126,8 +126,9 @@
 
 auto HarmGuard::RenewAllChances(MonotonicTime now) -> void {
   for (const auto& [request, exposure] : exposures_) {
+    // A request that gets one crash more is renewed by itself.
+    if (suspects_.CrashCountOf(request) < CrashSuspects::kMinCrashes) continue;
     const auto before = suspects_.StandingOf(request, now);
-    if (before < Standing::kProbable) continue;
     RenewChances(request);
     Note({request, std::nullopt, {}, {}, 1, self_}, before, now);
   }
