--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -305,7 +305,8 @@
     const auto apartness = ruling == Ruling::kSendApart       ? Apartness::kPreferred
                            : ruling == Ruling::kSendOnlyApart ? Apartness::kRequired
                                                               : Apartness::kNone;
-    // Requests that have lost a target together would meet again at the next target of their object.
+    // Requests that have lost a target together would meet again at the next target of their
+    // object.
     const bool is_apart = apartness != Apartness::kNone && active->digest.has_value();
     forwarded.SetApartness(apartness,
                            is_apart ? std::optional(active->digest->hash()) : std::nullopt);
--- a/tests/gateway/condemned_innocent_test.cc
+++ b/tests/gateway/condemned_innocent_test.cc
@@ -132,9 +132,7 @@
     }
   }
   static auto At(int ms) -> MonotonicTime { return kNow + milliseconds(ms); }
-  static auto Other(int number) -> RequestDigest {
-    return {9, static_cast<std::uint64_t>(number)};
-  }
+  static auto Other(int number) -> RequestDigest { return {9, static_cast<std::uint64_t>(number)}; }
 
   const ServiceName kService{"rota-view"};
   HarmGuard edge_0_{NodeName("edge-0")};
