--- a/src/net/header_lookup.cc
+++ b/src/net/header_lookup.cc
@@ -26,11 +26,11 @@
 }
 
 auto MemoryOf(const std::vector<HeaderField>& headers) -> std::size_t {
-  static const auto kInPlace = std::string().capacity();
+  static const auto in_place = std::string().capacity();
   auto bytes = headers.capacity() * sizeof(HeaderField);
   for (const auto& field : headers) {
     for (const auto* text : {&field.name, &field.value}) {
-      if (text->capacity() > kInPlace) bytes += text->capacity();
+      if (text->capacity() > in_place) bytes += text->capacity();
     }
   }
   return bytes;
