--- a/tests/net/eviction_queue_test.cc
+++ b/tests/net/eviction_queue_test.cc
@@ -78,6 +78,7 @@
 TEST_F(EvictionQueueTest, OneThatWasUsedSinceTheChoiceStays) {
   std::vector<std::shared_ptr<FakeConnection>> idle;
   constexpr int kConnections = 3 * EvictionQueue::kBatchPart;
+  idle.reserve(kConnections);
   for (int i = 0; i < kConnections; ++i) {
     idle.push_back(Add(ConnectionUse::IdleSince(start_ + std::chrono::milliseconds(i))));
   }
