gateway: a request with two crashes waits for the verdict on a further loss

Seen: HarmfulRequestTest.EndsThreeTargetsAtMost ended four targets since, and AnOperatorSeesAndLiftsIt listed four crashes (1 of 1 in ctest). Cause: after its third loss a request that has met two crashes was sent on before the target's probe had shown the crash. Change: such a request gets 503 with Retry-After while a loss of its own isn't judged.

--- a/src/gateway/harm_guard.cc
+++ b/src/gateway/harm_guard.cc
@@ -41,7 +41,9 @@
     case Standing::kSuspected:
       return Ruling::kSendApart;
     case Standing::kProbable:
-      return at_target ? Ruling::kWait : Ruling::kSendOnlyApart;
+      // A loss that is not judged yet may be the crash that condemns it.
+      return at_target || detector_.IsPending(request, now) ? Ruling::kWait
+                                                            : Ruling::kSendOnlyApart;
     case Standing::kOnTrial:
       if (!IsTrialVm(request, vms)) return Ruling::kRefuse;
       return at_target ? Ruling::kWait : Ruling::kSendOnlyApart;
