edge: the log tells what a request with homes was placed by

Cause: the lines of the incident tell the version of the arrival and the age of the state at the end, but not which homes bound the last attempt, where it went, or which version moved the homes.

--- a/src/edge/attempt_log.cc
+++ b/src/edge/attempt_log.cc
@@ -8,6 +8,7 @@
 
 #include "base/reason.h"
 #include "base/verdict.h"
+#include "edge/regions_text.h"
 #include "edge/retry_rule_text.h"
 #include "net/http_result.h"
 #include "observe/event_log.h"
@@ -28,6 +29,7 @@
                     const HttpResult& result, std::vector<LogField>& fields) -> void {
   const auto& attributes = request.attributes();
   const auto& trace = result.trace;
+  const auto& placed = request.last_placement();
   fields.insert(fields.end(), {{"status", result.status.ok() ? result.response.status : 0},
                                {"error", std::string(result.status.message())},
                                {"next", attempt.is_retried ? "retry" : "answer"},
@@ -41,7 +43,11 @@
                                {"dropped_answers", trace.foreign_answers},
                                {"answer_names", AnswerIdentityText(trace.identity)},
                                {"signed", attempt.is_signed ? 1 : 0},
-                               {"events", trace.events.Text()}});
+                               {"events", trace.events.Text()},
+                               {"homes", RegionsText(placed.allowed_regions)},
+                               {"target_region", request.last_region().value()},
+                               {"placed_config", placed.config.value()},
+                               {"placed_state_age_ms", Milliseconds(placed.state_age)}});
 }
 
 auto IsNotRun(AttemptOutcome outcome) -> bool { return VerdictOf(outcome) == Verdict::kNotRun; }
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -19,6 +19,7 @@
 #include "edge/platform_ports.h"
 #include "edge/request_log.h"
 #include "edge/request_relay.h"
+#include "edge/restricted_attempts.h"
 #include "edge/target_notice_handler.h"
 #include "edge/team_quota_gate.h"
 #include "fmt/format.h"
@@ -68,6 +69,7 @@
         lateness_(lateness),
         request_log_(core, log, metrics),
         attempt_log_(log, metrics),
+        restricted_attempts_(core, access, metrics),
         notices_(core, log, metrics) {}
 
   auto Forward(HttpRequest request, HttpServer::Responder respond) -> void {
@@ -262,6 +264,7 @@
       return;
     }
     if (!MaySend(active, now)) return;
+    core_.RecordPlacement(forwarded, now);
     const auto reach = relay_.reach().state(now);
     if (reach == TargetReach::State::kStranded) {
       if (PassOn(active, now)) return;
@@ -333,7 +336,7 @@
     if (!vm.has_value()) return false;
     const RelayTerms terms{route.retry_rule, forwarded.verdict(), forwarded.arrivals()};
     core_.OnPassedOn(forwarded);
-    forwarded.OnSent(TargetName(vm->name.value()));
+    forwarded.OnSent(TargetName(vm->name.value()), vm->region);
     active->through = vm->name.value();
     active->exchange = relay_.Send(
         *vm, service, active->request, terms, forwarded.deadline() - now, OptionsFor(*active),
@@ -408,6 +411,8 @@
     auto request = Format::ForTarget(active->request, entry, active->team, time_left);
     active->attempt = core_.BeginAttempt(active->forwarded, placement, now);
     harm_.OnSent(active->digest);
+    restricted_attempts_.OnSent(active->forwarded, active->request, active->forwarded.last_region(),
+                                now);
     relay_.OnSentToTarget(now);
     active->expected_queue_wait = placement.queue_wait;
     active->expected_processing_time = placement.processing_time;
@@ -579,6 +584,7 @@
   const LoopLateness& lateness_;
   RequestLog request_log_;
   AttemptLog attempt_log_;
+  RestrictedAttempts<Format> restricted_attempts_;
   TargetNoticeHandler notices_;
   absl::flat_hash_set<ActivePtr> active_;
   bool behind_ = false;
--- a/src/edge/request_log.h
+++ b/src/edge/request_log.h
@@ -11,6 +11,7 @@
 #include "base/reason.h"
 #include "base/time.h"
 #include "base/verdict.h"
+#include "edge/regions_text.h"
 #include "edge/retry_rule_text.h"
 #include "gateway/gateway_core.h"
 #include "observe/event_log.h"
@@ -82,6 +83,7 @@
     }
     metrics_.Observe(Metric::kRequestSeconds, {{"service", attributes.service.value()}}, elapsed);
     const auto& targets = forwarded.attempted_targets();
+    const auto& placed = forwarded.last_placement();
     log_.Write(end.reason == Reason::kNone ? LogLevel::kInfo : LogLevel::kWarning, "request",
                {{"id", attributes.id.value()},
                 {"route", attributes.route.name.value()},
@@ -105,6 +107,10 @@
                 {"retry_rule", RetryRuleText(attributes.route.retry_rule)},
                 {"route_config", attributes.config.value()},
                 {"config", ConfigVersionNumber()},
+                {"homes", RegionsText(placed.allowed_regions)},
+                {"target_region", forwarded.last_region().value()},
+                {"placed_config", placed.config.value()},
+                {"placed_state_age_ms", Milliseconds(placed.state_age)},
                 {"store_revision", core_.store_revision()},
                 {"store_age_ms", Milliseconds(core_.StoreAge(now))},
                 {"uptime_ms", Milliseconds(now - started_at_)}});
--- a/src/edge/store_items.h
+++ b/src/edge/store_items.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -8,8 +9,10 @@
 #include <vector>
 
 #include "edge/platform_ports.h"
+#include "edge/regions_text.h"
 #include "gateway/gateway_core.h"
 #include "gateway/pending_removals.h"
+#include "gateway/region_changes.h"
 #include "gateway/store_snapshot.h"
 #include "gateway/store_sync_state.h"
 #include "observe/event_log.h"
@@ -86,6 +89,8 @@
   /// What left in the seconds that the store has lost is gone from the store again by then: a
   /// registration lapses after three missed heartbeats, and the operator repeats its orders.
   static constexpr Duration kKeptRemovalTime = std::chrono::seconds(8);
+  /// A version may change many routes at once.
+  static constexpr std::size_t kMaxRegionChangeLines = 20;
 
   /// A removal of the earlier era that the store shows no longer.
   struct KeptRemoval {
@@ -167,6 +172,8 @@
     const auto restricted_routes =
         std::count_if(policy->routes.begin(), policy->routes.end(),
                       [](const Route& route) { return !route.allowed_regions.empty(); });
+    const auto region_changes = core_.policy() == nullptr ? std::vector<RegionChange>()
+                                                          : RegionChanges(*core_.policy(), *policy);
     const bool applied = core_.ApplyPolicy(*std::move(policy));
     if (applied) on_policy_applied_(*core_.policy());
     metrics_.Set(Metric::kConfigVersion, {}, static_cast<double>(core_.policy()->version.value()));
@@ -174,7 +181,26 @@
                {{"version", version},
                 {"routes", routes},
                 {"restricted_routes", restricted_routes},
+                {"bytes", change.value->size()},
                 {"revision", change.revision}});
+    if (applied) LogRegionChanges(region_changes, version, change.revision);
+  }
+
+  auto LogRegionChanges(const std::vector<RegionChange>& changes, std::uint64_t version,
+                        std::uint64_t revision) -> void {
+    const auto written = std::min(changes.size(), kMaxRegionChangeLines);
+    for (std::size_t i = 0; i < written; ++i) {
+      log_.Write(LogLevel::kInfo, "route-regions-changed",
+                 {{"route", changes[i].route.value()},
+                  {"from", RegionsText(changes[i].from)},
+                  {"to", RegionsText(changes[i].to)},
+                  {"version", version},
+                  {"revision", revision}});
+    }
+    if (written == changes.size()) return;
+    log_.Write(
+        LogLevel::kInfo, "route-regions-changed-further",
+        {{"routes", changes.size() - written}, {"version", version}, {"revision", revision}});
   }
 
   auto OnTarget(const TargetName& name, const StoreChange& change, bool unconfirmed) -> void {
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -79,8 +79,9 @@
   return attributes_.route.objective - (now - attributes_.arrived);
 }
 
-auto ForwardedRequest::OnSent(const TargetName& target) -> void {
+auto ForwardedRequest::OnSent(const TargetName& target, RegionName region) -> void {
   attempted_targets_.push_back(target);
+  last_region_ = std::move(region);
   in_flight_ = true;
 }
 
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -11,6 +11,7 @@
 #include "base/verdict.h"
 #include "gateway/apartness.h"
 #include "gateway/cached_objects.h"
+#include "gateway/placement_record.h"
 #include "gateway/route.h"
 #include "gateway/target_health.h"
 
@@ -104,7 +105,14 @@
   /// Gives the permit away. Returns whether there was one.
   auto TakeRetryPermit() -> bool { return std::exchange(has_retry_permit_, false); }
 
-  auto OnSent(const TargetName& target) -> void;
+  /// A target or another entry VM is sought for the next attempt.
+  auto OnPlacing(PlacementRecord record) -> void { last_placement_ = std::move(record); }
+  /// Empty before the first placement.
+  auto last_placement() const -> const PlacementRecord& { return last_placement_; }
+  /// `region`: of the target, or of the entry VM to which the request is passed on.
+  auto OnSent(const TargetName& target, RegionName region = RegionName()) -> void;
+  /// Of the last attempt.
+  auto last_region() const -> const RegionName& { return last_region_; }
   /// Ends an attempt. `acquire_retry` asks the retry budget and is called only if a retry is
   /// allowed otherwise.
   template <class AcquireRetry>
@@ -137,6 +145,8 @@
   Attributes attributes_;
   MonotonicTime deadline_;
   std::vector<TargetName> attempted_targets_;
+  PlacementRecord last_placement_;
+  RegionName last_region_;
   Verdict verdict_ = Verdict::kNotRun;
   Verdict earlier_verdict_ = Verdict::kNotRun;  ///< Of another entry VM's attempts.
   Apartness apartness_ = Apartness::kNone;
--- a/src/gateway/gateway_core.cc
+++ b/src/gateway/gateway_core.cc
@@ -164,6 +164,11 @@
   return ForwardedRequest(std::move(attributes));
 }
 
+auto GatewayCore::RecordPlacement(ForwardedRequest& request, MonotonicTime now) const -> void {
+  request.OnPlacing({policy_ == nullptr ? ConfigVersion() : policy_->version, StoreAge(now),
+                     request.attributes().route.allowed_regions});
+}
+
 auto GatewayCore::Place(ForwardedRequest& request, MonotonicTime now) -> PlacementResult {
   auto result = ChooseTarget(request, now);
   if (!result.placement.has_value() || !request.NeedsRetryPermit()) return result;
@@ -218,7 +223,7 @@
     target.Reserve(attempt.number, request.apartness());
   }
   spillover_.OnSent(target.region() != options_.location.region, now);
-  request.OnSent(attempt.target);
+  request.OnSent(attempt.target, target.region());
   return attempt;
 }
 
--- a/src/gateway/gateway_core.h
+++ b/src/gateway/gateway_core.h
@@ -103,6 +103,8 @@
                      MonotonicTime now, Duration unread = Duration::zero()) -> ForwardedRequest;
   /// The request is passed on to another entry VM, which takes retries from its own budget.
   auto OnPassedOn(ForwardedRequest& request) -> void;
+  /// Notes what the request's next attempt rests on, at a target or through another entry VM.
+  auto RecordPlacement(ForwardedRequest& request, MonotonicTime now) const -> void;
   /// Chooses a target for the request's next attempt.
   auto Place(ForwardedRequest& request, MonotonicTime now) -> PlacementResult;
   auto BeginAttempt(ForwardedRequest& request, const Placement& placement, MonotonicTime now)
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -49,6 +49,7 @@
   kLoopLagSeconds,
   kMemoryBytes,
   kMemoryBound,
+  kRestrictedAttempts,
   kCount,
 };
 
@@ -150,6 +151,9 @@
          "Memory held for callers, targets, peers and the store, by use."},
         {Metric::kMemoryBound, "heatherspan_memory_bound_bytes", MetricKind::kGauge,
          "The bound of that memory. What would pass it is refused."},
+        {Metric::kRestrictedAttempts, "heatherspan_restricted_attempts_total", MetricKind::kCounter,
+         "Attempts at targets on routes or of teams with homes, by whether the target's region is "
+         "one by the configuration in force."},
     }};
 
 }  // namespace heatherspan
