edge: no placement by homes that may be outdated

Cause: a VM that knows that its state may lack changes (store_age_ms=14524 in the incident's request line) placed requests by the homes of that state, and a former home got one.

Change: HomeProof: a request whose route or team has homes is refused as not run (503, stale-configuration, Retry-After 0.05) by a VM whose state may lack changes for longer than apply_s: at its arrival, at each later attempt, and before it is passed on; to the VM that passed it on the answer is out of reach. Requests without homes are served as before. In an outage of the store that lasts longer than apply_s, routes with homes are refused everywhere.

--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -202,9 +202,9 @@
                        for_peer);
       return;
     }
-    const auto reason = ruling.outcome == TeamAccess::Outcome::kStaleKeys
-                            ? Reason::kStaleConfiguration
-                            : Reason::kNoTarget;
+    const auto reason = ruling.outcome == TeamAccess::Outcome::kNoRegionLeft
+                            ? Reason::kNoTarget
+                            : Reason::kStaleConfiguration;
     if (!for_peer) request_log_.CountForTeam(ruling.team, reason);
     RefuseUnadmitted(fields, request, Format::Refused(kRetryAfterOtherVm), reason, respond,
                      for_peer);
@@ -261,6 +261,12 @@
                std::nullopt);
       return;
     }
+    // The state may have become too old since the arrival.
+    if (!access_.KnowsHomes(forwarded.attributes().route, now)) {
+      Conclude(active, forwarded.OnNoTarget(), Reason::kStaleConfiguration, kRetryAfterOtherVm,
+               std::nullopt);
+      return;
+    }
     if (!MaySend(active, now)) return;
     const auto reach = relay_.reach().state(now);
     if (reach == TargetReach::State::kStranded) {
@@ -529,7 +535,9 @@
     const int status = answer.status;
     if (active->for_peer) {
       const auto verdict = active->forwarded.verdict();
-      const bool out_of_reach = reason == Reason::kNoTarget && verdict == Verdict::kNotRun;
+      const bool is_cause_here =
+          reason == Reason::kNoTarget || reason == Reason::kStaleConfiguration;
+      const bool out_of_reach = is_cause_here && verdict == Verdict::kNotRun;
       Format::AddRelayVerdict(active->forwarded.attributes().id, verdict,
                               active->forwarded.own_arrivals(), !out_of_reach, answer);
     }
--- a/src/gateway/team_access.h
+++ b/src/gateway/team_access.h
@@ -25,6 +25,7 @@
     kUnknownKey,    ///< No team holds the key.
     kStaleKeys,     ///< The configuration is too old to tell.
     kNoRegionLeft,  ///< The route and the team allow no common region.
+    kStaleHomes,    ///< The configuration is too old to tell where the request may run.
   };
   struct Ruling {
     Outcome outcome = Outcome::kAllowed;
--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -49,6 +49,7 @@
   kLoopLagSeconds,
   kMemoryBytes,
   kMemoryBound,
+  kHomesStale,
   kCount,
 };
 
@@ -150,6 +151,8 @@
          "Memory held for callers, targets, peers and the store, by use."},
         {Metric::kMemoryBound, "heatherspan_memory_bound_bytes", MetricKind::kGauge,
          "The bound of that memory. What would pass it is refused."},
+        {Metric::kHomesStale, "heatherspan_homes_stale", MetricKind::kGauge,
+         "1 while this entry VM refuses requests with homes because its state is too old."},
     }};
 
 }  // namespace heatherspan
