edge: the age of the state counts from when an answer was made

Cause: StoreFollower dated an answer of the store by its arrival. On a full link an answer with changes, or a listing, is on its way for seconds, and the state counted as younger by as much, at this VM and at the peers that it tells its age.

Change: a listing, and an answer with changes, are as old as their call, one without changes as the end of its wait. The times of contact with the store, by which removals are in doubt, stay those of the arrival. The pause after changes ends when the state would become too old for the interval of answers, so that its age in calm stays what it was.

--- a/src/edge/store_follower.h
+++ b/src/edge/store_follower.h
@@ -114,18 +114,20 @@
     const auto next = sync_state_.Next();
     const auto listing = sync_state_.listing_number();
     if (next.list) {
-      store_.List(next.after_key, [this, call, listing](absl::StatusOr<StorePage> page) {
-        if (!page.ok()) {
-          OnFailure(call, page.status());
-          return;
-        }
-        if (listing != sync_state_.listing_number()) {
-          OnUnused(call, listing);
-          return;
-        }
-        LogListing(*page);
-        Apply(call, sync_state_.OnPage(*std::move(page), Now()));
-      });
+      store_.List(next.after_key,
+                  [this, call, listing, called_at = now](absl::StatusOr<StorePage> page) {
+                    if (!page.ok()) {
+                      OnFailure(call, page.status());
+                      return;
+                    }
+                    if (listing != sync_state_.listing_number()) {
+                      OnUnused(call, listing);
+                      return;
+                    }
+                    LogListing(*page);
+                    page->age = Now() - called_at;
+                    Apply(call, sync_state_.OnPage(*std::move(page), Now()));
+                  });
       return;
     }
     // Each watch counts as a call to the store, also one that only waits.
@@ -137,20 +139,25 @@
     if (!lost_) {
       timer_ = workers_.RunAfter(wait + kOverdueTime, [this, call] { OnOverdue(call); });
     }
-    store_.Watch(next.after_revision, wait,
-                 [this, call, listing, called_at = now](absl::StatusOr<StoreChanges> changes) {
-                   if (!changes.ok()) {
-                     OnFailure(call, changes.status());
-                     return;
-                   }
-                   if (listing != sync_state_.listing_number()) {
-                     OnUnused(call, listing);
-                     return;
-                   }
-                   // An overdue answer was made at any time since the call.
-                   const auto seen_at = call == last_call_ ? Now() : called_at;
-                   Apply(call, sync_state_.OnChanges(*std::move(changes), seen_at));
-                 });
+    store_.Watch(
+        next.after_revision, wait,
+        [this, call, listing, wait, called_at = now](absl::StatusOr<StoreChanges> changes) {
+          if (!changes.ok()) {
+            OnFailure(call, changes.status());
+            return;
+          }
+          if (listing != sync_state_.listing_number()) {
+            OnUnused(call, listing);
+            return;
+          }
+          // An overdue answer was made at any time since the call.
+          const auto seen_at = call == last_call_ ? Now() : called_at;
+          // One without changes was made at the end of its wait, any other one at any time
+          // since the call, however long it was on its way.
+          const auto made_at = changes->changes.empty() ? called_at + wait : called_at;
+          changes->age = std::max(seen_at - made_at, Duration::zero());
+          Apply(call, sync_state_.OnChanges(*std::move(changes), seen_at));
+        });
   }
 
   /// The answer belongs to the listing or the era before. A peer's state may have begun the present
@@ -199,7 +206,10 @@
     if (changes.empty() || sync_state_.Next().list) {
       CallNext();
     } else {
-      timer_ = workers_.RunAfter(role_.timing().batch_delay, [this] { CallNext(); });
+      // An answer that shows that the state is young comes before it has to be.
+      const auto age_left = role_.timing().answer_interval - sync_state_.Age(Now());
+      const auto delay = std::clamp(age_left, Duration::zero(), role_.timing().batch_delay);
+      timer_ = workers_.RunAfter(delay, [this] { CallNext(); });
     }
   }
 
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -37,13 +37,15 @@
   std::uint64_t revision = 0;  ///< Revision of the store when the page was made.
   StoreEra era = {};
   BootTime proved_at = StateProof::kNever;  ///< The page was made later.
+  Duration age{};                           ///< The page was made at most so long ago.
 };
 
 /// The changes since a revision.
 struct StoreChanges {
   std::vector<StoreChange> changes;
   std::uint64_t revision = 0;  ///< The changes are complete up to this revision.
-  /// Since whoever gives the changes has heard from the store, also through others.
+  /// Up to how long ago whoever gives the changes knows them to be complete: for the store, since
+  /// it has made the answer at the latest; for a peer, also through others.
   Duration age{};
   /// Since when whoever gives the changes has heard from the store without an outage between two
   /// answers, also through others.
--- a/src/gateway/store_contact.h
+++ b/src/gateway/store_contact.h
@@ -17,6 +17,8 @@
   static constexpr Duration kReregistrationTime = std::chrono::seconds(2);
   /// No registration expires because of an outage that is so short: it misses one heartbeat.
   static constexpr Duration kShortOutage = std::chrono::milliseconds(1500);
+  /// The clock may start at 0 with the machine.
+  static constexpr MonotonicTime kNever = MonotonicTime(-std::chrono::hours(1));
 
   /// `gap`: without a call that went unanswered, only a longer time between two answers is an
   /// outage.
@@ -43,8 +45,6 @@
  private:
   /// An outage so long ago no longer matters to any VM.
   static constexpr Duration kMaxAge = std::chrono::hours(1);
-  /// The clock may start at 0 with the machine.
-  static constexpr MonotonicTime kNever = MonotonicTime(-std::chrono::hours(1));
 
   auto Gap() const -> Duration { return unanswered_ ? kShortOutage : max_gap_; }
 
--- a/src/gateway/store_sync_state.cc
+++ b/src/gateway/store_sync_state.cc
@@ -70,6 +70,7 @@
     }
     list_revision_ = page.revision;
     list_began_at_ = now;
+    list_complete_at_ = now - page.age;
     list_proved_at_ = page.proved_at;
     listed_revisions_.clear();
     listed_items_.clear();
@@ -90,6 +91,7 @@
   if (listing_ == Listing::kOtherEra) {
     new_changes = ReplaceState({std::move(listed_items_), false, list_revision_, store_era_});
     contact_.OnRestored(list_began_at_);
+    complete_at_ = list_complete_at_;
     proof_.Reset();
     proof_.OnProved(list_proved_at_);
     return new_changes;
@@ -97,6 +99,7 @@
   era_ = store_era_;
   CompleteListing(list_revision_, new_changes);
   contact_.OnAnswer(list_began_at_);
+  complete_at_ = std::max(complete_at_, list_complete_at_);
   proof_.OnProved(list_proved_at_);
   return new_changes;
 }
@@ -134,6 +137,12 @@
   return new_changes;
 }
 
+auto StoreSyncState::ForgetAge() -> void {
+  contact_.Reset();
+  proof_.Reset();
+  complete_at_ = StoreContact::kNever;
+}
+
 auto StoreSyncState::EndListing() -> void {
   listing_ = Listing::kNone;
   after_key_.clear();
@@ -157,6 +166,7 @@
   contact_.OnAnswer(now);
   // The answer of a store that has gone back shows nothing of the later state.
   const bool continues_state = listing_ == Listing::kNone && changes.era == era_;
+  if (continues_state) complete_at_ = std::max(complete_at_, now - changes.age);
   if (continues_state && changes.revision >= revision_) proof_.OnProved(changes.proved_at);
   return AcceptAll(std::move(changes));
 }
@@ -168,12 +178,10 @@
     store_era_ = state.era;
     store_era_known_at_ = now;
     peer_era_heard_at_.reset();
-    contact_.Reset();
-    proof_.Reset();
+    ForgetAge();
     return ReplaceState(std::move(state));
   }
-  contact_.Reset();
-  proof_.Reset();
+  ForgetAge();
   // Pages of another era than the state's may have been applied.
   const bool continues_pages = listing_ == Listing::kSameEra && state.era == store_era_;
   if (state.era > store_era_) {
@@ -202,6 +210,7 @@
   if (!synced_ || era_ != store_era_ || changes.era != era_) return {};
   if (changes.revision < revision_) return {};
   contact_.OnSpan(now - changes.contact_age, now - changes.age);
+  complete_at_ = std::max(complete_at_, now - changes.age);
   proof_.OnProved(changes.proved_at);
   if (changes.age <= kMaxContactAge) {
     in_contact_ = true;
--- a/src/gateway/store_sync_state.h
+++ b/src/gateway/store_sync_state.h
@@ -87,11 +87,11 @@
   auto history_start() const -> std::uint64_t { return history_start_; }
   /// The state has all changes up to this time. An incomplete listing shows nothing of the changes
   /// on its further pages.
-  auto complete_at() const -> MonotonicTime { return contact_.until(); }
+  auto complete_at() const -> MonotonicTime { return complete_at_; }
   /// The state is proved to have all changes up to this time.
   auto proved_at() const -> BootTime { return proof_.at(); }
   /// Since when the state may lack changes.
-  auto Age(MonotonicTime now) const -> Duration { return now - contact_.until(); }
+  auto Age(MonotonicTime now) const -> Duration { return now - complete_at_; }
   auto Quality(MonotonicTime now) const -> StateQuality {
     return {Age(now), RemovalsUnconfirmed()};
   }
@@ -114,6 +114,8 @@
   /// Ends a listing that shows the state at the revision: items that it lacks have been removed.
   auto CompleteListing(std::uint64_t revision, std::vector<StoreChange>& new_changes) -> void;
   auto EndListing() -> void;
+  /// A state of unknown age replaces the one before.
+  auto ForgetAge() -> void;
 
   absl::flat_hash_map<std::string, std::uint64_t>
       known_revisions_;  ///< Revisions of present items.
@@ -137,7 +139,9 @@
   bool contact_was_lost_ = false;
   StoreContact contact_;
   StateProof proof_;
+  MonotonicTime complete_at_ = StoreContact::kNever;
   MonotonicTime list_began_at_{};                 ///< When the first page was read.
+  MonotonicTime list_complete_at_{};              ///< By the first page.
   BootTime list_proved_at_ = StateProof::kNever;  ///< By the first page.
 };
 
