--- a/src/observe/metric.h
+++ b/src/observe/metric.h
@@ -50,6 +50,7 @@
   kMemoryBytes,
   kMemoryBound,
   kRestrictedAttempts,
+  kHomesStale,
   kCount,
 };
 
@@ -154,6 +155,8 @@
         {Metric::kRestrictedAttempts, "heatherspan_restricted_attempts_total", MetricKind::kCounter,
          "Attempts at targets on routes or of teams with homes, by whether the target's region is "
          "one by the configuration in force."},
+        {Metric::kHomesStale, "heatherspan_homes_stale", MetricKind::kGauge,
+         "1 while this entry VM refuses requests with homes because its state is too old."},
     }};
 
 }  // namespace heatherspan
