--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -204,6 +204,27 @@
   EXPECT_LE(by_peer, asked_at_ - milliseconds(2500));
 }
 
+// Guards against a peer's state of unknown age, or of an age that can't be read, that counts as
+// fresh.
+TEST_F(StoreClientTest, APeerThatTellsNoAgeIsNotFresh) {
+  const auto ask = [&] {
+    return ResultOf<absl::StatusOr<StoreChanges>>([&](auto done) {
+      store_.AskPeer({StoreEra(3), 41}, {}, done);
+    });
+  };
+  // The machine of a peer that started from another one's state has run for two days.
+  const auto made = StoreClient::WatchAnswer(std::vector<StoreChange>(), {StoreEra(3), 41},
+                                             std::chrono::hours(49), std::chrono::hours(1), {});
+  Answer(made.status, made.body);
+  EXPECT_GE(ask()->age, std::chrono::hours(24));
+  for (const auto* age : {"", R"(,"state_age_s":null)", R"(,"state_age_s":-1)",
+                          R"(,"state_age_s":"3")", R"(,"state_age_s":1e300)"}) {
+    Answer(200, std::string(R"({"events":[],"current_rev":41)") + age + "}");
+    EXPECT_GE(ask()->age, std::chrono::hours(24)) << age;
+    EXPECT_GE(ask()->contact_age, std::chrono::hours(24)) << age;
+  }
+}
+
 // Guards against limits that are lost or changed on their way to a peer, and against a call to the
 // store that has them.
 TEST_F(StoreClientTest, TellsPeersOfLimits) {
