platform: what can't be read of a route never lifts its homes

ReadRegions passed over what it couldn't read: allowed_regions that is no list, an empty list, null, or names that are no texts left a route without homes, and a list with one readable name kept that one alone. Two more ways to the same end: a route without a name was passed over, and one whose prefix lacks a slash could never match, so that its requests went by a shorter prefix; of two routes of one host and prefix the last one won, with or without the first one's homes.

Such a document is rejected now, like one with any other wrong field: the configuration before it stays in force, and the error names entry, field, value and what was expected (route, service and document errors had said only "a field is missing or has an unexpected value"). Two equal routes whose homes are the same are accepted as before. Teams are read by the same function, so that null and an empty list leave a team out.

--- a/tests/edge/unusual_configuration_test.cc
+++ b/tests/edge/unusual_configuration_test.cc
@@ -143,5 +143,32 @@
   ExpectAnswers(settings.callers, "started without the store");
 }
 
+// Guards against a request that runs outside its homes, because they have no targets or the next
+// configuration can't be read.
+TEST_F(UnusualConfigurationTest, RegionsThatCanNotBeUsedOrReadStillBind) {
+  TargetStub target("i-1");
+  Register(target);
+  const auto policy = [](int version, const std::string& regions) {
+    return With(Policy(version),
+                R"({"type":"routes","metadata":{"name":"home"},"spec":{"host":"h.example",)"
+                R"("path_prefix":"/read/home/","kind":"safe","timeout_s":3,"latency_slo_s":1,)"
+                R"("service":"s","allowed_regions":)" +
+                    regions + "}}");
+  };
+  store_.Put("op/config", policy(1, R"(["elsewhere"])"));
+  Start();
+  ASSERT_EQ(Send("/read/x").response.status, 200);
+  EXPECT_EQ(Send("/read/home/x").response.status, 503);
+  int version = 1;
+  for (const auto* regions : {R"("elsewhere")", "[7]", "[]", "null"}) {
+    store_.Put("op/config", policy(++version, regions));
+    ExpectNotDenied(regions);
+    EXPECT_EQ(Send("/read/home/x").response.status, 503) << regions;
+  }
+  EXPECT_TRUE(log_capture_.Contains("field allowed_regions: "));
+  store_.Put("op/config", policy(++version, R"(["r"])"));
+  EXPECT_TRUE(Eventually([&] { return Send("/read/home/x").response.status == 200; }));
+}
+
 }  // namespace
 }  // namespace heatherspan
--- a/tests/fleet_platform/policy_format_test.cc
+++ b/tests/fleet_platform/policy_format_test.cc
@@ -75,6 +75,43 @@
   }
 }
 
+auto RouteText(const std::string& name, const std::string& host, const std::string& more)
+    -> std::string {
+  return fmt::format(
+      R"({{"type":"routes","metadata":{{"name":"{}"}},"spec":{{"host":"{}","path_prefix":"/a/b/",)"
+      R"("kind":"safe","timeout_s":1,"latency_slo_s":1,"service":"s"{}}}}})",
+      name, host, more);
+}
+
+// Guards against a route without its regions, or whose requests go by a shorter prefix, because a
+// part of it can't be read, and against an error that doesn't say which.
+TEST(PolicyFormat, RejectsARouteThatWouldLoseItsRegions) {
+  const auto policy_of = [](const std::string& routes) {
+    return PolicyFormat::ReadPolicy(R"({"version":"r1","resources":[)" + routes + "]}");
+  };
+  const std::string wanted = ", expected a list of one or more names";
+  const struct {
+    std::string routes, error;
+  } cases[] = {
+      {RouteText("a", "h", R"(,"allowed_regions":"n")"), "allowed_regions: \"n\"" + wanted},
+      {RouteText("a", "h", R"(,"allowed_regions":[])"), "allowed_regions: array" + wanted},
+      {RouteText("a", "h", R"(,"allowed_regions":null)"), "allowed_regions: null" + wanted},
+      {RouteText("a", "h", R"(,"allowed_regions":["n",7])"), "allowed_regions: array" + wanted},
+      {RouteText("a", "h", R"(,"allowed_regions":[""])"), "allowed_regions: array" + wanted},
+      {RouteText("a", "h", R"(,"path_prefix":"/a/b")"), "path_prefix: \"/a/b\", expected a path"},
+      {R"({"type":"routes","metadata":{"name":7},"spec":{}})", "field name: 7, expected a text"},
+      {R"({"type":"routes","spec":{}})", "invalid entry 1 of resources: field metadata: missing"},
+      {RouteText("a", "h", R"(,"allowed_regions":["n"])") + "," + RouteText("b", "H:80", ""),
+       "invalid route b: field allowed_regions: 0 names, expected those of route a"}};
+  for (const auto& one : cases) {
+    const auto policy = policy_of(one.routes);
+    ASSERT_FALSE(policy.ok()) << one.routes;
+    EXPECT_NE(policy.status().message().find(one.error), std::string::npos) << policy.status();
+  }
+  const std::string regions = R"(,"allowed_regions":["n","e"])";
+  EXPECT_TRUE(policy_of(RouteText("a", "h", regions) + "," + RouteText("b", "H:80", regions)).ok());
+}
+
 auto PolicyWithTeam(const std::string& name, const std::string& spec)
     -> absl::StatusOr<TrafficPolicy> {
   return PolicyFormat::ReadPolicy(fmt::format(
@@ -120,6 +157,8 @@
       {R"("t")", R"({"api_keys":["secret"],"burst":"x"})", "field burst: \"x\", expected"},
       {R"("t")", R"({"api_keys":["secret"],"allowed_regions":["n",3]})", "allowed_regions: array"},
       {R"("t")", R"({"api_keys":["secret"],"allowed_regions":"n"})", "allowed_regions: \"n\""},
+      {R"("t")", R"({"api_keys":["secret"],"allowed_regions":null})", "allowed_regions: null"},
+      {R"("t")", R"({"api_keys":["secret"],"allowed_regions":[]})", "allowed_regions: array"},
       {R"("t\r\nX: y")", R"({"api_keys":["secret"]})", "field name: a text of 7 bytes"},
       {R"("")", R"({"api_keys":["secret"]})", "field name: a text of 0 bytes"}};
   for (const auto& one : cases) {
