--- a/tests/gateway/route_table_test.cc
+++ b/tests/gateway/route_table_test.cc
@@ -40,6 +40,21 @@
   EXPECT_EQ(Found("a.example", "/shop/cart/?a=b"), "cart");
 }
 
+// Guards against a route that is chosen by another path than the one that its target gets.
+TEST_F(RouteTableTest, TakesThePathAsWritten) {
+  for (const auto* target : {"/shop/./cart/7", "/shop//cart/7", "/shop/x/../cart/7",
+                             "/shop/c%61rt/7", "/shop/cart%2F7", "/shop/Cart/7"}) {
+    EXPECT_EQ(Found("a.example", target), "shop") << target;
+  }
+  EXPECT_EQ(Found("a.example", "/shop/cart//../7"), "cart");
+  EXPECT_EQ(Found("a.example", "//shop/cart/7"), "root");
+  for (const auto* target : {"", "*", "?/shop/cart/", "a.example:80", "http://a.example/shop/x"}) {
+    EXPECT_EQ(Found("a.example", target), "") << target;
+  }
+  EXPECT_EQ(Found("a.example.", "/shop/x"), "");
+  EXPECT_EQ(Found("[a.example]:80", "/shop/x"), "");
+}
+
 // Guards against hosts that differ only in case or port and are treated as different hosts.
 TEST_F(RouteTableTest, IgnoresCaseAndPortOfHost) {
   EXPECT_EQ(Found("A.EXAMPLE:8080", "/shop/x"), "shop");
--- a/tests/gateway/store_sync_state_test.cc
+++ b/tests/gateway/store_sync_state_test.cc
@@ -133,6 +133,19 @@
   EXPECT_EQ(ListAll({Put("a", 18)}, 19), "+a-b");
 }
 
+// Guards against a process that starts from a peer's state and takes it, or what other peers that
+// are behind tell, for current.
+TEST_F(StoreSyncStateTest, APeersStateIsAsOldAsItsPeersTell) {
+  sync_state_.OnPeerState({{Put("a", 6)}, false, 6}, now_);
+  EXPECT_GT(sync_state_.Age(now_), seconds(60));
+  sync_state_.OnPeerChanges({{}, 6, seconds(20), seconds(20)}, now_);
+  EXPECT_EQ(sync_state_.Age(now_), seconds(20));
+  now_ += seconds(5);
+  EXPECT_EQ(sync_state_.Age(now_), seconds(25));
+  EXPECT_FALSE(sync_state_.in_contact());
+  EXPECT_EQ(sync_state_.proved_at(), StateProof::kNever);
+}
+
 // Guards against a node that the store turns away and that stays at an old revision, against
 // changes of a peer that is behind, and against a delayed answer of the store that restores a
 // removed item.
