edge: what peers tell each other of the store is measured

heatherspan_peer_state_bytes_total counts them by kind and direction, heatherspan_peer_questions_total what became of questions; peer-changes-applied has bytes and took_ms.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -20,6 +20,7 @@
 #include "edge/memory_monitor.h"
 #include "edge/peer_reader.h"
 #include "edge/peer_sync.h"
+#include "edge/peer_traffic.h"
 #include "edge/platform_ports.h"
 #include "edge/quota_link.h"
 #include "edge/request_forwarder.h"
@@ -89,12 +90,14 @@
             store_client_, settings_.seeds, workers_, log_, std::random_device()(),
             [this] { return PeerStateNeedOf(follower_.sync_state(), Now() - started_at_); },
             [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
+        peer_traffic_(metrics_),
         peer_sync_(
             store_client_, workers_, [this] { return SyncedPosition(); },
             [this] { return NextPeerQuestions(); }, [this] { return News(true, Now()); },
             [this](const Endpoint& peer, StoreChanges changes) {
               OnPeerChanges(peer, std::move(changes));
             },
+            [this](const absl::Status& status) { peer_traffic_.OnFailure(status); },
             [this](StoreEra era) { OnPeerEra(era); }),
         announcer_(store_, workers_, log_, Formats::EntryVmKey(settings_.node),
                    Announcement(true, false),
@@ -287,6 +290,7 @@
     page.era = sync_state.era();
     auto answer = Store::ListAnswer(page);
     listing_budget_.OnGiven(answer.body.size());
+    peer_traffic_.OnGiven(PeerTraffic::Kind::kListing, answer.body.size());
     return answer;
   }
 
@@ -299,9 +303,11 @@
     const auto changes =
         has_history ? items_.snapshot().ChangesAfter(after.revision) : std::nullopt;
     const auto now = Now();
-    return Store::WatchAnswer(changes, {sync_state.era(), sync_state.revision()},
-                              sync_state.Age(now), sync_state.ContactAge(now),
-                              News(lacks_crashes, now), ProvedAge());
+    auto answer = Store::WatchAnswer(changes, {sync_state.era(), sync_state.revision()},
+                                     sync_state.Age(now), sync_state.ContactAge(now),
+                                     News(lacks_crashes, now), ProvedAge());
+    peer_traffic_.OnGiven(PeerTraffic::Kind::kChanges, answer.body.size());
+    return answer;
   }
 
   /// What peers are told, where they need it.
@@ -329,6 +335,7 @@
 
   auto OnPeerState(const Endpoint& peer, StorePage state) -> void {
     const auto revision = state.revision;
+    peer_traffic_.OnTaken(PeerTraffic::Kind::kListing, state.bytes);
     // Before the lines of the items: many of these are left out by the limit of the log's rate.
     log_.Write(LogLevel::kInfo, "peer-state-received",
                {{"peer", peer.Text()},
@@ -344,6 +351,10 @@
   auto OnPeerChanges(const Endpoint& peer, StoreChanges changes) -> void {
     const auto revision = changes.revision;
     const auto age = changes.age;
+    const auto bytes = changes.bytes;
+    const auto taken = changes.taken;
+    peer_traffic_.OnTaken(PeerTraffic::Kind::kChanges, bytes);
+    peer_traffic_.OnAnswered();
     follower_.role().OnAnswer(peer, age, Now());
     peer_lacks_crashes_ = OnNews(changes.news);
     const auto change_count = follower_.ApplyPeerChanges(std::move(changes));
@@ -354,6 +365,8 @@
                 {"changes", change_count},
                 {"revision", revision},
                 {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(age).count()},
+                {"bytes", bytes},
+                {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(taken).count()},
                 {"store_lost", follower_.sync_state().lost() ? 1 : 0}});
   }
 
@@ -539,6 +552,7 @@
   StoreFollower<Store> follower_;
   StoreItems<Formats> items_;
   PeerReader<Store> peer_reader_;
+  PeerTraffic peer_traffic_;
   PeerSync<Store> peer_sync_;
   ListingBudget listing_budget_;
   bool peer_lacks_crashes_ = false;  ///< The peer that answered last.
--- a/src/edge/peer_sync.h
+++ b/src/edge/peer_sync.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_set.h"
+#include "absl/status/status.h"
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "edge/platform_ports.h"
@@ -39,17 +40,21 @@
   /// The age of the changes includes the time of the exchange.
   using OnChanges = std::function<void(const Endpoint& peer, StoreChanges changes)>;
 
+  using OnFailure = std::function<void(const absl::Status& status)>;
+
   /// The era that a peer's answer belongs to, also if it has no changes to give.
   using OnEra = std::function<void(StoreEra era)>;
 
   PeerSync(HttpClient& client, WorkerPool& workers, PositionCallback position,
-           QuestionsCallback questions, NewsCallback news, OnChanges on_changes, OnEra on_era)
+           QuestionsCallback questions, NewsCallback news, OnChanges on_changes, OnFailure on_failure,
+           OnEra on_era)
       : client_(client),
         workers_(workers),
         position_(std::move(position)),
         questions_(std::move(questions)),
         news_(std::move(news)),
         on_changes_(std::move(on_changes)),
+        on_failure_(std::move(on_failure)),
         on_era_(std::move(on_era)) {}
 
   auto Start() -> void { AskNext(); }
@@ -84,8 +89,12 @@
                    asked_.erase(peer.Text());
                    if (untold_.erase(peer.Text()) > 0) Tell({peer});
                    // A peer that doesn't answer or lacks the history is asked again in its turn.
-                   if (!changes.ok()) return;
-                   changes->age += Now() - asked_at;
+                   if (!changes.ok()) {
+                     on_failure_(changes.status());
+                     return;
+                   }
+                   changes->taken = Now() - asked_at;
+                   changes->age += changes->taken;
                    on_changes_(peer, *std::move(changes));
                  });
     return true;
@@ -97,6 +106,7 @@
   const QuestionsCallback questions_;
   const NewsCallback news_;
   const OnChanges on_changes_;
+  const OnFailure on_failure_;
   const OnEra on_era_;
   absl::flat_hash_set<std::string> asked_;   ///< Peers that have yet to answer.
   absl::flat_hash_set<std::string> untold_;  ///< Those of them that are to be told more.
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -37,6 +38,7 @@
   std::uint64_t revision = 0;  ///< Revision of the store when the page was made.
   StoreEra era = {};
   BootTime proved_at = StateProof::kNever;  ///< The page was made later.
+  std::size_t bytes = 0;                    ///< Of the answer, if it has come as one.
 };
 
 /// The changes since a revision.
@@ -52,6 +54,8 @@
   StoreEra era = {};
   /// The store had no later change at that time than those up to the revision.
   BootTime proved_at = StateProof::kNever;
+  std::size_t bytes = 0;  ///< Of the answer, if it has come as one.
+  Duration taken{};       ///< By the question and the answer.
 };
 
 struct StoreLease {
