platform, edge: peers pack large values

Cause: each peer that is asked gives the configuration in plain base64, 4/3 of its size: 550 kB for 412 kB of 2,000 routes.

A question says that its sender reads packed values (packed=1). An answer then has values of 4 kB and more deflated, each once, with their size; what the values of an answer may have together is bounded before any memory is taken, and an answer with a value that can't be unpacked is dropped as a whole. Earlier builds don't ask and get plain values, and give plain ones.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -278,7 +278,7 @@
   /// Answers a peer that can't read the store.
   auto PeerQuestion(const HttpRequest& request) -> HttpResponse {
     if (const auto position = Store::WatchedPosition(request)) {
-      return ChangesForPeer(*position, OnNews(Store::NewsIn(request)));
+      return ChangesForPeer(*position, OnNews(Store::NewsIn(request)), Store::ReadsPacked(request));
     }
     return Store::IsListCall(request) ? ListingForPeer() : WithStatus(404);
   }
@@ -294,7 +294,8 @@
     return answer;
   }
 
-  auto ChangesForPeer(const StorePosition& after, bool lacks_crashes) -> HttpResponse {
+  auto ChangesForPeer(const StorePosition& after, bool lacks_crashes, bool reads_packed)
+      -> HttpResponse {
     OnPeerEra(after.era);
     const auto& sync_state = follower_.sync_state();
     if (!sync_state.synced()) return WithStatus(503);
@@ -305,7 +306,8 @@
     const auto now = Now();
     auto answer = Store::WatchAnswer(changes, {sync_state.era(), sync_state.revision()},
                                      sync_state.Age(now), sync_state.ContactAge(now),
-                                     News(lacks_crashes, now), ProvedAge());
+                                     News(lacks_crashes, now), ProvedAge(),
+                                     reads_packed ? &packed_values_ : nullptr);
     peer_traffic_.OnGiven(PeerTraffic::Kind::kChanges, answer.body.size());
     return answer;
   }
@@ -553,6 +555,7 @@
   StoreItems<Formats> items_;
   PeerReader<Store> peer_reader_;
   PeerTraffic peer_traffic_;
+  typename Store::PackedValues packed_values_;
   PeerSync<Store> peer_sync_;
   ListingBudget listing_budget_;
   bool peer_lacks_crashes_ = false;  ///< The peer that answered last.
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -51,13 +51,17 @@
     requires(T& store, Duration wait, typename T::ChangesCallback on_changes,
              const HttpRequest& request, const StorePage& page,
              const std::optional<std::vector<StoreChange>>& changes, const StorePosition& position,
-             const PeerNews& news, std::optional<Duration> proved_age) {
+             const PeerNews& news, std::optional<Duration> proved_age,
+             typename T::PackedValues* packed_values) {
   store.AskPeer(position, news, on_changes);
   { T::IsListCall(request) } -> std::same_as<bool>;
   { T::ListAnswer(page) } -> std::same_as<HttpResponse>;
   { T::WatchedPosition(request) } -> std::same_as<std::optional<StorePosition>>;
   { T::NewsIn(request) } -> std::same_as<PeerNews>;
-  { T::WatchAnswer(changes, position, wait, wait, news, proved_age) } -> std::same_as<HttpResponse>;
+  { T::ReadsPacked(request) } -> std::same_as<bool>;
+  {
+    T::WatchAnswer(changes, position, wait, wait, news, proved_age, packed_values)
+    } -> std::same_as<HttpResponse>;
 };
 
 /// The formats of the items in the store.
--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -178,6 +178,51 @@
   }
 }
 
+// Guards against a large value that a peer packs for a build that can't read it, or that comes back
+// changed.
+TEST_F(StoreClientTest, LargeValuesOfPeersArePackedForThoseThatReadThem) {
+  const std::vector<StoreChange> changes = {{"large", std::string(100'000, 'x'), 43},
+                                            {"small", "val", 44}};
+  PackedValues packed_values;
+  const auto body = [&](PackedValues* packed) {
+    return StoreClient::WatchAnswer(changes, {StoreEra(3), 44}, {}, {}, {}, std::nullopt, packed)
+        .body;
+  };
+  const auto ask = [&] {
+    return ResultOf<absl::StatusOr<StoreChanges>>([&](auto done) {
+      store_.AskPeer({StoreEra(3), 41}, {}, done);
+    });
+  };
+  for (auto* packed : {static_cast<PackedValues*>(nullptr), &packed_values, &packed_values}) {
+    Answer(200, body(packed));
+    const auto read = ask();
+    ASSERT_TRUE(read.ok()) << read.status();
+    ASSERT_EQ(read->changes.size(), 2U);
+    EXPECT_EQ(read->changes[0].value, changes[0].value);
+    EXPECT_EQ(read->changes[1].value, changes[1].value);
+  }
+  EXPECT_TRUE(StoreClient::ReadsPacked(last_));
+  EXPECT_LT(body(&packed_values).size(), 2000U);
+  HttpRequest earlier;
+  earlier.target = "/heatherspan/kv-watch?path_prefix=&after=41&wait_ms=0&era=3";
+  EXPECT_FALSE(StoreClient::ReadsPacked(earlier));
+  EXPECT_EQ(StoreClient::WatchedPosition(last_)->revision, 41U);
+}
+
+// Guards against changes that count as complete without a value that could not be read.
+TEST_F(StoreClientTest, APeersAnswerWithABrokenPackedValueIsDropped) {
+  for (const auto* item :
+       {R"("packed":"AA==","size":100)", R"("packed":"?","size":1)", R"("packed":"AA==")",
+        R"("packed":"AA==","size":99999999999)"}) {
+    Answer(200, std::string(R"({"current_rev":44,"events":[{"key":"k","revision":44,)") + item +
+                    "}]}");
+    const auto read = ResultOf<absl::StatusOr<StoreChanges>>([&](auto done) {
+      store_.AskPeer({StoreEra(3), 41}, {}, done);
+    });
+    EXPECT_TRUE(absl::IsUnavailable(read.status())) << item;
+  }
+}
+
 // Guards against a state that counts as proved for the time of an answer, which may have been made
 // long before, and against a peer that is taken at its word without having given any.
 TEST_F(StoreClientTest, TellsUpToWhenChangesAreProved) {
