--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -98,6 +98,7 @@
 
 auto StoreSpreadSimulation::Restart(std::size_t vm) -> void {
   auto& process = vms_[vm].process;
+  vms_[vm].asked.clear();
   process = std::make_shared<SimulatedFollower>(
       *this, vm, log_, [this] { return now(); }, StoreReadTiming::For(options_.change_bound));
   if (options_.peers_ask) process->follower().role().SetPeers(SelectPeersOf(vm));
@@ -250,9 +251,7 @@
     auto& busy_until = vms_[call.vm].link_busy_until;
     const auto begin = std::max(busy_until, now());
     const auto end =
-        begin +
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-            static_cast<double>(bytes) / static_cast<double>(options_.link_bytes_per_second)));
+        begin + LinkTime(call.vm, bytes);
     busy_until = std::min(end, std::max(begin, call.deadline));
     if (end > call.deadline) {
       RunAt(call.vm, call.process, call.deadline - now(), [callback, began = busy_until > begin] {
@@ -309,20 +308,64 @@
   for (const auto& peer : peers) AskPeer(vm, peer);
 }
 
+auto StoreSpreadSimulation::LinkTime(std::size_t vm, std::size_t bytes) const -> Duration {
+  constexpr double kFastFactor = 20;
+  const double rate = static_cast<double>(options_.link_bytes_per_second) *
+                      (vm < options_.fast_vms ? kFastFactor : 1);
+  return rate > 0 ? std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double>(static_cast<double>(bytes) / rate))
+                  : Duration::zero();
+}
+
+auto StoreSpreadSimulation::PeerTransferTime(std::size_t from, std::size_t to, std::size_t bytes,
+                                             MonotonicTime deadline) -> std::optional<Duration> {
+  if (bytes == 0) return Duration::zero();
+  const auto take = [&](MonotonicTime& busy_until, MonotonicTime ready, std::size_t vm,
+                        std::size_t& taken) {
+    const auto begin = std::max(busy_until, ready);
+    const auto end = begin + LinkTime(vm, bytes);
+    // Once the VM that has asked gives up, the connection is closed.
+    if (begin < deadline) {
+      busy_until = std::min(end, deadline);
+      taken += bytes;
+    }
+    return end;
+  };
+  auto& sender = vms_[from];
+  auto& receiver = vms_[to];
+  const auto sent = take(sender.link_out_busy_until, now(), from, sender.peer_bytes_out);
+  // The receiver's link carries the first bytes as they are sent.
+  const auto received =
+      take(receiver.link_busy_until, std::max(now(), sent - LinkTime(to, bytes)), to,
+           receiver.peer_bytes_in);
+  const auto end = std::max(sent, received);
+  return end > deadline ? std::nullopt : std::optional(end - now());
+}
+
 auto StoreSpreadSimulation::AskPeer(std::size_t vm, const Endpoint& peer) -> void {
   const auto to = IndexOf(peer);
+  if (!vms_[vm].asked.try_emplace(to, now()).second) return;
   const auto process = vms_[vm].process;
   const StorePosition after{process->state().era(), process->state().revision()};
   const auto delay = Delay(Region(vm), Region(to));
-  const auto ask = [this, vm, to, peer, after, delay, asked_at = now(),
+  const auto deadline = now() + kCallTimeout;
+  const auto end_question = [this, vm, to, asked_at = now()] {
+    auto& asked = vms_[vm].asked;
+    const auto question = asked.find(to);
+    if (question != asked.end() && question->second == asked_at) asked.erase(question);
+  };
+  RunAt(vm, process, kCallTimeout, end_question);
+  const auto ask = [this, vm, to, peer, deadline, end_question, after, delay, asked_at = now(),
                     asking = std::weak_ptr(process)] {
     if (!vms_[vm].reach.peers || !vms_[to].reach.peers) return;
     vms_[to].process->follower().OnPeerEra(after.era);
     const auto& state = vms_[to].process->state();
     if (!state.synced()) return;
     if (after.era != state.era() || after.revision < state.history_start()) {
-      RunAt(vm, asking, delay,
-            [this, vm, era = state.era()] { vms_[vm].process->follower().OnPeerEra(era); });
+      RunAt(vm, asking, delay, [this, vm, end_question, era = state.era()] {
+        end_question();
+        vms_[vm].process->follower().OnPeerEra(era);
+      });
       return;
     }
     auto changes = vms_[to].process->snapshot().ChangesAfter(after.revision);
@@ -330,7 +373,15 @@
     StoreChanges answer{*std::move(changes), state.revision(), state.Age(now()),
                         state.ContactAge(now())};
     answer.era = state.era();
-    RunAt(vm, asking, delay, [this, vm, peer, asked_at, answer]() mutable {
+    const auto bytes = options_.link_bytes_per_second == 0
+                           ? 0
+                           : static_cast<std::size_t>(
+                                 static_cast<double>(SizeOf(answer.changes)) *
+                                 options_.packed_fraction);
+    const auto transfer_time = PeerTransferTime(to, vm, bytes, deadline);
+    if (!transfer_time.has_value()) return;
+    RunAt(vm, asking, delay + *transfer_time, [this, vm, peer, asked_at, answer, end_question]() mutable {
+      end_question();
       auto& follower = vms_[vm].process->follower();
       answer.age += now() - asked_at;
       follower.role().OnAnswer(peer, answer.age, now());
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,8 +51,12 @@
     bool peers_ask = true;  ///< Otherwise each VM knows only what it reads from the store.
     /// The time within which a change has to be known everywhere.
     Duration change_bound = std::chrono::milliseconds(2500);
-    /// What each VM's link carries of the store's answers. Zero: without a limit.
+    /// What each VM's link carries in each direction, of answers. Zero: without a limit.
     std::size_t link_bytes_per_second = 0;
+    /// The first VMs have links of 20 times that rate.
+    std::size_t fast_vms = 0;
+    /// The size of a large item in a peer's answer, as a fraction of that in the store's.
+    double packed_fraction = 1;
     std::uint64_t seed = 1;
   };
 
@@ -86,6 +92,10 @@
   /// How often a VM applied an older revision of an item after a newer one in one life.
   auto reversals() const -> int { return reversals_; }
   auto store_calls() const -> int { return store_calls_; }
+  /// What peers' answers have put on the VM's link, in the direction with more.
+  auto peer_bytes(std::size_t vm) const -> std::size_t {
+    return std::max(vms_[vm].peer_bytes_in, vms_[vm].peer_bytes_out);
+  }
   /// How often a VM with an old state asked its peers.
   auto old_states() const -> int { return old_states_; }
 
@@ -95,7 +105,11 @@
   struct Vm {
     Reach reach;
     std::shared_ptr<SimulatedFollower> process;
-    MonotonicTime link_busy_until{};  ///< By answers of the store, one after the other.
+    MonotonicTime link_busy_until{};  ///< By answers to the VM, one after the other.
+    MonotonicTime link_out_busy_until{};
+    std::size_t peer_bytes_in = 0;
+    std::size_t peer_bytes_out = 0;
+    std::map<std::size_t, MonotonicTime> asked;  ///< Peers that have yet to answer, and since when.
   };
 
   struct Event {
@@ -148,6 +162,11 @@
   auto ReadPeerState(std::size_t vm) -> void;
   auto AskPeers(std::size_t vm) -> void;
   auto AskPeer(std::size_t vm, const Endpoint& peer) -> void;
+  /// What the answer of a peer to a VM takes on both links until the deadline, or nothing if that is
+  /// not enough.
+  auto PeerTransferTime(std::size_t from, std::size_t to, std::size_t bytes, MonotonicTime deadline)
+      -> std::optional<Duration>;
+  auto LinkTime(std::size_t vm, std::size_t bytes) const -> Duration;
   auto IndexOf(const Endpoint& endpoint) const -> std::size_t;
   /// Runs the task at a VM's process after the delay, once the VM is not frozen and if the process
   /// still runs.
--- a/tests/experiment/large_item_test.cc
+++ b/tests/experiment/large_item_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <vector>
 
 #include "experiment/store_spread_simulation.h"
 
@@ -83,5 +84,38 @@
   EXPECT_LE(slowest, seconds(6));
 }
 
+// Guards against peers that fill the links with the same configuration: 44 of 58 VMs have links of
+// 10 Mbit/s. `packed_fraction`: 1 for values that can't be made smaller.
+class SlowLinks : public testing::TestWithParam<double> {};
+
+TEST_P(SlowLinks, AChangingConfigurationIsKnownInTimeAndFillsNoLink) {
+  constexpr std::size_t kBytes = std::size_t{700} * 1000;
+  constexpr std::size_t kMaxTimes = 8;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    StoreSpreadSimulation simulation({.vm_count = 58,
+                                      .region_count = 3,
+                                      .zones_per_region = 2,
+                                      .link_bytes_per_second = 1'250'000,
+                                      .fast_vms = 14,
+                                      .packed_fraction = GetParam(),
+                                      .seed = seed});
+    simulation.Put(kConfiguration, kBytes);
+    simulation.RunFor(seconds(15));
+    std::vector<std::size_t> before;
+    for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
+      before.push_back(simulation.peer_bytes(vm));
+    }
+    const auto slowest = TimeToSettle(simulation, kBytes, 2, seconds(3));
+    simulation.RunFor(seconds(5));
+    EXPECT_LE(slowest, kApplyBound) << "seed " << seed;
+    for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
+      EXPECT_LE(simulation.peer_bytes(vm) - before[vm], kMaxTimes * kBytes)
+          << "seed " << seed << " VM " << vm;
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Packed, SlowLinks, testing::Values(1.0, 0.1));
+
 }  // namespace
 }  // namespace heatherspan
