--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +39,7 @@
   StoreEra era = {};
   BootTime proved_at = StateProof::kNever;  ///< The page was made later.
   Duration age{};                           ///< The page was made at most so long ago.
+  std::size_t bytes = 0;                    ///< Of the answer, if it has come as one.
 };
 
 /// The changes since a revision.
@@ -54,6 +56,8 @@
   StoreEra era = {};
   /// The store had no later change at that time than those up to the revision.
   BootTime proved_at = StateProof::kNever;
+  std::size_t bytes = 0;  ///< Of the answer, if it has come as one.
+  Duration taken{};       ///< By the question and the answer.
 };
 
 struct StoreLease {
