soak: homes that swap, configurations that grow, gateways cut off from news

Cause: the one route with a home had the same region in every configuration, configurations were small, and no fault lay between gateways, so that a gateway always heard of a change from a peer.

Change: three routes swap homes in both shapes; policy-grows adds up to 2,000 routes over links of 150 kB/s and changes the configuration soon after; news-cut keeps a gateway from the store and its peers; proxies stand between gateways; targets' addresses come back in other regions. An operator whose write meets a store that is down writes again.

--- a/tests/fleet_standins/kv_standin.cc
+++ b/tests/fleet_standins/kv_standin.cc
@@ -128,7 +128,7 @@
     std::string value;
     absl::Base64Unescape(put.at("value").get<std::string>(), &value);
     const auto key = put.at("key").get<std::string>();
-    Put(key, value);
+    Put(key, rewrite_ ? rewrite_(std::move(value)) : value);
     items_[key].lease = put.at("lease").get<std::uint64_t>();
   }
   return Json{{"revision", revision_}}.dump();
@@ -160,6 +160,11 @@
   return response;
 }
 
+auto KvStandin::SetRewrite(Rewrite rewrite) -> void {
+  const std::lock_guard lock(mutex_);
+  rewrite_ = std::move(rewrite);
+}
+
 auto KvStandin::Save() -> void {
   const std::lock_guard lock(mutex_);
   saved_items_ = items_;
--- a/tests/fleet_standins/kv_standin.h
+++ b/tests/fleet_standins/kv_standin.h
@@ -26,6 +26,9 @@
   /// Leaves calls to the second address without an answer, while calls to the first are answered.
   auto SetSecondSilent(bool silent) -> void;
   auto Put(const std::string& key, const std::string& value) -> void;
+  using Rewrite = std::function<std::string(std::string value)>;
+  /// Changes the values that VMs write from now on.
+  auto SetRewrite(Rewrite rewrite) -> void;
   auto Remove(const std::string& key) -> void;
   auto Has(const std::string& key) const -> bool;
   /// Makes the store answer every call with 503 while `down` is set.
@@ -72,6 +75,7 @@
   std::uint64_t discarded_revision_ = 0;  ///< The history starts after this revision.
   std::uint64_t last_lease_ = 0;
   std::map<std::uint64_t, MonotonicTime> leases_;  ///< Deadlines of the leases, by id.
+  Rewrite rewrite_;
   bool down_ = false;
   WorkerPool workers_{1};
   HttpServer server_;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -288,7 +288,13 @@
 
   /// After the delay, and as soon as the direction is open.
   auto Deliver(const std::shared_ptr<Pipe>& pipe, bool end) -> void {
-    const auto wait = behaviour_.delay;
+    auto wait = behaviour_.delay;
+    const auto& bounded = behaviour_.bounded_parties;
+    if (behaviour_.bytes_per_second > 0 &&
+        (bounded.empty() || bounded.contains(pipe->link->party))) {
+      wait += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          static_cast<double>(pipe->pending.size()) / behaviour_.bytes_per_second));
+    }
     pipe->timer.expires_after(wait);
     pipe->timer.async_wait([self = shared_from_this(), pipe, end](error_code error) {
       if (!error) self->WriteWhenOpen(pipe, end);
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 
 #include "base/endpoint.h"
 #include "base/time.h"
@@ -29,6 +30,8 @@
     bool forward_to_client = true;
     bool refuse = false;  ///< Resets new connections.
     Duration delay = Duration::zero();
+    double bytes_per_second = 0;         ///< In each direction of a connection; 0 if not bounded.
+    std::set<int> bounded_parties = {};  ///< Empty for all.
     Spoil spoil = Spoil::kNone;
     std::uint64_t seed = 0;  ///< Of what is drawn.
   };
--- a/tests/soak/fault_proxy_test.cc
+++ b/tests/soak/fault_proxy_test.cc
@@ -57,6 +57,16 @@
   }
 }
 
+// Guards against a bounded link that carries all at once.
+TEST_F(FaultProxyTest, ABoundedLinkTakesItsTime) {
+  ASSERT_TRUE(Ask().ok());
+  proxy_.SetBehaviour({.bytes_per_second = 1});
+  EXPECT_FALSE(Ask(milliseconds(300)).ok());
+  proxy_.SetBehaviour({.bytes_per_second = 1e6});
+  proxy_.ResetConnections();
+  EXPECT_TRUE(Ask().ok());
+}
+
 // Guards against a drawn harm that leaves responses as they are.
 TEST_F(FaultProxyTest, StrayBytesHarmSomeResponses) {
   proxy_.SetBehaviour({.spoil = FaultProxy::Spoil::kStray, .seed = 1});
--- a/tests/soak/soak_caller.cc
+++ b/tests/soak/soak_caller.cc
@@ -32,7 +32,7 @@
   sent.target = request.target;
   sent.body = request.body;
   sent.headers = {
-      {"Host", host},
+      {"Host", request.host.empty() ? host : request.host},
       {std::string(names::kRequestId), request.id},
       {std::string(names::kDeadline),
        std::to_string(std::chrono::duration_cast<milliseconds>(request.patience).count())},
@@ -99,10 +99,11 @@
   request.id = fmt::format("c{}-{}", number_, ++sent_);
   request.gateway = entry_.gateway;
   request.route = route.name;
+  request.host = route.host;
   request.method = route.method;
   request.target = harms
-                       ? fmt::format("/{}{}", route.name, std::string(PromiseLedger::kHarmfulPath))
-                       : fmt::format("/{}/{}/{}", route.name, object, work);
+                       ? fmt::format("/{}{}", route.path, std::string(PromiseLedger::kHarmfulPath))
+                       : fmt::format("/{}/{}/{}", route.path, object, work);
   request.at_most_once = route.at_most_once();
   request.patience = route.patience;
   request.route_timeout = route.timeout;
--- a/tests/soak/soak_figures.h
+++ b/tests/soak/soak_figures.h
@@ -12,6 +12,7 @@
 inline constexpr int kStoreProxies = 10;
 inline constexpr int kGateways = 30;
 inline constexpr int kCallerProxies = 50;
+inline constexpr int kPeerProxies = 70;
 inline constexpr int kTargets = 100;
 inline constexpr int kTargetProxies = 150;
 
@@ -54,6 +55,15 @@
 inline constexpr Duration kAddressReuse = std::chrono::seconds(2);
 /// One way, on a slow link: several times the distance between regions.
 inline constexpr Duration kSlowLink = std::chrono::milliseconds(250);
+/// Of each connection of some gateways to the store and to other gateways while the configuration
+/// grows: half a megabyte takes longer than PromiseBounds::apply.
+inline constexpr double kBoundedLinkRate = 150'000;
+/// Routes beside those that callers use, some 250 bytes each, in turn.
+inline constexpr int kMoreRoutes[] = {1000, 2000, 0};
+/// Until a configuration that has grown is changed again.
+inline constexpr Duration kChangeAfterGrowth = std::chrono::milliseconds(1400);
+/// Until an operator whose write the store has turned away writes again.
+inline constexpr Duration kWriteAgain = std::chrono::milliseconds(100);
 /// Versions grow in steps.
 inline constexpr int kPolicyStep = 3;
 /// Each sends the harmful request several times a second.
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -83,6 +83,9 @@
      milliseconds(15000)},
     {SoakAction::kTargetRepeatsAnswers, "target-repeats-answers", 0, Party::kTarget,
      milliseconds(500), milliseconds(5000)},
+    {SoakAction::kPolicyGrows, "policy-grows", 0, Party::kGateway, milliseconds(2000),
+     milliseconds(7000)},
+    {SoakAction::kNewsCut, "news-cut", 0, Party::kGateway, milliseconds(2000), milliseconds(8000)},
     {SoakAction::kTargetStrays, "target-strays", 0, Party::kTarget, milliseconds(3000),
      milliseconds(6000)},
     {SoakAction::kTargetRestarts, "target-restarts", 0, Party::kTarget, milliseconds(50),
@@ -101,6 +104,10 @@
 constexpr milliseconds kMeanHarmfulGap(10000);
 constexpr std::uint64_t kRepeatSequence = 0x4e9ea7;
 constexpr milliseconds kMeanRepeatGap(1500);
+constexpr std::uint64_t kGrowthSequence = 0x9204;
+constexpr milliseconds kMeanGrowthGap(6000);
+constexpr std::uint64_t kNewsCutSequence = 0x2e35;
+constexpr milliseconds kMeanNewsCutGap(10000);
 constexpr std::uint64_t kStraySequence = 0x57a45;
 constexpr milliseconds kMeanStrayGap(1500);
 constexpr std::uint64_t kRestartSequence = 0x4e57a;
@@ -180,6 +187,9 @@
                plan);
   DrawSequence(SoakAction::kTargetRepeatsAnswers, seed ^ kRepeatSequence, kMeanRepeatGap, length,
                size, plan);
+  DrawSequence(SoakAction::kPolicyGrows, seed ^ kGrowthSequence, kMeanGrowthGap, length, size,
+               plan);
+  DrawSequence(SoakAction::kNewsCut, seed ^ kNewsCutSequence, kMeanNewsCutGap, length, size, plan);
   if (size.has_strays) {
     DrawSequence(SoakAction::kTargetStrays, seed ^ kStraySequence, kMeanStrayGap, length, size,
                  plan);
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -43,6 +43,8 @@
   kStranded,
   kHarmfulRequests,
   kTargetRepeatsAnswers,
+  kPolicyGrows,
+  kNewsCut,
   kTargetStrays,
   kTargetRestarts,
 };
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <bit>
 #include <fstream>
 #include <future>
 #include <iostream>
@@ -28,16 +29,17 @@
 /// The part before the hyphen.
 auto RegionOf(const std::string& zone) -> std::string { return zone.substr(0, zone.find('-')); }
 
-auto RouteText(const SoakRoute& route, const std::string& service) -> std::string {
-  const auto regions =
-      route.region.empty() ? "" : fmt::format(R"(,"allowed_regions":["{}"])", route.region);
+auto RouteText(const SoakRoute& route, const std::string& service, const std::string& region)
+    -> std::string {
+  const auto regions = region.empty() ? "" : fmt::format(R"(,"allowed_regions":["{}"])", region);
   using Seconds = std::chrono::duration<double>;
   return fmt::format(
-      R"({{"type":"routes","metadata":{{"name":"{0}"}},"spec":{{"host":"{1}","path_prefix":"/{0}/",)"
+      R"({{"type":"routes","metadata":{{"name":"{0}"}},"spec":{{"host":"{1}","path_prefix":"/{8}/",)"
       R"("kind":"{2}","timeout_s":{3},"latency_slo_s":{4},"priority":{5},"service":"{6}",)"
       R"("max_attempts":2,"session_affinity":true{7}}}}})",
-      route.name, kHost, route.at_most_once() ? "unsafe" : "safe", Seconds(route.timeout).count(),
-      Seconds(route.objective).count(), route.priority, service, regions);
+      route.name, route.host.empty() ? kHost : route.host, route.at_most_once() ? "unsafe" : "safe",
+      Seconds(route.timeout).count(), Seconds(route.objective).count(), route.priority, service,
+      regions, route.path);
 }
 
 auto ServiceText(const std::string& name, const SoakShape& shape) -> std::string {
@@ -59,6 +61,16 @@
   world_.shape = options_.shape;
   for (int i = 0; i < options_.size.targets; ++i) AddTarget(i);
   for (int i = 0; i < options_.size.gateways; ++i) AddGateway(i);
+  // A gateway announces the address on which it listens.
+  store_.SetRewrite([this](std::string value) {
+    for (int i = 0; i < options_.size.gateways; ++i) {
+      const auto own = Endpoint{Address(kGateways + i), kPeersPort}.Text();
+      const auto at = value.find(own);
+      if (at == std::string::npos) continue;
+      value.replace(at, own.size(), Endpoint{Address(kPeerProxies + i), kPeersPort}.Text());
+    }
+    return value;
+  });
   for (int i = 0; i < options_.callers + kHarmfulCallers; ++i) {
     const auto manner = i >= options_.callers ? SoakCaller::Manner::kHarms
                         : i % 2 == 0          ? SoakCaller::Manner::kClings
@@ -106,12 +118,14 @@
       });
   target.proxy = std::make_unique<FaultProxy>(
       proxy_workers_, Endpoint{Address(kTargetProxies + number), kTargetPort}, endpoint,
-      [this](const Endpoint& client, const Endpoint& proxy) {
-        std::vector<pid_t> processes;
-        for (const auto& gateway : gateways_) processes.push_back(gateway.process->id());
-        return FindConnectionOwner(client, proxy, processes);
-      });
-  BeginLife(target, false);
+      [this](const Endpoint& client, const Endpoint& proxy) { return OwnerOf(client, proxy); });
+  BeginLife(target, false, false);
+}
+
+auto SoakRun::OwnerOf(const Endpoint& client, const Endpoint& proxy) const -> int {
+  std::vector<pid_t> processes;
+  for (const auto& gateway : gateways_) processes.push_back(gateway.process->id());
+  return FindConnectionOwner(client, proxy, processes);
 }
 
 auto SoakRun::AddGateway(int number) -> void {
@@ -125,6 +139,10 @@
       Endpoint{gateway.address, kCallersPort});
   gateway.store = std::make_unique<FaultProxy>(
       proxy_workers_, Endpoint{Address(kStoreProxies + number), kStorePort}, store_.endpoint());
+  gateway.peers = std::make_unique<FaultProxy>(
+      proxy_workers_, Endpoint{Address(kPeerProxies + number), kPeersPort},
+      Endpoint{gateway.address, kPeersPort},
+      [this](const Endpoint& client, const Endpoint& proxy) { return OwnerOf(client, proxy); });
   const auto base = options_.folder + "/" + gateway.name;
   gateway.process =
       std::make_unique<GatewayProcess>(options_.program, base + ".toml", base + ".log");
@@ -144,7 +162,7 @@
       "[log]\nlines_per_second = {10}\n[zones]\n",
       gateway.name, gateway.zone, gateway.region, gateway.address, kCallersPort, kReadinessPort,
       kDirectoryPort, kMetricsPort, Address(kStoreProxies + number), kStorePort, gateway.log_lines,
-      kPeersPort, Address(kGateways), Address(kGateways + 1),
+      kPeersPort, Address(kPeerProxies), Address(kPeerProxies + 1),
       options_.shape->bounds.retry_allowance);
   for (const auto& zone : options_.shape->zones) {
     file << fmt::format("{} = \"{}\"\n", zone, RegionOf(zone));
@@ -162,7 +180,7 @@
                          target.starts > 1 && state == "ready" ? 3 : 0));
 }
 
-auto SoakRun::BeginLife(Target& target, bool other_service) -> void {
+auto SoakRun::BeginLife(Target& target, bool other_service, bool other_region) -> void {
   const auto number = &target - targets_.data();
   ++target.lives;
   target.identity.name = fmt::format("i-{}-{}", number, target.lives);
@@ -171,6 +189,13 @@
     const auto now = std::find(services.begin(), services.end(), target.identity.service);
     target.identity.service = now + 1 == services.end() ? services.front() : *(now + 1);
   }
+  if (other_region) {
+    // Zones that follow one another are of different regions.
+    const auto& zones = options_.shape->zones;
+    const auto now = std::find(zones.begin(), zones.end(), target.identity.zone);
+    target.identity.zone = now + 1 == zones.end() ? zones.front() : *(now + 1);
+    target.identity.region = RegionOf(target.identity.zone);
+  }
   StartTarget(target);
 }
 
@@ -209,11 +234,16 @@
   After(std::min(kEntryLifetime, away), remove);
   After(away, [this, &target, away] {
     // An address may go to another service; each service keeps at least its other targets.
-    BeginLife(target, away >= kAddressReuse && target.lives % 4 == 3);
+    const bool reused = away >= kAddressReuse;
+    BeginLife(target, reused && target.lives % 4 == 3, reused && target.lives % 2 == 1);
   });
 }
 
 auto SoakRun::PutPolicy() -> void {
+  if (stores_down_ > 0) {
+    After(kWriteAgain, [this] { PutPolicy(); });
+    return;
+  }
   version_ += kPolicyStep;
   const int number = version_ / kPolicyStep;
   PolicyFacts facts;
@@ -226,8 +256,16 @@
     const bool has_moved = !route.moves_to.empty() && number % 2 == 0;
     const auto& service = has_moved ? route.moves_to : route.service;
     facts.services[route.name] = service;
-    if (!route.region.empty()) facts.regions[route.name] = route.region;
-    text += RouteText(route, service) + ',';
+    // One version or two with the same homes, so that any lag shows.
+    const bool home_has_moved =
+        !route.moves_home_to.empty() && std::popcount(static_cast<unsigned>(number)) % 2 == 0;
+    const auto& region = home_has_moved ? route.moves_home_to : route.region;
+    if (!region.empty()) facts.regions[route.name] = region;
+    text += RouteText(route, service, region) + ',';
+  }
+  for (int i = 0; i < more_routes_; ++i) {
+    const SoakRoute route = {.name = fmt::format("more-{}", i), .service = ""};
+    text += RouteText(route, options_.shape->services.front(), "") + ',';
   }
   text.pop_back();
   text += "]}";
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -56,8 +56,11 @@
     std::unique_ptr<GatewayProcess> process;
     std::unique_ptr<FaultProxy> callers;
     std::unique_ptr<FaultProxy> store;
+    std::unique_ptr<FaultProxy> peers;
     FaultProxy::Behaviour callers_now;
     FaultProxy::Behaviour store_now;
+    FaultProxy::Behaviour peers_now;
+    int news_cuts = 0;    ///< That overlap.
     bool ending = false;  ///< Its end is expected.
     bool stranded = false;
     MonotonicTime stop_began{};
@@ -79,6 +82,8 @@
   using Kind = TroubleLog::Kind;
 
   auto Address(int number) const -> std::string;
+  /// The gateway whose connection it is, by number.
+  auto OwnerOf(const Endpoint& client, const Endpoint& proxy) const -> int;
   auto AddGateway(int number) -> void;
   auto AddTarget(int number) -> void;
   auto WriteSettings(Gateway& gateway) -> void;
@@ -87,6 +92,11 @@
   auto ChooseBuild(Gateway& gateway) -> void;
   auto Register(Target& target, const std::string& state) -> void;
   auto PutPolicy() -> void;
+  /// Cuts the gateway off from the store and other gateways, and changes the configuration.
+  auto CutNews(const SoakStep& step) -> void;
+  auto BoundLinks() -> void;
+  /// Adds many routes over bounded links, and changes the configuration again soon after.
+  auto GrowPolicy(const SoakStep& step) -> void;
   auto AwaitReady() -> bool;
   auto Do(const SoakStep& step) -> void;
   auto DoGateway(const SoakStep& step) -> void;
@@ -95,7 +105,7 @@
   auto Stop(Gateway& gateway, Duration down) -> void;
   auto Kill(Gateway& gateway, Duration down) -> void;
   auto EndLife(Target& target, Duration away) -> void;
-  auto BeginLife(Target& target, bool other_service) -> void;
+  auto BeginLife(Target& target, bool other_service, bool other_region) -> void;
   auto StartTarget(Target& target) -> void;
   /// Restarts the targets that requests have ended.
   auto LookAfterTargets() -> void;
@@ -128,7 +138,10 @@
   MonotonicTime next_question_{};
   std::map<std::string, std::vector<SoakEntry>> named_;  ///< By the gateway that was asked.
   int version_ = 0;
-  int stores_down_ = 0;  ///< Outages that overlap.
+  int growths_ = 0;
+  int more_routes_ = 0;         ///< That no caller uses.
+  std::map<int, int> bounded_;  ///< Growths that overlap, by gateway.
+  int stores_down_ = 0;         ///< Outages that overlap.
 };
 
 }  // namespace heatherspan
--- a/tests/soak/soak_run_steps.cc
+++ b/tests/soak/soak_run_steps.cc
@@ -1,5 +1,7 @@
 #include <signal.h>
 
+#include <iterator>
+
 #include "platform/names.h"
 #include "soak/soak_figures.h"
 #include "soak/soak_run.h"
@@ -25,6 +27,12 @@
     case SoakAction::kPolicy:
       PutPolicy();
       break;
+    case SoakAction::kPolicyGrows:
+      GrowPolicy(step);
+      break;
+    case SoakAction::kNewsCut:
+      CutNews(step);
+      break;
     case SoakAction::kEvacuate: {
       const auto zone = options_.shape->zones[step.party];
       const auto key = std::string(names::kEvacuationPrefix) + zone;
@@ -161,6 +169,54 @@
   }
 }
 
+auto SoakRun::CutNews(const SoakStep& step) -> void {
+  auto& gateway = gateways_[step.party];
+  const auto set = [this, &gateway, party = step.party](bool is_cut) {
+    gateway.store_now.forward_to_server = gateway.store_now.forward_to_client = !is_cut;
+    gateway.store->SetBehaviour(gateway.store_now);
+    gateway.peers_now.forward_to_server = gateway.peers_now.forward_to_client = !is_cut;
+    gateway.peers->SetBehaviour(gateway.peers_now);
+    for (auto& other : gateways_) {
+      other.peers->SetCut(party, is_cut ? FaultProxy::Cut::kHang : FaultProxy::Cut::kNone);
+    }
+  };
+  Trouble(gateway.name, Kind::kUnplanned, step.length);
+  if (gateway.news_cuts++ == 0) set(true);
+  PutPolicy();
+  After(step.length, [set, &gateway] {
+    if (--gateway.news_cuts == 0) set(false);
+  });
+}
+
+auto SoakRun::BoundLinks() -> void {
+  std::set<int> numbers;
+  for (const auto& [number, growths] : bounded_) numbers.insert(number);
+  for (int i = 0; i < options_.size.gateways; ++i) {
+    auto& gateway = gateways_[i];
+    const bool is_bounded = bounded_.contains(i);
+    gateway.store_now.bytes_per_second = is_bounded ? kBoundedLinkRate : 0;
+    gateway.store->SetBehaviour(gateway.store_now);
+    gateway.peers_now.bytes_per_second = bounded_.empty() ? 0 : kBoundedLinkRate;
+    gateway.peers_now.bounded_parties = is_bounded ? std::set<int>() : numbers;
+    gateway.peers->SetBehaviour(gateway.peers_now);
+  }
+}
+
+auto SoakRun::GrowPolicy(const SoakStep& step) -> void {
+  for (int i = step.party % 2; i < options_.size.gateways; i += 2) {
+    Trouble(gateways_[i].name, Kind::kUnplanned, step.length);
+    ++bounded_[i];
+    After(step.length, [this, i] {
+      if (--bounded_[i] == 0) bounded_.erase(i);
+      BoundLinks();
+    });
+  }
+  BoundLinks();
+  more_routes_ = kMoreRoutes[growths_++ % std::size(kMoreRoutes)];
+  PutPolicy();
+  After(kChangeAfterGrowth, [this] { PutPolicy(); });
+}
+
 auto SoakRun::Strand(const SoakStep& step) -> void {
   auto& gateway = gateways_[step.party];
   if (std::exchange(gateway.stranded, true)) return;
--- a/tests/soak/soak_shape.cc
+++ b/tests/soak/soak_shape.cc
@@ -7,6 +7,23 @@
 
 using std::literals::chrono_literals::operator""ms;
 
+/// A prefix, a longer one below it, and one of another host.
+auto AddRoutesThatSwapHomes(const SoakRoute& base, const std::string& region,
+                            const std::string& other, std::vector<SoakRoute>& routes) -> void {
+  const auto add = [&](const char* name, const char* path, const char* host, bool is_swapped) {
+    auto route = base;
+    route.name = name;
+    route.path = path;
+    route.host = host;
+    route.region = is_swapped ? other : region;
+    route.moves_home_to = is_swapped ? region : other;
+    routes.push_back(std::move(route));
+  };
+  add("swap", "swap", "", false);
+  add("swap-below", "swap/below", "", true);
+  add("swap-host", "swap", "homes.example", false);
+}
+
 auto StandardShape() -> SoakShape {
   SoakShape shape;
   shape.zones = {"east-a", "west-a", "east-b", "west-b"};
@@ -20,6 +37,8 @@
                   {.name = "moving", .service = "beta", .weight = 3, .moves_to = "alpha"},
                   {.name = "home", .service = "alpha", .weight = 2, .region = "east"},
                   {.name = "extra", .service = "beta", .method = "PUT", .comes_and_goes = true}};
+  AddRoutesThatSwapHomes({.name = "", .service = "alpha", .weight = 2}, "east", "west",
+                         shape.routes);
   return shape;
 }
 
@@ -50,6 +69,8 @@
       {"history-read", "history-archive", "GET", 19.5, 1920ms, 5000ms, 10000ms, 1200ms, 2},
       {.name = "idle-moving", .service = "history-archive", .weight = 3, .moves_to = "rota-view"},
       {.name = "idle-extra", .service = "load-ledger", .method = "POST", .comes_and_goes = true}};
+  AddRoutesThatSwapHomes({.name = "", .service = "rota-view", .weight = 4}, "pampa", "cuyo",
+                         shape.routes);
   // Most requests concern an object that the target has handled lately.
   for (auto& route : shape.routes) {
     route.long_part = 0.2;
--- a/tests/soak/soak_shape.h
+++ b/tests/soak/soak_shape.h
@@ -26,7 +26,10 @@
   std::string calls = {};     ///< The route that a run calls through a gateway, unless empty.
   std::string moves_to = {};  ///< The service in every second configuration, unless empty.
   bool comes_and_goes = false;
-  std::string region = {};  ///< The only one allowed, unless empty.
+  std::string region = {};         ///< The only one allowed, unless empty.
+  std::string moves_home_to = {};  ///< The region in some configurations, unless empty.
+  std::string path = name;         ///< Its prefix, without the slashes around it.
+  std::string host = {};           ///< The deployment's own, if empty.
   std::chrono::milliseconds shortest_work{20};
   std::chrono::milliseconds longest_work{120};
   double long_part = 0.12;  ///< Of the requests; they take `long_work`.
