--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -304,10 +304,10 @@
     const auto changes =
         has_history ? items_.snapshot().ChangesAfter(after.revision) : std::nullopt;
     const auto now = Now();
-    auto answer = Store::WatchAnswer(changes, {sync_state.era(), sync_state.revision()},
-                                     sync_state.Age(now), sync_state.ContactAge(now),
-                                     News(lacks_crashes, now), ProvedAge(),
-                                     reads_packed ? &packed_values_ : nullptr);
+    auto answer =
+        Store::WatchAnswer(changes, {sync_state.era(), sync_state.revision()}, sync_state.Age(now),
+                           sync_state.ContactAge(now), News(lacks_crashes, now), ProvedAge(),
+                           reads_packed ? &packed_values_ : nullptr);
     peer_traffic_.OnGiven(PeerTraffic::Kind::kChanges, answer.body.size());
     return answer;
   }
--- a/src/edge/peer_sync.h
+++ b/src/edge/peer_sync.h
@@ -46,8 +46,8 @@
   using OnEra = std::function<void(StoreEra era)>;
 
   PeerSync(HttpClient& client, WorkerPool& workers, PositionCallback position,
-           QuestionsCallback questions, NewsCallback news, OnChanges on_changes, OnFailure on_failure,
-           OnEra on_era)
+           QuestionsCallback questions, NewsCallback news, OnChanges on_changes,
+           OnFailure on_failure, OnEra on_era)
       : client_(client),
         workers_(workers),
         position_(std::move(position)),
--- a/src/experiment/store_spread_simulation.cc
+++ b/src/experiment/store_spread_simulation.cc
@@ -250,8 +250,7 @@
   if (bytes > 0 && options_.link_bytes_per_second > 0) {
     auto& busy_until = vms_[call.vm].link_busy_until;
     const auto begin = std::max(busy_until, now());
-    const auto end =
-        begin + LinkTime(call.vm, bytes);
+    const auto end = begin + LinkTime(call.vm, bytes);
     busy_until = std::min(end, std::max(begin, call.deadline));
     if (end > call.deadline) {
       RunAt(call.vm, call.process, call.deadline - now(), [callback, began = busy_until > begin] {
@@ -335,9 +334,8 @@
   auto& receiver = vms_[to];
   const auto sent = take(sender.link_out_busy_until, now(), from, sender.peer_bytes_out);
   // The receiver's link carries the first bytes as they are sent.
-  const auto received =
-      take(receiver.link_busy_until, std::max(now(), sent - LinkTime(to, bytes)), to,
-           receiver.peer_bytes_in);
+  const auto received = take(receiver.link_busy_until, std::max(now(), sent - LinkTime(to, bytes)),
+                             to, receiver.peer_bytes_in);
   const auto end = std::max(sent, received);
   return end > deadline ? std::nullopt : std::optional(end - now());
 }
@@ -375,19 +373,19 @@
     answer.era = state.era();
     const auto bytes = options_.link_bytes_per_second == 0
                            ? 0
-                           : static_cast<std::size_t>(
-                                 static_cast<double>(SizeOf(answer.changes)) *
-                                 options_.packed_fraction);
+                           : static_cast<std::size_t>(static_cast<double>(SizeOf(answer.changes)) *
+                                                      options_.packed_fraction);
     const auto transfer_time = PeerTransferTime(to, vm, bytes, deadline);
     if (!transfer_time.has_value()) return;
-    RunAt(vm, asking, delay + *transfer_time, [this, vm, peer, asked_at, answer, end_question]() mutable {
-      end_question();
-      auto& follower = vms_[vm].process->follower();
-      answer.age += now() - asked_at;
-      follower.role().OnAnswer(peer, answer.age, now());
-      answer.contact_age = std::max(answer.contact_age, answer.age);
-      follower.ApplyPeerChanges(std::move(answer));
-    });
+    RunAt(vm, asking, delay + *transfer_time,
+          [this, vm, peer, asked_at, answer, end_question]() mutable {
+            end_question();
+            auto& follower = vms_[vm].process->follower();
+            answer.age += now() - asked_at;
+            follower.role().OnAnswer(peer, answer.age, now());
+            answer.contact_age = std::max(answer.contact_age, answer.age);
+            follower.ApplyPeerChanges(std::move(answer));
+          });
   };
   RunAt(to, vms_[to].process, delay, ask);
 }
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -162,8 +162,8 @@
   auto ReadPeerState(std::size_t vm) -> void;
   auto AskPeers(std::size_t vm) -> void;
   auto AskPeer(std::size_t vm, const Endpoint& peer) -> void;
-  /// What the answer of a peer to a VM takes on both links until the deadline, or nothing if that is
-  /// not enough.
+  /// What the answer of a peer to a VM takes on both links until the deadline, or nothing if that
+  /// is not enough.
   auto PeerTransferTime(std::size_t from, std::size_t to, std::size_t bytes, MonotonicTime deadline)
       -> std::optional<Duration>;
   auto LinkTime(std::size_t vm, std::size_t bytes) const -> Duration;
--- a/tests/edge/large_configuration_test.cc
+++ b/tests/edge/large_configuration_test.cc
@@ -30,7 +30,8 @@
         R"(heatherspan_peer_state_bytes_total{kind="changes",direction="given"} )";
     const auto text = Get(settings_.metrics, "/metrics").body;
     const auto found = text.find(name);
-    return found == std::string::npos ? 0 : std::strtod(text.c_str() + found + name.size(), nullptr);
+    return found == std::string::npos ? 0
+                                      : std::strtod(text.c_str() + found + name.size(), nullptr);
   }
 };
 
--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -211,11 +211,10 @@
 
 // Guards against changes that count as complete without a value that could not be read.
 TEST_F(StoreClientTest, APeersAnswerWithABrokenPackedValueIsDropped) {
-  for (const auto* item :
-       {R"("packed":"AA==","size":100)", R"("packed":"?","size":1)", R"("packed":"AA==")",
-        R"("packed":"AA==","size":99999999999)"}) {
-    Answer(200, std::string(R"({"current_rev":44,"events":[{"key":"k","revision":44,)") + item +
-                    "}]}");
+  for (const auto* item : {R"("packed":"AA==","size":100)", R"("packed":"?","size":1)",
+                           R"("packed":"AA==")", R"("packed":"AA==","size":99999999999)"}) {
+    Answer(200,
+           std::string(R"({"current_rev":44,"events":[{"key":"k","revision":44,)") + item + "}]}");
     const auto read = ResultOf<absl::StatusOr<StoreChanges>>([&](auto done) {
       store_.AskPeer({StoreEra(3), 41}, {}, done);
     });
