--- a/tests/edge/answer_age_test.cc
+++ b/tests/edge/answer_age_test.cc
@@ -37,8 +37,9 @@
   constexpr auto kOnTheWay = milliseconds(1900);
   MonotonicTime now(std::chrono::hours(1));
   std::function<void()> task;
-  VirtualWorkers workers([&] { return now; },
-                         [&](Duration /*delay*/, std::function<void()> next) { task = next; });
+  VirtualWorkers workers(
+      [&] { return now; },
+      [&](Duration /*delay*/, std::function<void()> next) { task = std::move(next); });
   LogCapture capture;
   std::ostream stream(&capture);
   EventLog log(LogLevel::kInfo, stream);
