edge: one peer at a time gives a large answer

A question states how large its answer may be: 16 kB. A peer with more says so (withheld) without its state's age, and is asked again, for all, if no other peer has the turn; that call has 6 s, but the turn is over if nothing arrives for 0.6 s. A VM that gives large answers does so up to what its link (link_mbps) carries, and turns others away, who ask elsewhere. Earlier builds don't state a size and get what they got.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -31,6 +31,8 @@
 #include "fmt/format.h"
 #include "gateway/capacity_weight.h"
 #include "gateway/gateway_core.h"
+#include "gateway/answer_budget.h"
+#include "gateway/large_answer_turn.h"
 #include "gateway/listing_budget.h"
 #include "gateway/loop_lateness.h"
 #include "gateway/peer_selection.h"
@@ -91,6 +93,7 @@
             [this] { return PeerStateNeedOf(follower_.sync_state(), Now() - started_at_); },
             [this](const Endpoint& peer, StorePage state) { OnPeerState(peer, std::move(state)); }),
         peer_traffic_(metrics_),
+        answer_budget_(BytesPerSecond(settings_.link_mbps)),
         peer_sync_(
             store_client_, workers_, [this] { return SyncedPosition(); },
             [this] { return NextPeerQuestions(); }, [this] { return News(true, Now()); },
@@ -278,11 +281,16 @@
   /// Answers a peer that can't read the store.
   auto PeerQuestion(const HttpRequest& request) -> HttpResponse {
     if (const auto position = Store::WatchedPosition(request)) {
-      return ChangesForPeer(*position, OnNews(Store::NewsIn(request)), Store::ReadsPacked(request));
+      return ChangesForPeer(*position, OnNews(Store::NewsIn(request)), request);
     }
     return Store::IsListCall(request) ? ListingForPeer() : WithStatus(404);
   }
 
+  static auto BytesPerSecond(double mbps) -> double {
+    constexpr double kBytesPerMegabit = 125'000;
+    return mbps * kBytesPerMegabit;
+  }
+
   auto ListingForPeer() -> HttpResponse {
     const auto& sync_state = follower_.sync_state();
     if (!sync_state.synced() || !listing_budget_.MayGive()) return WithStatus(503);
@@ -294,7 +302,7 @@
     return answer;
   }
 
-  auto ChangesForPeer(const StorePosition& after, bool lacks_crashes, bool reads_packed)
+  auto ChangesForPeer(const StorePosition& after, bool lacks_crashes, const HttpRequest& request)
       -> HttpResponse {
     OnPeerEra(after.era);
     const auto& sync_state = follower_.sync_state();
@@ -307,7 +315,19 @@
     auto answer = Store::WatchAnswer(changes, {sync_state.era(), sync_state.revision()},
                                      sync_state.Age(now), sync_state.ContactAge(now),
                                      News(lacks_crashes, now), ProvedAge(),
-                                     reads_packed ? &packed_values_ : nullptr);
+                                     Store::ReadsPacked(request) ? &packed_values_ : nullptr);
+    const auto bytes = answer.body.size();
+    const auto max_bytes = Store::MaxAnswerBytes(request);
+    // An earlier build, which can't be told that changes are left out, gets them.
+    const bool may_withhold = max_bytes.has_value();
+    const bool is_large = bytes > LargeAnswerTurn::kSmallBytes;
+    const bool fits = !may_withhold || bytes <= *max_bytes;
+    if (!fits || (is_large && may_withhold && !answer_budget_.MayGive(now))) {
+      answer = Store::WithheldAnswer(after, {sync_state.era(), sync_state.revision()},
+                                     News(lacks_crashes, now));
+    } else if (is_large) {
+      answer_budget_.OnGiven(bytes, now);
+    }
     peer_traffic_.OnGiven(PeerTraffic::Kind::kChanges, answer.body.size());
     return answer;
   }
@@ -357,8 +377,9 @@
     const auto taken = changes.taken;
     peer_traffic_.OnTaken(PeerTraffic::Kind::kChanges, bytes);
     peer_traffic_.OnAnswered();
-    follower_.role().OnAnswer(peer, age, Now());
     peer_lacks_crashes_ = OnNews(changes.news);
+    if (changes.are_withheld) return;
+    follower_.role().OnAnswer(peer, age, Now());
     const auto change_count = follower_.ApplyPeerChanges(std::move(changes));
     RecordStoreSeen();
     if (change_count == 0) return;
@@ -556,6 +577,7 @@
   PeerReader<Store> peer_reader_;
   PeerTraffic peer_traffic_;
   typename Store::PackedValues packed_values_;
+  AnswerBudget answer_budget_;
   PeerSync<Store> peer_sync_;
   ListingBudget listing_budget_;
   bool peer_lacks_crashes_ = false;  ///< The peer that answered last.
--- a/src/edge/peer_sync.h
+++ b/src/edge/peer_sync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -13,6 +14,7 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 #include "edge/platform_ports.h"
+#include "gateway/large_answer_turn.h"
 #include "net/http_client.h"
 #include "net/worker_pool.h"
 
@@ -65,7 +67,7 @@
     if (!position.has_value()) return;
     const auto news = news_();
     for (const auto& peer : peers) {
-      if (!Ask(peer, *position, news)) untold_.insert(peer.Text());
+      if (!Ask(peer, *position, news, LargeAnswerTurn::kSmallBytes)) untold_.insert(peer.Text());
     }
   }
 
@@ -77,16 +79,22 @@
     timer_ = workers_.RunAfter(questions.next, [this] { AskNext(); });
     const auto position = position_();
     if (!position.has_value()) return;
-    for (const auto& peer : questions.peers) Ask(peer, *position, questions.news);
+    for (const auto& peer : questions.peers) {
+      Ask(peer, *position, questions.news, LargeAnswerTurn::kSmallBytes);
+    }
   }
 
   /// Returns false if the peer has not answered the last question: it is not asked again.
-  auto Ask(const Endpoint& peer, const StorePosition& position, const PeerNews& news) -> bool {
+  auto Ask(const Endpoint& peer, const StorePosition& position, const PeerNews& news,
+           std::size_t max_bytes) -> bool {
+    const bool is_large = max_bytes > LargeAnswerTurn::kSmallBytes;
     if (!asked_.insert(peer.Text()).second) return false;
     Store(client_, peer, [this](StoreEra era, MonotonicTime /*called_at*/) { on_era_(era); })
-        .AskPeer(position, news,
-                 [this, peer, asked_at = Now()](absl::StatusOr<StoreChanges> changes) {
+        .AskPeer(position, news, max_bytes,
+                 is_large ? LargeAnswerTurn::kTimeout : Store::kCallTimeout,
+                 [this, peer, asked_at = Now(), is_large](absl::StatusOr<StoreChanges> changes) {
                    asked_.erase(peer.Text());
+                   if (is_large) turn_.End(peer.Text());
                    if (untold_.erase(peer.Text()) > 0) Tell({peer});
                    // A peer that doesn't answer or lacks the history is asked again in its turn.
                    if (!changes.ok()) {
@@ -95,11 +103,20 @@
                    }
                    changes->taken = Now() - asked_at;
                    changes->age += changes->taken;
+                   const bool are_withheld = changes->are_withheld;
                    on_changes_(peer, *std::move(changes));
+                   // A peer whose link is busy withholds a large answer, too. Others are asked next.
+                   if (are_withheld && !is_large) AskForLarge(peer);
                  });
     return true;
   }
 
+  auto AskForLarge(const Endpoint& peer) -> void {
+    const auto position = position_();
+    if (!position.has_value() || !turn_.IsFree(Now(), client_.reading_bytes() > 0)) return;
+    if (Ask(peer, *position, news_(), LargeAnswerTurn::kLargeBytes)) turn_.Begin(peer.Text(), Now());
+  }
+
   HttpClient& client_;
   WorkerPool& workers_;
   const PositionCallback position_;
@@ -110,6 +127,7 @@
   const OnEra on_era_;
   absl::flat_hash_set<std::string> asked_;   ///< Peers that have yet to answer.
   absl::flat_hash_set<std::string> untold_;  ///< Those of them that are to be told more.
+  LargeAnswerTurn turn_;
   std::shared_ptr<WorkerPool::Timer> timer_;
 };
 
--- a/src/edge/platform_ports.h
+++ b/src/edge/platform_ports.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -52,13 +53,16 @@
              const HttpRequest& request, const StorePage& page,
              const std::optional<std::vector<StoreChange>>& changes, const StorePosition& position,
              const PeerNews& news, std::optional<Duration> proved_age,
-             typename T::PackedValues* packed_values) {
-  store.AskPeer(position, news, on_changes);
+             typename T::PackedValues* packed_values, std::size_t max_bytes) {
+  store.AskPeer(position, news, max_bytes, wait, on_changes);
+  { T::kCallTimeout } -> std::convertible_to<Duration>;
   { T::IsListCall(request) } -> std::same_as<bool>;
   { T::ListAnswer(page) } -> std::same_as<HttpResponse>;
   { T::WatchedPosition(request) } -> std::same_as<std::optional<StorePosition>>;
   { T::NewsIn(request) } -> std::same_as<PeerNews>;
   { T::ReadsPacked(request) } -> std::same_as<bool>;
+  { T::MaxAnswerBytes(request) } -> std::same_as<std::optional<std::size_t>>;
+  { T::WithheldAnswer(position, position, news) } -> std::same_as<HttpResponse>;
   {
     T::WatchAnswer(changes, position, wait, wait, news, proved_age, packed_values)
     } -> std::same_as<HttpResponse>;
--- a/src/experiment/store_spread_simulation.h
+++ b/src/experiment/store_spread_simulation.h
@@ -15,6 +15,8 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "experiment/event_scheduler.h"
+#include "gateway/answer_budget.h"
+#include "gateway/large_answer_turn.h"
 #include "gateway/peer_selection.h"
 #include "gateway/store_changes.h"
 #include "observe/event_log.h"
@@ -109,6 +111,8 @@
     MonotonicTime link_out_busy_until{};
     std::size_t peer_bytes_in = 0;
     std::size_t peer_bytes_out = 0;
+    LargeAnswerTurn turn;
+    AnswerBudget budget{0};
     std::map<std::size_t, MonotonicTime> asked;  ///< Peers that have yet to answer, and since when.
   };
 
@@ -161,11 +165,14 @@
   /// Reads a peer's whole state if the VM needs one, and looks again later.
   auto ReadPeerState(std::size_t vm) -> void;
   auto AskPeers(std::size_t vm) -> void;
-  auto AskPeer(std::size_t vm, const Endpoint& peer) -> void;
+  /// `is_large`: the peer may give a large answer.
+  auto AskPeer(std::size_t vm, const Endpoint& peer, bool is_large) -> void;
   /// What the answer of a peer to a VM takes on both links until the deadline, or nothing if that is
   /// not enough.
   auto PeerTransferTime(std::size_t from, std::size_t to, std::size_t bytes, MonotonicTime deadline)
       -> std::optional<Duration>;
+  /// In bytes a second.
+  auto LinkRate(std::size_t vm) const -> double;
   auto LinkTime(std::size_t vm, std::size_t bytes) const -> Duration;
   auto IndexOf(const Endpoint& endpoint) const -> std::size_t;
   /// Runs the task at a VM's process after the delay, once the VM is not frozen and if the process
--- a/src/gateway/store_changes.h
+++ b/src/gateway/store_changes.h
@@ -56,6 +56,8 @@
   BootTime proved_at = StateProof::kNever;
   std::size_t bytes = 0;  ///< Of the answer, if it has come as one.
   Duration taken{};       ///< By the question and the answer.
+  /// The peer has left the changes out, because they are large. Shows nothing of the state.
+  bool are_withheld = false;
 };
 
 struct StoreLease {
