gateway: an attempt follows the homes of the configuration in force

Cause: a request keeps the route of its arrival. When homes of the route or of the team move while it is at a target, a retry after that target's refusal goes to the former home; the same after a wait or a relay. Change: InFlightRules rules anew before each placement after a new version, as on an arrival, and keeps the request to what both allow; if nothing is left, 503 as not run if that is certain (reason configuration-changed). A key that is gone or another team's ends it too.

--- a/src/base/reason.cc
+++ b/src/base/reason.cc
@@ -5,7 +5,7 @@
 namespace heatherspan {
 namespace {
 
-constexpr std::array<std::string_view, 46> kTexts = {
+constexpr std::array<std::string_view, 47> kTexts = {
     "none",
     "bad-request",
     "unknown-service",
@@ -52,13 +52,14 @@
     "unknown-access-key",
     "stale-configuration",
     "memory",
+    "configuration-changed",
 };
 
 }  // namespace
 
-auto AllReasons() -> const std::array<Reason, 46>& {
-  static constexpr std::array<Reason, 46> kAll = [] {
-    std::array<Reason, 46> all{};
+auto AllReasons() -> const std::array<Reason, 47>& {
+  static constexpr std::array<Reason, 47> kAll = [] {
+    std::array<Reason, 47> all{};
     for (std::size_t i = 0; i < all.size(); ++i) all[i] = static_cast<Reason>(i);
     return all;
   }();
--- a/src/base/reason.h
+++ b/src/base/reason.h
@@ -55,10 +55,11 @@
   kUnknownAccessKey,
   kStaleConfiguration,
   kMemory,
+  kConfigurationChanged,
 };
 
 /// Every reason, in the order of the enumeration.
-auto AllReasons() -> const std::array<Reason, 46>&;
+auto AllReasons() -> const std::array<Reason, 47>&;
 
 /// The reason as it stands in headers, logs and metric labels, for example "region-cap".
 auto ReasonText(Reason reason) -> std::string_view;
--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -24,6 +24,7 @@
 #include "edge/team_quota_gate.h"
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
+#include "gateway/in_flight_rules.h"
 #include "gateway/loop_lateness.h"
 #include "gateway/relay_terms.h"
 #include "gateway/stop_plan.h"
@@ -257,6 +258,7 @@
       Conclude(active, forwarded.OnNoTarget(), Reason::kTimeout, kRetryAfterOtherVm, std::nullopt);
       return;
     }
+    if (!FollowsConfiguration(active, now)) return;
     if (!forwarded.MayRun()) {
       // The other VM's attempt may have run, and this VM's configuration has another retry rule.
       Conclude(active, RequestStep::kFail, Reason::kTargetConnectionLost, Duration::zero(),
@@ -300,6 +302,22 @@
     return disconnect != nullptr && disconnect->has_closed && disconnect->has_closed();
   }
 
+  /// Concludes the request if a configuration that came into force after its arrival doesn't allow
+  /// its next attempt.
+  auto FollowsConfiguration(const ActivePtr& active, MonotonicTime now) -> bool {
+    auto& forwarded = active->forwarded;
+    const auto in_force = core_.policy()->version;
+    if (forwarded.ruled_by() == in_force) return true;
+    const auto fields = Format::ReadCaller(active->request);
+    const auto route = InFlightRules::RouteFor(
+        forwarded, core_.routes().Find(fields.host, active->request.target));
+    const auto ruling = access_.Rule(route, fields.access_key, now);
+    if (InFlightRules::Apply(forwarded, active->team, in_force, ruling)) return true;
+    Conclude(active, forwarded.OnNoTarget(), Reason::kConfigurationChanged, kRetryAfterOtherVm,
+             std::nullopt);
+    return false;
+  }
+
   /// Concludes the request if it must not be sent because of the targets that it may end.
   auto MaySend(const ActivePtr& active, MonotonicTime now) -> bool {
     using Ruling = HarmGuard::Ruling;
--- a/src/edge/restricted_attempts.h
+++ b/src/edge/restricted_attempts.h
@@ -31,13 +31,21 @@
     const auto fields = Format::ReadCaller(request);
     const auto* route = core_.routes().Find(fields.host, request.target);
     if (route == nullptr) route = &attributes.route;
-    Count(access_.Rule(*route, fields.access_key, now).route.allowed_regions, region);
+    const auto ruling = access_.Rule(*route, fields.access_key, now);
+    if (ruling.outcome == TeamAccess::Outcome::kNoRegionLeft) {
+      Count(false);
+    } else {
+      Count(ruling.route.allowed_regions, region);
+    }
   }
 
  private:
   auto Count(const std::vector<RegionName>& allowed, const RegionName& region) -> void {
     if (allowed.empty()) return;
-    const bool is_home = std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+    Count(std::find(allowed.begin(), allowed.end(), region) != allowed.end());
+  }
+
+  auto Count(bool is_home) -> void {
     metrics_.Increment(Metric::kRestrictedAttempts, {{"home", is_home ? "yes" : "no"}});
   }
 
--- a/src/gateway/forwarded_request.cc
+++ b/src/gateway/forwarded_request.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/common_regions.h"
+
 namespace heatherspan {
 namespace {
 
@@ -71,6 +73,8 @@
 
 ForwardedRequest::ForwardedRequest(Attributes attributes)
     : attributes_(std::move(attributes)),
+      arrival_regions_(attributes_.route.allowed_regions),
+      ruled_by_(attributes_.config),
       deadline_(attributes_.arrived +
                 std::min(attributes_.caller_timeout - kCallerRoundTripAllowance,
                          attributes_.route.timeout)) {}
@@ -79,6 +83,15 @@
   return attributes_.route.objective - (now - attributes_.arrived);
 }
 
+auto ForwardedRequest::KeepTo(ConfigVersion in_force, const std::vector<RegionName>& regions)
+    -> bool {
+  auto common = CommonRegions(arrival_regions_, regions);
+  if (!common.has_value()) return false;
+  attributes_.route.allowed_regions = *std::move(common);
+  ruled_by_ = in_force;
+  return true;
+}
+
 auto ForwardedRequest::OnSent(const TargetName& target, RegionName region) -> void {
   attempted_targets_.push_back(target);
   last_region_ = std::move(region);
--- a/src/gateway/forwarded_request.h
+++ b/src/gateway/forwarded_request.h
@@ -51,7 +51,8 @@
  public:
   struct Attributes {
     RequestId id;
-    Route route;           ///< A copy from the time when the request arrived.
+    /// A copy from the time when the request arrived. Later configurations narrow its regions.
+    Route route;
     ConfigVersion config;  ///< That the route was taken from.
     ServiceName service;
     ObjectHash object = 0;
@@ -77,6 +78,12 @@
     if (rule == RetryRule::kAtMostOnce) attributes_.route.retry_rule = rule;
   }
 
+  /// A configuration is in force that allows the request these regions, all if empty. The request
+  /// may run only where that of the arrival allows it as well. Returns false if that is nowhere.
+  auto KeepTo(ConfigVersion in_force, const std::vector<RegionName>& regions) -> bool;
+  /// The latest configuration by which the request may be sent.
+  auto ruled_by() const -> ConfigVersion { return ruled_by_; }
+
   /// Another entry VM has made attempts with this verdict before it passed the request on.
   /// `arrivals`: at targets; empty if the VM doesn't state it.
   auto OnEarlierAttempts(Verdict verdict, std::optional<int> arrivals) -> void;
@@ -143,6 +150,8 @@
   auto FinalStep() const -> RequestStep;
 
   Attributes attributes_;
+  std::vector<RegionName> arrival_regions_;
+  ConfigVersion ruled_by_;
   MonotonicTime deadline_;
   std::vector<TargetName> attempted_targets_;
   PlacementRecord last_placement_;
--- a/src/gateway/team_access.cc
+++ b/src/gateway/team_access.cc
@@ -1,22 +1,11 @@
 #include "gateway/team_access.h"
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
-namespace heatherspan {
-namespace {
-
-auto CommonRegions(const std::vector<RegionName>& one, const std::vector<RegionName>& other)
-    -> std::vector<RegionName> {
-  std::vector<RegionName> common;
-  std::copy_if(one.begin(), one.end(), std::back_inserter(common), [&](const RegionName& region) {
-    return std::find(other.begin(), other.end(), region) != other.end();
-  });
-  return common;
-}
+#include "gateway/common_regions.h"
 
-}  // namespace
+namespace heatherspan {
 
 auto TeamAccess::Apply(const TrafficPolicy& policy) -> std::optional<Change> {
   const bool required_before = std::exchange(requires_keys_, policy.RequiresKeys());
@@ -63,13 +52,9 @@
 auto TeamAccess::RuleForTeam(const Route& route, const Team& team) -> Ruling {
   Ruling ruling{Outcome::kAllowed, team.name, route};
   ruling.route.priority = team.priority.value_or(route.priority);
-  if (team.allowed_regions.empty()) return ruling;
-  if (route.allowed_regions.empty()) {
-    ruling.route.allowed_regions = team.allowed_regions;
-    return ruling;
-  }
-  ruling.route.allowed_regions = CommonRegions(route.allowed_regions, team.allowed_regions);
-  if (ruling.route.allowed_regions.empty()) ruling.outcome = Outcome::kNoRegionLeft;
+  auto regions = CommonRegions(route.allowed_regions, team.allowed_regions);
+  if (!regions.has_value()) ruling.outcome = Outcome::kNoRegionLeft;
+  ruling.route.allowed_regions = std::move(regions).value_or(std::vector<RegionName>());
   return ruling;
 }
 
