--- a/tests/edge/home_regions_test.cc
+++ b/tests/edge/home_regions_test.cc
@@ -1,9 +1,7 @@
-#include <mutex>
-#include <optional>
 #include <string>
-#include <utility>
 
 #include "edge_node_fixture.h"
+#include "fmt/format.h"
 
 namespace heatherspan {
 namespace {
@@ -19,11 +17,11 @@
   auto text = Policy(version);
   for (int i = 0; i <= further; ++i) {
     const auto name = i == 0 ? std::string("home") : "home" + std::to_string(i);
-    text.insert(text.rfind("]}"), R"(,{"type":"routes","metadata":{"name":")" + name +
-                                      R"("},"spec":{"host":"h.example","path_prefix":"/)" + name +
-                                      R"(/","kind":"safe","timeout_s":3,"latency_slo_s":1,
-     "priority":1,"service":"s","max_attempts":2,"allowed_regions":)" +
-                                      regions + "}}");
+    text.insert(text.rfind("]}"),
+                fmt::format(R"(,{{"type":"routes","metadata":{{"name":"{0}"}},"spec":{{
+    "host":"h.example","path_prefix":"/{0}/","kind":"safe","timeout_s":3,"latency_slo_s":1,
+    "priority":1,"service":"s","max_attempts":2,"allowed_regions":{1}}}}})",
+                            name, regions));
   }
   return text;
 }
--- a/tests/edge/moved_homes_test.cc
+++ b/tests/edge/moved_homes_test.cc
@@ -11,8 +11,8 @@
 
 /// What a configuration says of the requests for "/home/".
 struct HomeRule {
-  std::string regions = "";       ///< Of the route, as a list in JSON; empty: any.
-  std::string team_regions = "";  ///< Of the team that holds the key, the same.
+  std::string regions = {};       ///< Of the route, as a list in JSON; empty: any.
+  std::string team_regions = {};  ///< Of the team that holds the key, the same.
   std::string key = "secret";     ///< Of the team.
   std::string path_prefix = "/home/";
 };
@@ -133,23 +133,23 @@
   node_.reset();
 }
 
-const std::string kHere = R"(["r"])";
-const std::string kThere = R"(["q"])";
-const std::string kBoth = R"(["r","q"])";
+const std::string here = R"(["r"])";
+const std::string there = R"(["q"])";
+const std::string both = R"(["r","q"])";
 
 INSTANTIATE_TEST_SUITE_P(
     Changes, MovedHomesTest,
-    testing::Values(
-        HomeChange{"NoHomeLeft", {kHere}, {kThere}, 503, ""},
-        HomeChange{"OneHomeLeft", {kBoth}, {kThere}, 200, "q"},
-        HomeChange{"HomesAppear", {}, {kThere}, 200, "q"},
-        HomeChange{"HomesGo", {kHere}, {}, 200, "r"},
-        HomeChange{"TeamMoves", {kBoth, kHere}, {kBoth, kThere}, 503, ""},
-        HomeChange{"TeamGetsHomes", {}, {"", kThere}, 200, "q"},
-        HomeChange{"NothingInCommon", {kBoth}, {kHere, kThere}, 503, ""},
-        HomeChange{"KeyWithdrawn", {}, {"", "", "other"}, 503, ""},
-        HomeChange{"RouteGone", {kHere}, {"", "", "secret", "/gone/"}, 200, "r"},
-        HomeChange{"RouteGoneAndTeamMoves", {kHere}, {"", kThere, "secret", "/gone/"}, 503, ""}),
+    testing::Values(HomeChange{"NoHomeLeft", {here}, {there}, 503, ""},
+                    HomeChange{"OneHomeLeft", {both}, {there}, 200, "q"},
+                    HomeChange{"HomesAppear", {}, {there}, 200, "q"},
+                    HomeChange{"HomesGo", {here}, {}, 200, "r"},
+                    HomeChange{"TeamMoves", {both, here}, {both, there}, 503, ""},
+                    HomeChange{"TeamGetsHomes", {}, {"", there}, 200, "q"},
+                    HomeChange{"NothingInCommon", {both}, {here, there}, 503, ""},
+                    HomeChange{"KeyWithdrawn", {}, {"", "", "other"}, 503, ""},
+                    HomeChange{"RouteGone", {here}, {"", "", "secret", "/gone/"}, 200, "r"},
+                    HomeChange{
+                        "RouteGoneAndTeamMoves", {here}, {"", there, "secret", "/gone/"}, 503, ""}),
     [](const auto& test) { return test.param.name; });
 
 }  // namespace
--- a/tests/gateway/in_flight_rules_test.cc
+++ b/tests/gateway/in_flight_rules_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/random.h"
 #include "gateway/common_regions.h"
@@ -45,6 +46,7 @@
 
   static auto Names(const std::set<char>& letters) -> std::vector<RegionName> {
     std::vector<RegionName> names;
+    names.reserve(letters.size());
     for (const char letter : letters) names.emplace_back(std::string(1, letter));
     return names;
   }
