edge: both VMs' configurations bind a request that is passed on

Cause: RelayTerms named neither the configuration nor the homes by which the first VM had admitted a request.

Change: a VM that passes a request on states the version in force there, or the latest by which a peer says that it has sent a request to a target (Heatherspan-Relay-Config), and the homes of route and team (Heatherspan-Relay-Homes). A VM with an older version or without a common home answers out-of-reach; the homes of both bind (RelayAdmission). Builds that state neither are treated as before; such a build, as the second VM, hands the two fields on to the target, as it did with those added before.

--- a/src/edge/request_forwarder.h
+++ b/src/edge/request_forwarder.h
@@ -24,6 +24,7 @@
 #include "fmt/format.h"
 #include "gateway/gateway_core.h"
 #include "gateway/loop_lateness.h"
+#include "gateway/relay_admission.h"
 #include "gateway/relay_terms.h"
 #include "gateway/stop_plan.h"
 #include "gateway/team_access.h"
@@ -172,6 +173,15 @@
       RefuseAccess(fields, request, access, respond, for_peer);
       return;
     }
+    if (for_peer) {
+      const auto ruling = RelayAdmission::Admit(*terms, core_.policy()->version, access.route);
+      if (ruling != RelayAdmission::Outcome::kAllowed) {
+        const bool is_older = ruling == RelayAdmission::Outcome::kOlderConfiguration;
+        RefuseUnadmitted(fields, request, Format::Refused(kRetryAfterOtherVm),
+                         is_older ? Reason::kStaleConfiguration : Reason::kNoTarget, respond, true);
+        return;
+      }
+    }
     const auto unread = lateness_.MaxWait(now);
     auto forwarded =
         for_peer ? core_.AdmitPassedOn(id, access.route, fields.object, fields.caller_timeout,
@@ -337,7 +347,8 @@
     if (active->for_peer) return false;
     const auto vm = relay_.Choose(route, service, now);
     if (!vm.has_value()) return false;
-    const RelayTerms terms{route.retry_rule, forwarded.verdict(), forwarded.arrivals()};
+    const RelayTerms terms{route.retry_rule, forwarded.verdict(), forwarded.arrivals(),
+                           core_.policy()->version, route.allowed_regions};
     core_.OnPassedOn(forwarded);
     forwarded.OnSent(TargetName(vm->name.value()));
     active->through = vm->name.value();
@@ -540,6 +551,9 @@
       const bool out_of_reach = is_cause_here && verdict == Verdict::kNotRun;
       Format::AddRelayVerdict(active->forwarded.attributes().id, verdict,
                               active->forwarded.own_arrivals(), !out_of_reach, answer);
+      if (active->forwarded.own_arrivals() > 0) {
+        Format::AddRelayConfig(active->forwarded.attributes().config, answer);
+      }
     }
     active->respond(std::move(answer));
     Finish(active, outcome, status, reason);
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -10,6 +10,7 @@
 
 #include "edge/platform_ports.h"
 #include "gateway/gateway_core.h"
+#include "gateway/relay_admission.h"
 #include "gateway/relay_peers.h"
 #include "gateway/relay_terms.h"
 #include "gateway/target_reach.h"
@@ -66,8 +67,9 @@
   }
 
   auto Send(const EntryVm& vm, const ServiceName& service, const HttpRequest& request,
-            const RelayTerms& terms, Duration time_left, HttpClient::SendOptions options,
+            RelayTerms terms, Duration time_left, HttpClient::SendOptions options,
             OnAnswer on_answer) -> std::shared_ptr<HttpClient::Exchange> {
+    terms.config = admission_.LeastConfig(terms.config);
     // An answer without a verdict names no request: on a connection that has been used, it may be
     // the answer to an earlier one.
     if (!peers_.KnowsRelays(vm.name)) options.max_idle = HttpClient::SendOptions::kNewConnection;
@@ -77,6 +79,7 @@
           const std::string verdict(Format::RelayVerdict(result.response));
           const auto reply = Format::ReadRelayed(result);
           if (result.status.ok()) peers_.OnAnswer(name, reply.has_verdict);
+          admission_.OnRun(reply.config);
           if (reply.end == AttemptOutcome::kNotSent) {
             peers_.OnFailure(name, service, SystemClock().Now());
           }
@@ -104,6 +107,7 @@
   Random random_;
   TargetReach reach_;
   RelayPeers peers_;
+  RelayAdmission admission_;
   bool was_stranded_ = false;
 };
 
--- a/src/gateway/team_access.cc
+++ b/src/gateway/team_access.cc
@@ -1,22 +1,11 @@
 #include "gateway/team_access.h"
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
-namespace heatherspan {
-namespace {
-
-auto CommonRegions(const std::vector<RegionName>& one, const std::vector<RegionName>& other)
-    -> std::vector<RegionName> {
-  std::vector<RegionName> common;
-  std::copy_if(one.begin(), one.end(), std::back_inserter(common), [&](const RegionName& region) {
-    return std::find(other.begin(), other.end(), region) != other.end();
-  });
-  return common;
-}
+#include "gateway/common_regions.h"
 
-}  // namespace
+namespace heatherspan {
 
 auto TeamAccess::Apply(const TrafficPolicy& policy) -> std::optional<Change> {
   const bool required_before = std::exchange(requires_keys_, policy.RequiresKeys());
--- a/tests/fleet_platform/request_format_test.cc
+++ b/tests/fleet_platform/request_format_test.cc
@@ -158,6 +158,32 @@
   EXPECT_EQ(RequestFormat::RelayedRequest(request)->terms.arrivals, std::nullopt);
 }
 
+// Guards against a request that runs outside its homes or by an older configuration because the VM
+// that it is passed on to is told of others, or because a caller claims them.
+TEST(RequestFormat, PassesOnConfigurationAndHomes) {
+  auto request = CallerRequest();
+  request.headers.push_back({"Heatherspan-Relay-Config", "9"});
+  request.headers.push_back({"Heatherspan-Relay-Homes", "z"});
+  RelayTerms terms;
+  terms.config = ConfigVersion(4);
+  for (const std::vector<RegionName>& homes :
+       {std::vector<RegionName>(), {RegionName("a,b"), RegionName("c d")}}) {
+    terms.homes = homes;
+    const auto relayed =
+        RequestFormat::RelayedRequest(RequestFormat::ForRelay(request, terms, milliseconds(9)));
+    ASSERT_TRUE(relayed.has_value());
+    EXPECT_EQ(relayed->terms.config, ConfigVersion(4));
+    EXPECT_EQ(relayed->terms.homes, homes);
+    EXPECT_EQ(relayed->request.Header("Heatherspan-Relay-Config"), "");
+    EXPECT_EQ(relayed->request.Header("Heatherspan-Relay-Homes"), "");
+  }
+  // An earlier build.
+  request = CallerRequest();
+  request.target = "/heatherspan/relay/a";
+  EXPECT_EQ(RequestFormat::RelayedRequest(request)->terms.config, ConfigVersion());
+  EXPECT_TRUE(RequestFormat::RelayedRequest(request)->terms.homes.empty());
+}
+
 // Guards against retries that exceed the budget because a VM doesn't learn how often another one
 // has sent its request to targets.
 TEST(RequestFormat, TellsHowOftenARelayedRequestHasArrived) {
