--- a/tests/edge/outdated_homes_test.cc
+++ b/tests/edge/outdated_homes_test.cc
@@ -37,5 +37,26 @@
   node_.reset();
 }
 
+// Guards against a VM that refuses homes for good, or without a line, and against one that keeps
+// the VM which passes a request on from trying another one.
+TEST_F(OutdatedHomesTest, HomesAreKnownAgainOnceTheStoreAnswers) {
+  const TargetStub target("i-1");
+  Register(target);
+  settings_.bounds.apply = std::chrono::seconds(1);
+  store_.Put("op/config", HomePolicy(1, "r"));
+  Start();
+  store_.SetDown(true);
+  ASSERT_TRUE(Eventually([&] { return log_capture_.Contains("event=homes-stale age_ms="); }));
+  EXPECT_FALSE(log_capture_.Contains("event=homes-known"));
+  const auto request = Request("/heatherspan/relay/home/x");
+  const auto answer = caller_.SendAndWait(settings_.peers, request, kTimeout).response;
+  EXPECT_EQ(answer.Header("Heatherspan-Relay-Verdict"), "out-of-reach");
+  EXPECT_EQ(answer.Header("Retry-After"), "0.050");
+  store_.SetDown(false);
+  EXPECT_TRUE(Eventually([&] { return Send("/home/x").response.status == 200; }));
+  EXPECT_TRUE(Eventually([&] { return log_capture_.Contains("event=homes-known age_ms="); }));
+  node_.reset();
+}
+
 }  // namespace
 }  // namespace heatherspan
