--- a/tests/fleet_platform/store_client_test.cc
+++ b/tests/fleet_platform/store_client_test.cc
@@ -274,7 +274,7 @@
 TEST_F(StoreClientTest, APeerThatTellsNoAgeIsNotFresh) {
   const auto ask = [&] {
     return ResultOf<absl::StatusOr<StoreChanges>>([&](auto done) {
-      store_.AskPeer({StoreEra(3), 41}, {}, done);
+      store_.AskPeer({StoreEra(3), 41}, {}, 100'000, StoreClient::kCallTimeout, done);
     });
   };
   // The machine of a peer that started from another one's state has run for two days.
