edge: no homes are known while the latest configuration can't be read

Cause: a VM whose latest configuration can't be read goes by the one before, and its state is young, so that it placed requests by homes that the unread one may have moved; keys were guarded. Change: HomeProof asks for the latest configuration, too.

--- a/src/edge/access_control.h
+++ b/src/edge/access_control.h
@@ -45,6 +45,10 @@
                 {"keys_withdrawn", change->keys_withdrawn}});
   }
 
+  /// Whether the latest configuration of the store can be read. Otherwise an earlier one is in
+  /// force.
+  auto OnConfigurationRead(bool is_latest) -> void { homes_.SetLatest(is_latest); }
+
   /// The configuration is proved to have been the latest at the time.
   auto OnConfigurationProved(BootTime at) -> void { proved_at_ = at; }
 
--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -446,6 +446,7 @@
   auto RecordStoreSeen() -> void {
     const auto& sync_state = follower_.sync_state();
     core_.OnStoreSeen(sync_state.revision(), sync_state.complete_at());
+    access_.OnConfigurationRead(!items_.lacks_policy());
     if (!items_.lacks_policy()) access_.OnConfigurationProved(sync_state.proved_at());
     items_.Settle();
   }
--- a/src/gateway/home_proof.h
+++ b/src/gateway/home_proof.h
@@ -24,10 +24,13 @@
                  std::any_of(policy.teams.begin(), policy.teams.end(), is_restricted);
   }
 
+  /// Whether the configuration that was applied is the latest of the state.
+  auto SetLatest(bool is_latest) -> void { is_latest_ = is_latest; }
+
   /// Whether any route or team has homes.
   auto has_homes() const -> bool { return has_homes_; }
   /// `age`: since when the state may lack changes.
-  auto IsStale(Duration age) const -> bool { return age > bound_; }
+  auto IsStale(Duration age) const -> bool { return !is_latest_ || age > bound_; }
   /// Whether a request of the route may be placed.
   auto Allows(const Route& route, Duration age) const -> bool {
     return route.allowed_regions.empty() || !IsStale(age);
@@ -36,6 +39,7 @@
  private:
   Duration bound_ = std::chrono::milliseconds(2500);
   bool has_homes_ = false;
+  bool is_latest_ = true;
 };
 
 }  // namespace heatherspan
--- a/tests/edge/outdated_homes_test.cc
+++ b/tests/edge/outdated_homes_test.cc
@@ -58,5 +58,35 @@
   node_.reset();
 }
 
+// Guards against a request that runs in a former home, because the configuration that moved it
+// can't be read.
+TEST_F(OutdatedHomesTest, AConfigurationThatCanNotBeReadLeavesNoHomeKnown) {
+  const TargetStub target("i-1");
+  Register(target);
+  store_.Put("op/config", HomePolicy(1, "r"));
+  Start();
+  ASSERT_EQ(Send("/home/x").response.status, 200);
+  store_.Put("op/config", "{");
+  EXPECT_TRUE(Eventually([&] { return Send("/home/x").response.status == 503; }));
+  EXPECT_EQ(Send("/read/x").response.status, 200);
+  store_.Put("op/config", HomePolicy(2, "r"));
+  EXPECT_TRUE(Eventually([&] { return Send("/home/x").response.status == 200; }));
+  node_.reset();
+}
+
+// Guards against a request that runs outside its home, because its route had none in the latest
+// configuration that the entry VM knows.
+TEST_F(OutdatedHomesTest, AVmThatMayLackChangesSendsNothingPastANewHome) {
+  const TargetStub target("i-1");
+  Register(target);
+  settings_.bounds.apply = std::chrono::seconds(1);
+  store_.Put("op/config", Policy(1));
+  Start();
+  ASSERT_EQ(Send("/read/x").response.status, 200);
+  store_.SetDown(true);
+  EXPECT_TRUE(Eventually([&] { return Send("/read/x").response.status == 503; }));
+  node_.reset();
+}
+
 }  // namespace
 }  // namespace heatherspan
