gateway: a restored store may bring an older configuration back for relays

Cause: RelayAdmission kept the latest version by which a peer has sent a request to a target, also after the store came back from an older copy: peers that start then know an older one only, and each relay was refused as older. Found by the review, by reading. Change: it is forgotten with the era.

--- a/src/edge/edge_node.h
+++ b/src/edge/edge_node.h
@@ -441,6 +441,7 @@
                {{"era", sync_state.era().value()}, {"revision", sync_state.revision()}});
     items_.OnStoreRestored();
     core_.OnStoreRestored();
+    relay_.OnStoreRestored();
   }
 
   auto RecordStoreSeen() -> void {
--- a/src/edge/request_relay.h
+++ b/src/edge/request_relay.h
@@ -54,6 +54,7 @@
     reach_.OnUnreachable(target, now);
     OnState(now);
   }
+  auto OnStoreRestored() -> void { admission_.OnStoreRestored(); }
   auto reach() const -> const TargetReach& { return reach_; }
   auto IsStranded(MonotonicTime now) const -> bool {
     return reach_.state(now) == TargetReach::State::kStranded;
--- a/src/gateway/relay_admission.h
+++ b/src/gateway/relay_admission.h
@@ -32,6 +32,8 @@
 
   /// Another VM has run a request by the configuration.
   auto OnRun(ConfigVersion config) -> void { latest_run_ = std::max(latest_run_, config); }
+  /// The store is back from an older copy, whose configuration may be an older one, too.
+  auto OnStoreRestored() -> void { latest_run_ = ConfigVersion(); }
   /// Returns the least configuration for a request that was admitted here by the given one. Callers
   /// of this VM don't go back behind what their earlier requests have met.
   auto LeastConfig(ConfigVersion admitted_by) const -> ConfigVersion {
