tests: packed answers are bounded on fast links as well

Cause: the bound on peers' bytes at VMs with fast links went from 8 to 40 times the configuration, also where values are packed, which hold the former one. Change: 8 for packed values; 40, fewer than there are slow VMs, for values that can't be made smaller.

--- a/tests/experiment/large_item_test.cc
+++ b/tests/experiment/large_item_test.cc
@@ -92,7 +92,8 @@
   constexpr std::size_t kBytes = std::size_t{700} * 1000;
   constexpr std::size_t kFastVms = 14;
   constexpr std::size_t kMaxTimes = 6;
-  constexpr std::size_t kFastMaxTimes = 40;
+  // A VM with a fast link may give a value that can't be made smaller to each slow one.
+  const std::size_t fast_max_times = GetParam() < 1 ? 8 : 40;
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
     StoreSpreadSimulation simulation({.vm_count = 58,
                                       .region_count = 3,
@@ -112,7 +113,7 @@
     EXPECT_LE(slowest, kApplyBound) << "seed " << seed;
     for (std::size_t vm = 0; vm < simulation.vm_count(); ++vm) {
       EXPECT_LE(simulation.peer_bytes(vm) - before[vm],
-                (vm < kFastVms ? kFastMaxTimes : kMaxTimes) * kBytes)
+                (vm < kFastVms ? fast_max_times : kMaxTimes) * kBytes)
           << "seed " << seed << " VM " << vm;
     }
   }
